--- /dev/null
+++ b/.dependency-cruiser.cjs
@@ -0,0 +1,23 @@
+/** Which folders may import which. The packages' own dependencies say which packages may import which. */
+const FOLDERS_OF_DECISIONS = '^packages/gateway/src/(admission/(dispatcher|fairQueue|retryBudget|serviceRate)|routing/|attempts/(dispatchBoundary|requestLifecycle|eventScanner|streamedAnswer)|claims/(claimPolicy|claimRecord)|upstreams/(upstream|upstreamTable)\\.|membership/(member|membershipTable)|configuration/configurationState|recovery/.*(Planner|Policy|Table))'
+
+module.exports = {
+  forbidden: [
+    { name: 'no-cycles', severity: 'error', from: { pathNot: '/dist/' }, to: { circular: true, dependencyTypesNot: ['type-only'] } },
+    { name: 'common-stands-alone', severity: 'error', from: { path: '^packages/common' }, to: { path: '^packages/(?!common)' } },
+    { name: 'records-know-no-platform', severity: 'error', from: { path: '^packages/records' }, to: { path: '^packages/(platform|gateway|operator|standins|load|timeline)' } },
+    { name: 'platform-knows-no-users', severity: 'error', from: { path: '^packages/platform' }, to: { path: '^packages/(gateway|operator|standins|load|timeline)' } },
+    { name: 'standins-only-in-embedded-default', severity: 'error', from: { path: '^packages/gateway/src', pathNot: '^packages/gateway/src/embedded' }, to: { path: '^packages/standins' } },
+    { name: 'embedded-default-only-from-the-binary', severity: 'error', from: { path: '^packages/gateway/src', pathNot: '^packages/gateway/src/(bin|embedded)' }, to: { path: '^packages/gateway/src/embedded' } },
+    { name: 'operator-does-not-know-the-gateway', severity: 'error', from: { path: '^packages/operator' }, to: { path: '^packages/(gateway|standins|load)' } },
+    { name: 'timeline-knows-only-common', severity: 'error', from: { path: '^packages/timeline' }, to: { path: '^packages/(?!timeline|common)' } },
+    { name: 'protocol-only-in-adapters', severity: 'error', from: { path: '^packages/(gateway|operator)', pathNot: '^packages/gateway/src/(membership/peer|recovery/handover)' }, to: { path: '^packages/protocol' } },
+    { name: 'decisions-open-no-sockets', severity: 'error', from: { path: FOLDERS_OF_DECISIONS }, to: { path: '(^node:|node_modules/(undici|hono|@hono|@connectrpc))|^(net|http|http2|fs|timers|dgram)$' } }
+  ],
+  options: {
+    doNotFollow: { path: '(node_modules|/dist/)' },
+    exclude: { path: '/generated/' },
+    tsPreCompilationDeps: true,
+    enhancedResolveOptions: { exportsFields: ['exports'], conditionNames: ['import', 'types', 'default'], mainFields: ['types', 'main'] }
+  }
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,15 @@
+import neostandard from 'neostandard'
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/generated/**', 'reports/**'] }),
+  {
+    files: ['**/*.ts'],
+    rules: {
+      'no-void': 'off',
+      'no-use-before-define': 'off',
+      // A type and the value that creates it may share a name.
+      '@typescript-eslint/no-redeclare': 'off',
+      'max-lines': ['error', { max: 400 }]
+    }
+  }
+]
--- /dev/null
+++ b/packages/common/src/clock.ts
@@ -0,0 +1,91 @@
+/**
+ * Time as it is handed to decisions and tasks.
+ *
+ * @module
+ */
+
+/** A point in time, in milliseconds since the epoch. */
+export type Timestamp = number
+
+/** A timer that has not fired yet. */
+export interface Timer {
+  /** Stops the timer. Stopping a timer that has fired is allowed and does nothing. */
+  cancel (): void
+}
+
+/** The only source of time. Decisions are given the time; tasks read it from here. */
+export interface Clock {
+  /** Returns the current time in milliseconds since the epoch. */
+  now (): Timestamp
+  /** Calls back once at `deadline`, or at once when the deadline has passed. */
+  schedule (deadline: Timestamp, callback: () => void): Timer
+}
+
+/** The clock of the operating system. Its timers do not keep the process alive. */
+export class SystemClock implements Clock {
+  static create (): SystemClock {
+    return new SystemClock()
+  }
+
+  now (): Timestamp {
+    return Date.now()
+  }
+
+  schedule (deadline: Timestamp, callback: () => void): Timer {
+    const handle = setTimeout(callback, Math.max(0, deadline - Date.now()))
+    handle.unref()
+    return { cancel: () => clearTimeout(handle) }
+  }
+}
+
+interface ScheduledCallback {
+  deadline: Timestamp
+  order: number
+  callback: () => void
+}
+
+/** A clock that moves only when it is told to, for scenarios and tests. */
+export class VirtualClock implements Clock {
+  private _now: Timestamp
+  private _nextOrder = 0
+  private _scheduled: ScheduledCallback[] = []
+
+  private constructor (start: Timestamp) {
+    this._now = start
+  }
+
+  static create (start: Timestamp = 0): VirtualClock {
+    return new VirtualClock(start)
+  }
+
+  now (): Timestamp {
+    return this._now
+  }
+
+  schedule (deadline: Timestamp, callback: () => void): Timer {
+    const entry = { deadline, order: this._nextOrder++, callback }
+    this._scheduled.push(entry)
+    return { cancel: () => { this._scheduled = this._scheduled.filter(other => other !== entry) } }
+  }
+
+  /** Moves to `target` and fires every timer that is due on the way, in order of deadline. */
+  advanceTo (target: Timestamp): void {
+    for (;;) {
+      const next = this._findNextDue(target)
+      if (!next) break
+      this._scheduled = this._scheduled.filter(entry => entry !== next)
+      this._now = Math.max(this._now, next.deadline)
+      next.callback()
+    }
+    this._now = Math.max(this._now, target)
+  }
+
+  private _findNextDue (target: Timestamp): ScheduledCallback | undefined {
+    let next: ScheduledCallback | undefined
+    for (const entry of this._scheduled) {
+      if (entry.deadline > target) continue
+      if (!next || entry.deadline < next.deadline || (entry.deadline === next.deadline && entry.order < next.order)) next = entry
+    }
+    return next
+  }
+}
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,16 @@
+/**
+ * Parts shared by all programs: time, randomness, identities, errors, settings, logging and instrumentation.
+ *
+ * @module
+ */
+export * from './callContext.js'
+export * from './clock.js'
+export * from './errors.js'
+export * from './eventLog.js'
+export * from './identities.js'
+export * from './instrumentation.js'
+export * from './logging.js'
+export * from './mailbox.js'
+export * from './promptBlocks.js'
+export * from './random.js'
+export * from './settings.js'
--- /dev/null
+++ b/packages/common/src/instrumentation.ts
@@ -0,0 +1,67 @@
+/**
+ * The one hook through which log, metrics and time line see every action of a process.
+ *
+ * @module
+ */
+import type { Clock, Timestamp } from './clock.js'
+
+/** Attributes of an event: flat, and small enough for one line. */
+export type EventAttributes = Readonly<Record<string, string | number | boolean | undefined>>
+
+/** One action of one process. Written as one JSON line. */
+export interface ActionEvent {
+  /** Name of the process, as given in its settings. */
+  process: string
+  /** Identity of this run of the process. */
+  incarnation: string
+  /** Position in the order of this run's events, from 1. */
+  sequence: number
+  /** Milliseconds since the epoch on the clock of the process. */
+  time: Timestamp
+  kind: string
+  request?: string
+  attempt?: string
+  attributes?: EventAttributes
+}
+
+/** Receives every event of a process, in order. */
+export type EventListener = (event: ActionEvent) => void
+
+/** Emits the events of one process to its listeners. */
+export class Instrumentation {
+  readonly process: string
+  readonly incarnation: string
+  private readonly _clock: Clock
+  private readonly _listeners: EventListener[] = []
+  private _sequence = 0
+
+  private constructor (process: string, incarnation: string, clock: Clock) {
+    this.process = process
+    this.incarnation = incarnation
+    this._clock = clock
+  }
+
+  static create (process: string, incarnation: string, clock: Clock): Instrumentation {
+    return new Instrumentation(process, incarnation, clock)
+  }
+
+  addListener (listener: EventListener): void {
+    this._listeners.push(listener)
+  }
+
+  emit (kind: string, attributes?: EventAttributes, request?: string, attempt?: string): void {
+    this._sequence++
+    if (this._listeners.length === 0) return
+    const event: ActionEvent = {
+      process: this.process,
+      incarnation: this.incarnation,
+      sequence: this._sequence,
+      time: this._clock.now(),
+      kind,
+      request,
+      attempt,
+      attributes
+    }
+    for (const listener of this._listeners) listener(event)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/admission/dispatchTask.ts
@@ -0,0 +1,91 @@
+/**
+ * Carries out the dispatcher's actions: tells each request that it is admitted or refused.
+ *
+ * @module
+ */
+import type { Clock, Timer, Timestamp } from '@plumstage/common'
+import type { Configuration } from '@plumstage/records'
+import type { UpstreamIdentity } from '../upstreams/upstream.js'
+import type { DispatchAction, DispatchRequest, Dispatcher, RefusalReason } from './dispatcher.js'
+
+/** A request that waits for the dispatcher's word. */
+export interface DispatchClient {
+  onAdmitted (upstream: UpstreamIdentity): void
+  onRefused (reason: RefusalReason, retryAfterSeconds: number): void
+}
+
+const TICK_MILLISECONDS = 100
+
+/** Owns the dispatcher of a gateway. */
+export class DispatchTask {
+  private readonly _dispatcher: Dispatcher
+  private readonly _clock: Clock
+  private readonly _clients = new Map<string, DispatchClient>()
+  private _tick: Timer | undefined
+
+  private constructor (dispatcher: Dispatcher, clock: Clock) {
+    this._dispatcher = dispatcher
+    this._clock = clock
+  }
+
+  static create (dispatcher: Dispatcher, clock: Clock): DispatchTask {
+    const task = new DispatchTask(dispatcher, clock)
+    task._scheduleTick()
+    return task
+  }
+
+  get waitingCount (): number {
+    return this._dispatcher.waitingCount
+  }
+
+  get runningCount (): number {
+    return this._dispatcher.runningCount
+  }
+
+  offer (request: DispatchRequest, client: DispatchClient): void {
+    this._clients.set(request.requestId, client)
+    this._carryOut(this._dispatcher.offer(request, this._clock.now()))
+  }
+
+  withdraw (requestId: string): void {
+    this._clients.delete(requestId)
+    this._dispatcher.withdraw(requestId)
+  }
+
+  release (requestId: string): void {
+    this._carryOut(this._dispatcher.release(requestId, this._clock.now()))
+  }
+
+  tryTakeRetry (service: string): boolean {
+    return this._dispatcher.tryTakeRetry(service)
+  }
+
+  applyConfiguration (configuration: Configuration, now: Timestamp): void {
+    this._carryOut(this._dispatcher.applyConfiguration(configuration, now))
+  }
+
+  /** Starts what can start now, after the upstream table has changed. */
+  pump (): void {
+    this._carryOut(this._dispatcher.pump(this._clock.now()))
+  }
+
+  stop (): void {
+    this._tick?.cancel()
+  }
+
+  private _scheduleTick (): void {
+    this._tick = this._clock.schedule(this._clock.now() + TICK_MILLISECONDS, () => {
+      this.pump()
+      this._scheduleTick()
+    })
+  }
+
+  private _carryOut (actions: readonly DispatchAction[]): void {
+    for (const action of actions) {
+      const client = this._clients.get(action.requestId)
+      this._clients.delete(action.requestId)
+      if (action.kind === 'start') client?.onAdmitted(action.upstream)
+      else client?.onRefused(action.reason, action.retryAfterSeconds)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/admission/dispatcher.ts
@@ -0,0 +1,229 @@
+/**
+ * Decides which request starts on which upstream, which waits, and which is refused. It joins the queues, the upstream
+ * table and the router of one gateway; tasks carry out its actions.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import type { Configuration, PriorityRecord, ServiceRecord } from '@plumstage/records'
+import type { PrefixIndex } from '../routing/prefixIndex.js'
+import type { Router } from '../routing/router.js'
+import { keyOfUpstream } from '../upstreams/upstream.js'
+import type { Upstream, UpstreamIdentity } from '../upstreams/upstream.js'
+import type { UpstreamTable } from '../upstreams/upstreamTable.js'
+import { FairQueue } from './fairQueue.js'
+import type { WaitingRequest } from './fairQueue.js'
+import { RetryBudget } from './retryBudget.js'
+import { ServiceRate } from './serviceRate.js'
+
+/** A request as the dispatcher sees it. */
+export interface DispatchRequest extends WaitingRequest {
+  service: string
+  promptTokens: number
+  prefixBlocks: readonly string[]
+  /** Addresses of upstreams on which an attempt of this request has failed. */
+  excludedUpstreams: readonly string[]
+  /** Whether the request had started before and is to go first. */
+  resumed: boolean
+}
+
+/** Why a request was refused before it started. */
+export type RefusalReason = 'no-upstream' | 'overloaded' | 'start-deadline' | 'service-removed'
+
+/** What tasks are to do. */
+export type DispatchAction =
+  | { kind: 'start', requestId: string, upstream: UpstreamIdentity }
+  | { kind: 'refuse', requestId: string, reason: RefusalReason, retryAfterSeconds: number }
+
+interface ServiceQueue {
+  waiting: FairQueue<DispatchRequest>
+  rate: ServiceRate
+  retries: RetryBudget
+  runningByRank: Map<number, number>
+}
+
+interface RunningRequest {
+  request: DispatchRequest
+  upstream: UpstreamIdentity
+  startedAt: Timestamp
+}
+
+const RETRY_AFTER_NO_UPSTREAM_SECONDS = 2
+
+/** Admission and routing of one gateway. */
+export class Dispatcher {
+  private readonly _table: UpstreamTable
+  private readonly _router: Router
+  private readonly _prefixIndex: PrefixIndex
+  private readonly _queues = new Map<string, ServiceQueue>()
+  private readonly _running = new Map<string, RunningRequest>()
+  private _configuration: Configuration
+
+  private constructor (table: UpstreamTable, router: Router, prefixIndex: PrefixIndex, configuration: Configuration) {
+    this._table = table
+    this._router = router
+    this._prefixIndex = prefixIndex
+    this._configuration = configuration
+  }
+
+  static create (table: UpstreamTable, router: Router, prefixIndex: PrefixIndex, configuration: Configuration): Dispatcher {
+    return new Dispatcher(table, router, prefixIndex, configuration)
+  }
+
+  get waitingCount (): number {
+    let count = 0
+    for (const queue of this._queues.values()) count += queue.waiting.size
+    return count
+  }
+
+  get runningCount (): number {
+    return this._running.size
+  }
+
+  applyConfiguration (configuration: Configuration, now: Timestamp): DispatchAction[] {
+    this._configuration = configuration
+    return this.pump(now)
+  }
+
+  /** Takes a new request, or one whose last attempt is to be followed by another. */
+  offer (request: DispatchRequest, now: Timestamp): DispatchAction[] {
+    const service = this._configuration.services.get(request.service)
+    if (!service) return [refuse(request, 'service-removed', RETRY_AFTER_NO_UPSTREAM_SECONDS)]
+    const queue = this._queueOf(request.service)
+    if (!request.resumed) queue.retries.recordRequest()
+    const refusal = this._refuseEarly(request, service, queue, now)
+    if (refusal) return [refusal]
+    if (request.resumed) queue.waiting.addFirst(request)
+    else queue.waiting.add(request)
+    return this._pumpService(service, queue, now)
+  }
+
+  /** Takes a waiting request back. */
+  withdraw (requestId: string): void {
+    for (const queue of this._queues.values()) if (queue.waiting.remove(requestId)) return
+  }
+
+  /** Notes that the running attempt of a request has ended, and starts what waits. */
+  release (requestId: string, now: Timestamp): DispatchAction[] {
+    const running = this._running.get(requestId)
+    if (!running) return []
+    this._running.delete(requestId)
+    this._table.recordAttemptEnded(running.upstream)
+    const queue = this._queueOf(running.request.service)
+    addToCount(queue.runningByRank, running.request.rank, -1)
+    queue.rate.recordHold(now - running.startedAt)
+    return this.pumpService(running.request.service, now)
+  }
+
+  tryTakeRetry (service: string): boolean {
+    return this._queueOf(service).retries.tryTake()
+  }
+
+  /** Starts what can start and refuses what no longer can, in all services. */
+  pump (now: Timestamp): DispatchAction[] {
+    return [...this._queues.keys()].flatMap(service => this.pumpService(service, now))
+  }
+
+  pumpService (name: string, now: Timestamp): DispatchAction[] {
+    const queue = this._queueOf(name)
+    if (queue.waiting.size === 0) return []
+    const service = this._configuration.services.get(name)
+    if (!service) return this._refuseAll(queue)
+    return this._pumpService(service, queue, now)
+  }
+
+  private _pumpService (service: ServiceRecord, queue: ServiceQueue, now: Timestamp): DispatchAction[] {
+    const actions: DispatchAction[] = []
+    for (const request of queue.waiting.takeExpired(now)) actions.push(refuse(request, 'start-deadline', this._retryAfter(service, queue, request, now)))
+    for (;;) {
+      const free = this._listFree(service, now)
+      if (free.length === 0) return actions
+      const request = queue.waiting.peek(candidate => this._mayUse(candidate, service, queue, free))
+      if (!request) return actions
+      actions.push(this._start(request, service, queue, free, now))
+    }
+  }
+
+  private _start (request: DispatchRequest, service: ServiceRecord, queue: ServiceQueue, free: readonly Upstream[], now: Timestamp): DispatchAction {
+    queue.waiting.take(request.requestId)
+    const candidates = preferUntried(free, request)
+    const upstream = this._router.choose({ service, promptTokens: request.promptTokens, prefixBlocks: request.prefixBlocks }, candidates, now) ?? candidates[0]
+    const identity = { service: upstream.service, address: upstream.address, incarnation: upstream.incarnation }
+    this._running.set(request.requestId, { request, upstream: identity, startedAt: now })
+    this._table.recordAttemptStarted(identity)
+    addToCount(queue.runningByRank, request.rank, 1)
+    this._prefixIndex.recordSent(keyOfUpstream(identity), request.prefixBlocks)
+    return { kind: 'start', requestId: request.requestId, upstream: identity }
+  }
+
+  private _refuseEarly (request: DispatchRequest, service: ServiceRecord, queue: ServiceQueue, now: Timestamp): DispatchAction | undefined {
+    if (request.resumed) return undefined
+    const slots = this._countSlots(service, now)
+    if (slots === 0 && this._table.listOfService(service.name).length === 0) return refuse(request, 'no-upstream', RETRY_AFTER_NO_UPSTREAM_SECONDS)
+    if (slots === 0) return undefined
+    const wait = queue.rate.estimateWait(queue.waiting.countAhead(request.rank), slots)
+    if (now + wait < request.startDeadline) return undefined
+    return refuse(request, 'overloaded', this._retryAfter(service, queue, request, now))
+  }
+
+  private _refuseAll (queue: ServiceQueue): DispatchAction[] {
+    return queue.waiting.takeExpired(Number.POSITIVE_INFINITY).map(request => refuse(request, 'service-removed', RETRY_AFTER_NO_UPSTREAM_SECONDS))
+  }
+
+  private _retryAfter (service: ServiceRecord, queue: ServiceQueue, request: DispatchRequest, now: Timestamp): number {
+    return queue.rate.estimateRetryAfterSeconds(queue.waiting.countAhead(request.rank), this._countSlots(service, now))
+  }
+
+  private _listFree (service: ServiceRecord, now: Timestamp): Upstream[] {
+    return this._table.listAvailable(service.name, now).filter(upstream => upstream.estimatedLoad < service.concurrencyPerUpstream)
+  }
+
+  private _countSlots (service: ServiceRecord, now: Timestamp): number {
+    return this._table.listAvailable(service.name, now).length * service.concurrencyPerUpstream
+  }
+
+  /** Whether free slots remain beyond those kept for higher classes. */
+  private _mayUse (request: DispatchRequest, service: ServiceRecord, queue: ServiceQueue, free: readonly Upstream[]): boolean {
+    if (request.resumed) return true
+    const freeSlots = free.reduce((sum, upstream) => sum + service.concurrencyPerUpstream - upstream.estimatedLoad, 0)
+    return freeSlots > this._countReserved(request, service, queue)
+  }
+
+  private _countReserved (request: DispatchRequest, service: ServiceRecord, queue: ServiceQueue): number {
+    const slots = this._table.listOfService(service.name).length * service.concurrencyPerUpstream
+    let reserved = 0
+    for (const priority of this._prioritiesOf(service.name)) {
+      if (priority.rank >= request.rank) continue
+      reserved += Math.max(0, Math.floor(priority.reservedShare * slots) - (queue.runningByRank.get(priority.rank) ?? 0))
+    }
+    return reserved
+  }
+
+  private _prioritiesOf (service: string): PriorityRecord[] {
+    return this._configuration.listPrioritiesOfService(service)
+  }
+
+  private _queueOf (service: string): ServiceQueue {
+    let queue = this._queues.get(service)
+    if (!queue) {
+      queue = { waiting: FairQueue.create(), rate: ServiceRate.create(), retries: RetryBudget.create(), runningByRank: new Map() }
+      this._queues.set(service, queue)
+    }
+    return queue
+  }
+}
+
+/** Leaves out upstreams that failed the request, unless there is no other. */
+function preferUntried (free: readonly Upstream[], request: DispatchRequest): readonly Upstream[] {
+  if (request.excludedUpstreams.length === 0) return free
+  const untried = free.filter(upstream => !request.excludedUpstreams.includes(upstream.address))
+  return untried.length > 0 ? untried : free
+}
+
+function refuse (request: DispatchRequest, reason: RefusalReason, retryAfterSeconds: number): DispatchAction {
+  return { kind: 'refuse', requestId: request.requestId, reason, retryAfterSeconds }
+}
+
+function addToCount (counts: Map<number, number>, rank: number, change: number): void {
+  counts.set(rank, (counts.get(rank) ?? 0) + change)
+}
--- /dev/null
+++ b/packages/gateway/src/admission/retryBudget.ts
@@ -0,0 +1,28 @@
+/**
+ * Limits retries to a fraction of the requests, so that a wave of failures does not multiply the load.
+ *
+ * @module
+ */
+
+const RETRIES_PER_REQUEST = 0.2
+const MAXIMUM_SAVED_RETRIES = 20
+
+/** Retries that may still be made for one service. */
+export class RetryBudget {
+  private _saved = MAXIMUM_SAVED_RETRIES
+
+  static create (): RetryBudget {
+    return new RetryBudget()
+  }
+
+  recordRequest (): void {
+    this._saved = Math.min(MAXIMUM_SAVED_RETRIES, this._saved + RETRIES_PER_REQUEST)
+  }
+
+  /** Takes one retry; false when none is left. */
+  tryTake (): boolean {
+    if (this._saved < 1) return false
+    this._saved--
+    return true
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/attempts/requestLifecycle.ts
@@ -0,0 +1,198 @@
+/**
+ * The course of one request, from its claim to its answer. A decision: it takes messages and the time and returns
+ * actions; the request task carries them out.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import type { Idempotency, UpstreamAbilities } from '@plumstage/records'
+import type { RefusalReason } from '../admission/dispatcher.js'
+import type { UpstreamIdentity } from '../upstreams/upstream.js'
+import { decideAttemptOutcome, decideRequestOutcome, mayRepeat } from './dispatchBoundary.js'
+import type { AttemptReport, DispatchState, Outcome } from './dispatchBoundary.js'
+
+/** How long before the deadline of its claim a request is no longer dispatched. */
+export const CLAIM_PAUSE_MARGIN_MILLISECONDS = 2000
+
+const MAXIMUM_ATTEMPTS = 5
+const MAXIMUM_ATTEMPTS_AFTER_RECLAIM = 20
+
+/** What the course of a request depends on. */
+export interface LifecycleRequest {
+  requestId: string
+  idempotency: Idempotency
+  hasIdempotencyKey: boolean
+  abilities: UpstreamAbilities
+  answerDeadline: Timestamp
+}
+
+/** Why a request ended without a whole answer. */
+export type FailureReason = RefusalReason | 'attempts-failed' | 'answer-deadline' | 'caller-gone' | 'claim-refused' | 'claim-expired'
+
+/** What a request task tells its lifecycle. */
+export type LifecycleMessage =
+  | { kind: 'begin' }
+  /** `dispatchDeadline` is that of the claim. */
+  | { kind: 'claim-granted', dispatchDeadline: Timestamp }
+  /** The claim was not granted; the task answers from the claim itself. */
+  | { kind: 'claim-refused' }
+  | { kind: 'admitted', upstream: UpstreamIdentity }
+  | { kind: 'refused', reason: RefusalReason, retryAfterSeconds: number }
+  | { kind: 'attempt-ended', attempt: string, report: AttemptReport, retryAllowed: boolean }
+  /** The upstream of the running attempt is leaving and will not end in time. */
+  | { kind: 'move' }
+  | { kind: 'deadline-reached', dispatch: DispatchState }
+  | { kind: 'caller-gone', dispatch: DispatchState }
+
+/** What a request task is to do. */
+export type LifecycleAction =
+  | { kind: 'acquire-claim' }
+  | { kind: 'enqueue', excludedUpstreams: readonly string[], resumed: boolean }
+  | { kind: 'withdraw' }
+  | { kind: 'start-attempt', attempt: string, upstream: UpstreamIdentity, serverErrorsAreFinal: boolean }
+  | { kind: 'abandon-attempt', attempt: string }
+  | { kind: 'release-slot' }
+  | { kind: 'finish', outcome: Outcome, reason?: FailureReason, retryAfterSeconds?: number, detail?: string }
+
+type Phase =
+  | { kind: 'new' }
+  | { kind: 'claiming' }
+  | { kind: 'waiting' }
+  | { kind: 'running', attempt: string, upstream: UpstreamIdentity, moving: boolean }
+  | { kind: 'finished' }
+
+/** Decides what happens to one request next. */
+export class RequestLifecycle {
+  private readonly _request: LifecycleRequest
+  private _phase: Phase = { kind: 'new' }
+  private readonly _outcomes: Outcome[] = []
+  private readonly _excludedUpstreams: string[] = []
+  private _attemptCount = 0
+  private _moveCount = 0
+  private _dispatchDeadline = Number.POSITIVE_INFINITY
+
+  private constructor (request: LifecycleRequest) {
+    this._request = request
+  }
+
+  static create (request: LifecycleRequest): RequestLifecycle {
+    return new RequestLifecycle(request)
+  }
+
+  /** Attempts made so far. */
+  get attemptCount (): number {
+    return this._attemptCount
+  }
+
+  get runningAttempt (): string | undefined {
+    return this._phase.kind === 'running' ? this._phase.attempt : undefined
+  }
+
+  get runningUpstream (): UpstreamIdentity | undefined {
+    return this._phase.kind === 'running' ? this._phase.upstream : undefined
+  }
+
+  get finished (): boolean {
+    return this._phase.kind === 'finished'
+  }
+
+  /** Whether the request needs a claim before it may reach an upstream. */
+  get needsClaim (): boolean {
+    return this._request.idempotency === 'non-idempotent' && this._request.hasIdempotencyKey
+  }
+
+  handle (message: LifecycleMessage, now: Timestamp): LifecycleAction[] {
+    if (this._phase.kind === 'finished') return []
+    switch (message.kind) {
+      case 'begin': return this._begin()
+      case 'claim-granted': return this._acceptClaim(message.dispatchDeadline)
+      case 'claim-refused': return this._finish('not-run', 'claim-refused')
+      case 'admitted': return this._startAttempt(message.upstream, now)
+      case 'refused': return this._finish(this._outcome, message.reason, message.retryAfterSeconds)
+      case 'attempt-ended': return this._endAttempt(message.attempt, message.report, message.retryAllowed, now)
+      case 'move': return this._move()
+      case 'deadline-reached': return this._giveUp('answer-deadline', message.dispatch)
+      case 'caller-gone': return this._giveUp('caller-gone', message.dispatch)
+    }
+  }
+
+  private get _outcome (): Outcome {
+    return decideRequestOutcome(this._outcomes)
+  }
+
+  private _begin (): LifecycleAction[] {
+    if (!this.needsClaim) return this._enqueue(false)
+    this._phase = { kind: 'claiming' }
+    return [{ kind: 'acquire-claim' }]
+  }
+
+  private _acceptClaim (dispatchDeadline: Timestamp): LifecycleAction[] {
+    if (this._phase.kind !== 'claiming') return []
+    this._dispatchDeadline = dispatchDeadline
+    return this._enqueue(false)
+  }
+
+  private _enqueue (resumed: boolean): LifecycleAction[] {
+    this._phase = { kind: 'waiting' }
+    return [{ kind: 'enqueue', excludedUpstreams: [...this._excludedUpstreams], resumed }]
+  }
+
+  private _startAttempt (upstream: UpstreamIdentity, now: Timestamp): LifecycleAction[] {
+    if (this._phase.kind !== 'waiting') return [{ kind: 'release-slot' }]
+    if (now >= this._request.answerDeadline) return [{ kind: 'release-slot' }, ...this._finish(this._outcome, 'answer-deadline')]
+    if (now >= this._dispatchDeadline - CLAIM_PAUSE_MARGIN_MILLISECONDS) return [{ kind: 'release-slot' }, ...this._finish(this._outcome, 'claim-expired')]
+    this._attemptCount++
+    const attempt = `${this._request.requestId}/${this._attemptCount}`
+    this._phase = { kind: 'running', attempt, upstream, moving: false }
+    return [{ kind: 'start-attempt', attempt, upstream, serverErrorsAreFinal: !this._mayTryAgainAfterServerError() }]
+  }
+
+  private _endAttempt (attempt: string, report: AttemptReport, retryAllowed: boolean, now: Timestamp): LifecycleAction[] {
+    if (this._phase.kind !== 'running' || this._phase.attempt !== attempt) return []
+    const { upstream, moving } = this._phase
+    const outcome = decideAttemptOutcome(report, this._request.abilities)
+    this._outcomes.push(outcome)
+    const release: LifecycleAction = { kind: 'release-slot' }
+    if (outcome === 'complete') return [release, ...this._finish('complete')]
+    if (!this._excludedUpstreams.includes(upstream.address)) this._excludedUpstreams.push(upstream.address)
+    if (!this._mayTryAgain(outcome, report, moving || retryAllowed, now)) return [release, ...this._finish(this._outcome, 'attempts-failed', undefined, report.detail)]
+    return [release, ...this._enqueue(true)]
+  }
+
+  private _mayTryAgain (outcome: Outcome, report: AttemptReport, retryAllowed: boolean, now: Timestamp): boolean {
+    if (report.answerStarted || now >= this._request.answerDeadline) return false
+    if (!retryAllowed || this._attemptCount >= this._attemptLimit) return false
+    return mayRepeat(outcome, this._request.idempotency, this._request.hasIdempotencyKey)
+  }
+
+  private _mayTryAgainAfterServerError (): boolean {
+    return this._attemptCount < this._attemptLimit && mayRepeat('unknown', this._request.idempotency, this._request.hasIdempotencyKey)
+  }
+
+  private get _attemptLimit (): number {
+    return Math.min(MAXIMUM_ATTEMPTS + this._moveCount, MAXIMUM_ATTEMPTS_AFTER_RECLAIM)
+  }
+
+  /** Gives up the running attempt in favour of another upstream; only a request that may be repeated moves. */
+  private _move (): LifecycleAction[] {
+    if (this._phase.kind !== 'running' || this._phase.moving) return []
+    if (!mayRepeat('unknown', this._request.idempotency, this._request.hasIdempotencyKey)) return []
+    this._moveCount++
+    this._phase = { ...this._phase, moving: true }
+    return [{ kind: 'abandon-attempt', attempt: this._phase.attempt }]
+  }
+
+  /** `dispatch` is that of the running attempt, if there is one. */
+  private _giveUp (reason: FailureReason, dispatch: DispatchState): LifecycleAction[] {
+    const phase = this._phase
+    if (phase.kind === 'waiting') return [{ kind: 'withdraw' }, ...this._finish(this._outcome, reason)]
+    if (phase.kind !== 'running') return this._finish(this._outcome, reason)
+    this._outcomes.push(dispatch === 'offered' ? 'unknown' : 'not-run')
+    return [{ kind: 'abandon-attempt', attempt: phase.attempt }, { kind: 'release-slot' }, ...this._finish(this._outcome, reason)]
+  }
+
+  private _finish (outcome: Outcome, reason?: FailureReason, retryAfterSeconds?: number, detail?: string): LifecycleAction[] {
+    this._phase = { kind: 'finished' }
+    return [{ kind: 'finish', outcome, reason, retryAfterSeconds, detail }]
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/attempts/requestTask.ts
@@ -0,0 +1,315 @@
+/**
+ * Carries out the lifecycle of one request: owns its response, its claim and its running attempt.
+ *
+ * @module
+ */
+import { createHash } from 'node:crypto'
+import { describeError } from '@plumstage/common'
+import type { Clock, Instrumentation, Timer, Timestamp } from '@plumstage/common'
+import type { DispatchClient, DispatchTask } from '../admission/dispatchTask.js'
+import type { RefusalReason } from '../admission/dispatcher.js'
+import { CallerError } from '../callers/callerError.js'
+import type { CallerResponse } from '../callers/callerResponse.js'
+import { createFailureError } from '../callers/failureErrors.js'
+import { selectAnswerHeaders } from '../callers/headerPolicy.js'
+import type { ClaimRegistry, HeldClaim } from '../claims/claimRegistry.js'
+import type { KeptAnswer } from '../claims/claimRecord.js'
+import type { ReclaimedRequest } from '../recovery/reclaimPlanner.js'
+import type { UpstreamIdentity } from '../upstreams/upstream.js'
+import type { UpstreamClients } from '../upstreams/upstreamClients.js'
+import type { UpstreamTable } from '../upstreams/upstreamTable.js'
+import type { AttemptReport, DispatchState } from './dispatchBoundary.js'
+import { answerDeadlineOf, startDeadlineOf } from './inboundCall.js'
+import type { InboundCall } from './inboundCall.js'
+import { CLAIM_PAUSE_MARGIN_MILLISECONDS, RequestLifecycle } from './requestLifecycle.js'
+import type { LifecycleAction, LifecycleMessage } from './requestLifecycle.js'
+import { StreamReceiver } from './streamReceiver.js'
+import type { StreamDestination } from './streamReceiver.js'
+import { StreamedAnswer } from './streamedAnswer.js'
+import { UpstreamAttempt } from './upstreamAttempt.js'
+import type { AnswerHeaders, AnswerReceiver } from './upstreamAttempt.js'
+import { buildUpstreamCall, isResumable } from './upstreamCallBuilder.js'
+import { WholeReceiver } from './wholeReceiver.js'
+import type { WholeAnswer, WholeDestination } from './wholeReceiver.js'
+
+/** What all request tasks of a gateway share. */
+export interface RequestServices {
+  clock: Clock
+  instrumentation: Instrumentation
+  dispatch: DispatchTask
+  clients: UpstreamClients
+  table: UpstreamTable
+  claims: ClaimRegistry
+}
+
+type FinishAction = Extract<LifecycleAction, { kind: 'finish' }>
+type StartAction = Extract<LifecycleAction, { kind: 'start-attempt' }>
+
+/** One request in flight. */
+export class RequestTask implements DispatchClient, StreamDestination, WholeDestination {
+  readonly call: InboundCall
+  private readonly _services: RequestServices
+  private readonly _response: CallerResponse
+  private readonly _onFinished: (task: RequestTask) => void
+  private readonly _lifecycle: RequestLifecycle
+  private readonly _answer = StreamedAnswer.create()
+  private readonly _deadlineTimer: Timer
+  private _attempt: UpstreamAttempt | undefined
+  private _claim: HeldClaim | undefined
+  private _wholeAnswer: WholeAnswer | undefined
+  private _answeredFromClaim = false
+  private _firstBytesAt: Timestamp = 0
+
+  private constructor (services: RequestServices, call: InboundCall, response: CallerResponse, onFinished: (task: RequestTask) => void) {
+    this._services = services
+    this.call = call
+    this._response = response
+    this._onFinished = onFinished
+    this._lifecycle = RequestLifecycle.create({
+      requestId: call.requestId,
+      idempotency: call.route.idempotency,
+      hasIdempotencyKey: call.idempotencyKey !== undefined,
+      abilities: call.service.abilities,
+      answerDeadline: answerDeadlineOf(call)
+    })
+    this._deadlineTimer = services.clock.schedule(answerDeadlineOf(call), () => this._tell({ kind: 'deadline-reached', dispatch: this._dispatch }))
+  }
+
+  static create (services: RequestServices, call: InboundCall, response: CallerResponse, onFinished: (task: RequestTask) => void): RequestTask {
+    return new RequestTask(services, call, response, onFinished)
+  }
+
+  get upstream (): UpstreamIdentity | undefined {
+    return this._lifecycle.runningUpstream
+  }
+
+  /** Says what a move away from the running upstream would cost, and whether the answer may end before. */
+  describeForReclaim (now: Timestamp): ReclaimedRequest {
+    const position = this._answer.position
+    const maximumTokens = this.call.completion?.body.max_tokens
+    return {
+      requestId: this.call.requestId,
+      tokensAtStake: this.call.promptTokens + position,
+      tokensLeft: typeof maximumTokens === 'number' ? maximumTokens - position : undefined,
+      millisecondsPerToken: position > 0 ? (now - this._firstBytesAt) / position : undefined
+    }
+  }
+
+  start (): void {
+    const call = this.call
+    this._services.instrumentation.emit('request-accepted', { workspace: call.workspace.name, route: call.route.name, priority: call.priority.name, promptTokens: call.promptTokens }, call.requestId)
+    this._response.onCallerGone(() => this._tell({ kind: 'caller-gone', dispatch: this._dispatch }))
+    this._tell({ kind: 'begin' })
+  }
+
+  /** Moves the request to another upstream, if it still runs on this one and may be repeated. */
+  moveFrom (upstream: UpstreamIdentity): void {
+    if (this.upstream?.address !== upstream.address || this.upstream.incarnation !== upstream.incarnation) return
+    this._tell({ kind: 'move' })
+  }
+
+  onAdmitted (upstream: UpstreamIdentity): void {
+    this._tell({ kind: 'admitted', upstream })
+  }
+
+  onRefused (reason: RefusalReason, retryAfterSeconds: number): void {
+    this._tell({ kind: 'refused', reason, retryAfterSeconds })
+  }
+
+  deliver (bytes: Buffer): boolean {
+    if (this._firstBytesAt === 0) this._noteFirstBytes()
+    if (this.call.completion && !this.call.completion.stream) return true
+    if (!this._response.started) this._response.startEventStream()
+    return this._response.write(bytes)
+  }
+
+  onceDrained (callback: () => void): void {
+    this._response.onceDrained(callback)
+  }
+
+  deliverError (status: number, contentType: string, body: Buffer): void {
+    this._wholeAnswer = { status, headers: { 'content-type': contentType }, body }
+  }
+
+  deliverWhole (answer: WholeAnswer): void {
+    this._wholeAnswer = answer
+  }
+
+  startLarge (status: number, headers: AnswerHeaders): void {
+    this._response.startBytes(status, selectAnswerHeaders(headers))
+  }
+
+  check (answer: WholeAnswer): string | undefined {
+    if (!this.call.completion || answer.status >= 400) return undefined
+    return checkCompletion(answer.body, this._expectedAnswerId)
+  }
+
+  private _noteFirstBytes (): void {
+    this._firstBytesAt = this._services.clock.now()
+    this._services.instrumentation.emit('first-bytes', undefined, this.call.requestId, this._attempt?.id)
+  }
+
+  private get _dispatch (): DispatchState {
+    return this._attempt?.dispatch ?? 'not-offered'
+  }
+
+  private get _expectedAnswerId (): string | undefined {
+    if (!this.call.completion || !this.call.service.abilities.echoesRequestId) return undefined
+    return `${this.call.completion.endpoint === 'chat' ? 'chatcmpl' : 'cmpl'}-${this.call.requestId}`
+  }
+
+  private _tell (message: LifecycleMessage): void {
+    for (const action of this._lifecycle.handle(message, this._services.clock.now())) this._carryOut(action)
+  }
+
+  private _carryOut (action: LifecycleAction): void {
+    switch (action.kind) {
+      case 'acquire-claim': return this._beginClaim()
+      case 'enqueue': return this._enqueue(action.excludedUpstreams, action.resumed)
+      case 'withdraw': return this._services.dispatch.withdraw(this.call.requestId)
+      case 'start-attempt': return this._startAttempt(action)
+      case 'abandon-attempt': return this._attempt?.abandon('given up')
+      case 'release-slot': return this._services.dispatch.release(this.call.requestId)
+      case 'finish': return this._finish(action)
+    }
+  }
+
+  private _beginClaim (): void {
+    this._acquireClaim().catch((error: unknown) => {
+      this._services.instrumentation.emit('claim-failed', { error: describeError(error) }, this.call.requestId)
+      this._answeredFromClaim = true
+      this._response.sendError(CallerError.create('internal_error', 'The gateway failed before the request was sent to an upstream. It was not run; report the request id to the operator.'))
+      this._tell({ kind: 'claim-refused' })
+    })
+  }
+
+  private async _acquireClaim (): Promise<void> {
+    const call = this.call
+    const acquisition = await this._services.claims.acquire({
+      requestId: call.requestId,
+      workspace: call.workspace.name,
+      idempotencyKey: call.idempotencyKey!,
+      requestDigest: digestCall(call),
+      dispatchDeadline: startDeadlineOf(call) + CLAIM_PAUSE_MARGIN_MILLISECONDS,
+      answerDeadline: answerDeadlineOf(call)
+    })
+    this._services.instrumentation.emit('claim-settled', { result: acquisition.kind }, call.requestId)
+    if (acquisition.kind === 'granted') return this._acceptClaim(acquisition.claim)
+    if (this._lifecycle.finished) return
+    this._answeredFromClaim = true
+    if (acquisition.kind === 'replay') this._response.sendWhole(acquisition.answer.status, { 'content-type': acquisition.answer.contentType }, acquisition.answer.body, 'complete')
+    else this._response.sendError(acquisition.error)
+    this._tell({ kind: 'claim-refused' })
+  }
+
+  private _acceptClaim (claim: HeldClaim): void {
+    if (this._lifecycle.finished) return this._services.claims.release(claim)
+    this._claim = claim
+    this._tell({ kind: 'claim-granted', dispatchDeadline: claim.record.dispatchDeadline })
+  }
+
+  private _enqueue (excludedUpstreams: readonly string[], resumed: boolean): void {
+    const call = this.call
+    this._services.dispatch.offer({
+      requestId: call.requestId,
+      workspace: call.workspace.name,
+      weight: call.workspace.weight,
+      rank: call.priority.rank,
+      cost: 1,
+      startDeadline: resumed ? answerDeadlineOf(call) : startDeadlineOf(call),
+      service: call.service.name,
+      promptTokens: call.promptTokens,
+      prefixBlocks: call.prefixBlocks,
+      excludedUpstreams,
+      resumed
+    }, this)
+  }
+
+  private _startAttempt (action: StartAction): void {
+    const call = this.call
+    const receiver = this._createReceiver(action)
+    const attempt = UpstreamAttempt.create(action.attempt, action.upstream, receiver, report => this._endAttempt(attempt, report))
+    this._attempt = attempt
+    this._services.instrumentation.emit('attempt-started', { upstream: action.upstream.address, position: this._answer.position }, call.requestId, attempt.id)
+    const reuse = call.route.idempotency === 'non-idempotent' ? 'fresh' : 'reuse'
+    attempt.start(this._services.clients.clientOf(action.upstream, reuse), buildUpstreamCall(call, this._answer, this._services.clock.now()))
+  }
+
+  private _createReceiver (action: StartAction): AnswerReceiver {
+    const { abilities } = this.call.service
+    const common = { serverErrorsAreFinal: action.serverErrorsAreFinal, notRunStatuses: abilities.notRunStatuses, destination: this }
+    const streamed = this.call.completion !== undefined && (this.call.completion.stream || isResumable(this.call))
+    if (!streamed) return WholeReceiver.create(common)
+    return StreamReceiver.create({ ...common, answer: this._answer, numbered: abilities.resume, answerId: this._expectedAnswerId })
+  }
+
+  private _endAttempt (attempt: UpstreamAttempt, report: AttemptReport): void {
+    const settled = this._completeIfFinished(report)
+    this._services.instrumentation.emit('attempt-ended', { upstream: attempt.upstream.address, ending: settled.ending, dispatch: settled.dispatch, status: settled.status, position: settled.position, detail: settled.detail }, this.call.requestId, attempt.id)
+    this._recordHealth(attempt.upstream, settled)
+    const retryAllowed = settled.ending !== 'complete' && settled.ending !== 'abandoned' && this._mayRetry(attempt)
+    this._tell({ kind: 'attempt-ended', attempt: attempt.id, report: settled, retryAllowed })
+  }
+
+  /** An upstream lost after the last token but before the end marker has given the whole answer. */
+  private _completeIfFinished (report: AttemptReport): AttemptReport {
+    if (report.ending === 'complete' || this._answer.position === 0 || !this.call.service.abilities.resume) return report
+    if (this._answer.readText().finishReason === undefined) return report
+    this.deliver(this._answer.doneEvent)
+    return { ...report, ending: 'complete' }
+  }
+
+  /** A retry because of an announced reclaim is free; any other is taken from the budget. */
+  private _mayRetry (attempt: UpstreamAttempt): boolean {
+    const upstream = this._services.table.find(attempt.upstream)
+    const announced = upstream === undefined || upstream.incarnation !== attempt.upstream.incarnation || upstream.state !== 'live'
+    return announced || this._services.dispatch.tryTakeRetry(this.call.service.name)
+  }
+
+  private _recordHealth (upstream: UpstreamIdentity, report: AttemptReport): void {
+    if (report.ending === 'complete') this._services.table.recordSuccess(upstream)
+    else if (report.ending === 'broken' || report.ending === 'invalid') this._services.table.recordFailure(upstream, this._services.clock.now())
+  }
+
+  private _finish (action: FinishAction): void {
+    this._deadlineTimer.cancel()
+    this._settleClaim(action)
+    if (action.reason !== 'caller-gone' && !this._answeredFromClaim) this._answerCaller(action)
+    this._services.instrumentation.emit('request-ended', { outcome: action.outcome, reason: action.reason, attempts: this._lifecycle.attemptCount, position: this._answer.position }, this.call.requestId)
+    this._onFinished(this)
+  }
+
+  private _answerCaller (action: FinishAction): void {
+    if (action.outcome !== 'complete') return this._response.sendError(createFailureError(action))
+    if (this._wholeAnswer) return this._response.sendWhole(this._wholeAnswer.status, selectAnswerHeaders(this._wholeAnswer.headers), this._wholeAnswer.body, 'complete')
+    if (this.call.completion && !this.call.completion.stream) return this._response.sendWhole(200, { 'content-type': 'application/json' }, this._answer.assemble(this.call.completion.endpoint), 'complete')
+    this._response.endStream('complete')
+  }
+
+  private _settleClaim (action: FinishAction): void {
+    if (!this._claim) return
+    if (action.outcome === 'not-run') this._services.claims.release(this._claim)
+    else if (action.outcome === 'unknown') this._services.claims.markUnknown(this._claim)
+    else this._services.claims.complete(this._claim, this._keptAnswer)
+  }
+
+  private get _keptAnswer (): KeptAnswer {
+    if (this._wholeAnswer) return { status: this._wholeAnswer.status, contentType: String(this._wholeAnswer.headers['content-type'] ?? ''), body: this._wholeAnswer.body }
+    if (this.call.completion?.stream === false) return { status: 200, contentType: 'application/json', body: Buffer.from(this._answer.assemble(this.call.completion.endpoint)) }
+    return { status: 200, contentType: 'text/event-stream', body: Buffer.from(this._answer.readEvents()) }
+  }
+}
+
+function digestCall (call: InboundCall): string {
+  return createHash('sha256').update(`${call.method} ${call.path}\n`).update(call.body).digest('hex')
+}
+
+function checkCompletion (body: Buffer, expectedId: string | undefined): string | undefined {
+  try {
+    const answer = JSON.parse(body.toString()) as { id?: unknown }
+    if (expectedId !== undefined && answer.id !== expectedId) return 'the upstream answered another request'
+    return undefined
+  } catch {
+    return 'the upstream sent an answer that is not JSON'
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/attempts/streamedAnswer.ts
@@ -0,0 +1,96 @@
+/**
+ * The answer of one request as it grows over all of its attempts. It keeps the events that the caller has, so that
+ * another upstream can continue after the last one, and reads them only when that is needed.
+ *
+ * @module
+ */
+import { createParser } from 'eventsource-parser'
+
+const DONE_DATA = '[DONE]'
+const DONE_EVENT = Buffer.from('data: [DONE]\n\n')
+
+/** The part of a completion event that is read. */
+interface CompletionEvent {
+  id?: string
+  created?: number
+  model?: string
+  choices?: Array<{ delta?: { content?: string }, text?: string, finish_reason?: string | null }>
+  usage?: unknown
+}
+
+/** What an answer says so far. */
+export interface AnswerText {
+  text: string
+  /** Why the engine ended the answer; undefined while it goes on. */
+  finishReason?: string
+}
+
+/** Which endpoint of the OpenAI-compatible interface the answer is for. */
+export type CompletionEndpoint = 'chat' | 'text'
+
+/** Events of one answer. */
+export class StreamedAnswer {
+  /** Position of the last token that was delivered. */
+  position = 0
+  private readonly _chunks: Buffer[] = []
+  private _byteLength = 0
+
+  static create (): StreamedAnswer {
+    return new StreamedAnswer()
+  }
+
+  get byteLength (): number {
+    return this._byteLength
+  }
+
+  append (bytes: Buffer): void {
+    this._chunks.push(bytes)
+    this._byteLength += bytes.length
+  }
+
+  /** Returns the text of the answer so far. */
+  readText (): AnswerText {
+    const answer: AnswerText = { text: '' }
+    for (const event of this._parse()) {
+      const choice = event.choices?.[0]
+      answer.text += choice?.delta?.content ?? choice?.text ?? ''
+      answer.finishReason = choice?.finish_reason ?? answer.finishReason
+    }
+    return answer
+  }
+
+  /** Returns the event that ends the answer, for an upstream that was lost after the last token. */
+  get doneEvent (): Buffer {
+    return DONE_EVENT
+  }
+
+  /** Returns all events delivered so far as one text. */
+  readEvents (): string {
+    return Buffer.concat(this._chunks).toString()
+  }
+
+  /** Returns the answer as one JSON object, as for a call without streaming. */
+  assemble (endpoint: CompletionEndpoint): string {
+    const events = this._parse()
+    const last = events[events.length - 1]
+    const { text, finishReason } = this.readText()
+    const content = endpoint === 'chat' ? { message: { role: 'assistant', content: text } } : { text }
+    return JSON.stringify({
+      id: last?.id,
+      object: endpoint === 'chat' ? 'chat.completion' : 'text_completion',
+      created: last?.created,
+      model: last?.model,
+      choices: [{ index: 0, ...content, finish_reason: finishReason }],
+      usage: last?.usage
+    })
+  }
+
+  private _parse (): CompletionEvent[] {
+    const events: CompletionEvent[] = []
+    const parser = createParser({
+      onEvent: event => { if (event.data !== DONE_DATA) events.push(JSON.parse(event.data) as CompletionEvent) }
+    })
+    parser.feed(this.readEvents())
+    return events
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/callers/callerError.ts
@@ -0,0 +1,80 @@
+/**
+ * Errors as callers see them: the OpenAI error shape with a stable code, a remedy and the outcome.
+ *
+ * @module
+ */
+import { PlumstageError } from '@plumstage/common'
+import type { Outcome } from '../attempts/dispatchBoundary.js'
+
+/** Stable codes of the errors that callers see. */
+export type CallerErrorCode =
+  | 'invalid_body' | 'body_too_large' | 'invalid_token' | 'model_not_found' | 'route_not_found' | 'invalid_idempotency_key'
+  | 'overloaded' | 'start_deadline_passed' | 'no_upstream' | 'service_removed' | 'upstream_failed' | 'answer_deadline_passed'
+  | 'claims_unavailable' | 'idempotency_key_reused' | 'request_in_progress' | 'request_outcome_unknown' | 'answer_not_kept'
+  | 'request_quarantined' | 'configuration_missing' | 'request_not_found' | 'internal_error'
+
+const STATUS_BY_CODE: Readonly<Record<CallerErrorCode, number>> = {
+  invalid_body: 400,
+  body_too_large: 413,
+  invalid_token: 401,
+  model_not_found: 404,
+  route_not_found: 404,
+  invalid_idempotency_key: 400,
+  overloaded: 429,
+  start_deadline_passed: 503,
+  no_upstream: 503,
+  service_removed: 503,
+  upstream_failed: 502,
+  answer_deadline_passed: 504,
+  claims_unavailable: 503,
+  idempotency_key_reused: 422,
+  request_in_progress: 409,
+  request_outcome_unknown: 409,
+  answer_not_kept: 409,
+  request_quarantined: 422,
+  configuration_missing: 503,
+  request_not_found: 404,
+  internal_error: 500
+}
+
+const FIRST_SERVER_STATUS = 500
+
+/** What an error says beside its code and message. */
+export interface CallerErrorDetails {
+  outcome: Outcome
+  /** When the caller should come back, in seconds. */
+  retryAfterSeconds?: number
+}
+
+/** The fields that a caller error has beside those of every error. */
+export interface CallerErrorFields extends CallerErrorDetails {
+  callerCode: CallerErrorCode
+  status: number
+}
+
+const CallerErrorClass = PlumstageError.subclass('CallerError')
+
+/** A request ends with this error. */
+export type CallerError = InstanceType<typeof CallerErrorClass> & CallerErrorFields
+
+export const CallerError = {
+  /** Creates an error whose `message` says what happened and what to do about it. */
+  create (code: CallerErrorCode, message: string, details: CallerErrorDetails = { outcome: 'not-run' }): CallerError {
+    const props: CallerErrorFields = { callerCode: code, status: STATUS_BY_CODE[code], ...details }
+    return new CallerErrorClass(message, { props }) as CallerError
+  }
+}
+
+/** Returns the body of the response that tells the caller of an error. */
+export function formatCallerError (error: CallerError, requestId: string): string {
+  return JSON.stringify({
+    error: {
+      message: error.message,
+      type: error.status < FIRST_SERVER_STATUS ? 'invalid_request_error' : 'server_error',
+      code: error.callerCode,
+      param: null,
+      outcome: error.outcome,
+      request_id: requestId
+    }
+  })
+}
--- /dev/null
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -0,0 +1,102 @@
+/**
+ * The response to one caller.
+ *
+ * @module
+ */
+import type { ServerResponse } from 'node:http'
+import type { Outcome } from '../attempts/dispatchBoundary.js'
+import { formatCallerError } from './callerError.js'
+import type { CallerError } from './callerError.js'
+
+export const REQUEST_ID_HEADER = 'x-request-id'
+export const OUTCOME_HEADER = 'plumstage-outcome'
+
+const EVENT_STREAM_TYPE = 'text/event-stream'
+const JSON_TYPE = 'application/json'
+
+/** Headers of a response. */
+export type ResponseHeaders = Record<string, string | string[]>
+
+/** Writes the response to one caller: a whole answer, a stream, or an error, and never more than one of them. */
+export class CallerResponse {
+  readonly requestId: string
+  private readonly _response: ServerResponse
+  private _streaming = false
+
+  private constructor (requestId: string, response: ServerResponse) {
+    this.requestId = requestId
+    this._response = response
+  }
+
+  static create (requestId: string, response: ServerResponse): CallerResponse {
+    return new CallerResponse(requestId, response)
+  }
+
+  /** Whether any part of the response was written. */
+  get started (): boolean {
+    return this._response.headersSent
+  }
+
+  /** Calls back once when the caller's connection ends before the response does. */
+  onCallerGone (callback: () => void): void {
+    this._response.once('close', () => { if (!this._response.writableFinished) callback() })
+  }
+
+  /** Calls back once when the caller has read enough to be sent more. */
+  onceDrained (callback: () => void): void {
+    this._response.once('drain', callback)
+  }
+
+  /** Starts a stream of events. Its outcome follows as a trailer. */
+  startEventStream (): void {
+    this._streaming = true
+    this._response.writeHead(200, { 'content-type': EVENT_STREAM_TYPE, 'cache-control': 'no-store', [REQUEST_ID_HEADER]: this.requestId, trailer: OUTCOME_HEADER })
+  }
+
+  /** Starts an answer whose length is not known to the gateway. Its outcome follows as a trailer. */
+  startBytes (status: number, headers: ResponseHeaders): void {
+    this._streaming = true
+    const { 'content-length': _length, ...others } = headers
+    this._response.writeHead(status, { ...others, [REQUEST_ID_HEADER]: this.requestId, trailer: OUTCOME_HEADER })
+  }
+
+  /** Writes bytes of a started stream; false when the caller does not keep up. */
+  write (bytes: Buffer): boolean {
+    return this._response.write(bytes)
+  }
+
+  /** Ends a started stream. */
+  endStream (outcome: Outcome): void {
+    this._response.addTrailers({ [OUTCOME_HEADER]: outcome })
+    this._response.end()
+  }
+
+  /** Sends a whole answer. */
+  sendWhole (status: number, headers: ResponseHeaders, body: Buffer | string, outcome: Outcome): void {
+    const length = typeof body === 'string' ? Buffer.byteLength(body) : body.length
+    this._response.writeHead(status, { ...headers, 'content-length': String(length), [REQUEST_ID_HEADER]: this.requestId, [OUTCOME_HEADER]: outcome })
+    this._response.end(body)
+  }
+
+  /** Sends an error: as a response, or as the last event of a stream that has started. */
+  sendError (error: CallerError): void {
+    const body = formatCallerError(error, this.requestId)
+    if (!this.started) {
+      const headers: ResponseHeaders = { 'content-type': JSON_TYPE, ...(error.retryAfterSeconds === undefined ? {} : { 'retry-after': String(error.retryAfterSeconds) }) }
+      this.sendWhole(error.status, headers, body, error.outcome)
+      return
+    }
+    if (this._streaming && this._isEventStream) this._response.write(`data: ${body}\n\n`)
+    else if (this._streaming) return this.cut()
+    this.endStream(error.outcome)
+  }
+
+  /** Cuts the connection: the only way to say that a started answer is not whole. */
+  cut (): void {
+    this._response.destroy()
+  }
+
+  private get _isEventStream (): boolean {
+    return this._response.getHeader('content-type') === EVENT_STREAM_TYPE
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -0,0 +1,115 @@
+/**
+ * HTTP interface towards callers: the OpenAI-compatible API, and plain HTTP for the services beside the models.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { Hono } from 'hono'
+import type { Context } from 'hono'
+import { createAdaptorServer } from '@hono/node-server'
+import type { HttpBindings } from '@hono/node-server'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import type { Result } from 'neverthrow'
+import { describeError, getLogger } from '@plumstage/common'
+import type { IdentitySequence } from '@plumstage/common'
+import type { Configuration } from '@plumstage/records'
+import { RequestTask } from '../attempts/requestTask.js'
+import type { RequestServices } from '../attempts/requestTask.js'
+import type { RequestRegistry } from '../attempts/requestRegistry.js'
+import type { InboundCall } from '../attempts/inboundCall.js'
+import { CallerError } from './callerError.js'
+import { CallerResponse } from './callerResponse.js'
+import type { CallReader } from './callReader.js'
+
+const MAXIMUM_HEADER_BYTES = 16 * 1024
+const HEADERS_TIMEOUT_MILLISECONDS = 10_000
+const REQUEST_TIMEOUT_MILLISECONDS = 60_000
+const KEEP_ALIVE_MILLISECONDS = 65_000
+
+type CallerContext = Context<{ Bindings: HttpBindings }>
+type ReadCall = (requestId: string, incoming: IncomingMessage) => Promise<Result<InboundCall, CallerError>>
+
+/** What the server shares with the rest of the gateway. */
+export interface CallerServerOptions {
+  services: RequestServices
+  registry: RequestRegistry
+  reader: CallReader
+  requestIds: IdentitySequence
+  configuration (): Configuration
+  /** Whether the gateway is stopping, so that connections are to be closed after their call. */
+  stopping (): boolean
+}
+
+/** Serves callers. */
+export class CallerServer {
+  private readonly _options: CallerServerOptions
+  private readonly _log = getLogger('callers')
+
+  private constructor (options: CallerServerOptions) {
+    this._options = options
+  }
+
+  static create (options: CallerServerOptions): CallerServer {
+    return new CallerServer(options)
+  }
+
+  /** Returns the HTTP server; it does not listen yet. */
+  createHttpServer (): Server {
+    const server = createAdaptorServer({
+      fetch: this._createRoutes().fetch,
+      serverOptions: { maxHeaderSize: MAXIMUM_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MILLISECONDS, requestTimeout: REQUEST_TIMEOUT_MILLISECONDS, keepAliveTimeout: KEEP_ALIVE_MILLISECONDS }
+    }) as Server
+    server.on('connection', socket => socket.setNoDelay(true))
+    return server
+  }
+
+  private _createRoutes (): Hono<{ Bindings: HttpBindings }> {
+    const { reader } = this._options
+    const routes = new Hono<{ Bindings: HttpBindings }>()
+    routes.post('/v1/chat/completions', async context => await this._serve(context, async (id, incoming) => await reader.readCompletion(id, incoming, 'chat')))
+    routes.post('/v1/completions', async context => await this._serve(context, async (id, incoming) => await reader.readCompletion(id, incoming, 'text')))
+    routes.get('/v1/models', context => this._listModels(context))
+    routes.all('*', async context => await this._serve(context, async (id, incoming) => await reader.readPlain(id, incoming)))
+    return routes
+  }
+
+  private async _serve (context: CallerContext, read: ReadCall): Promise<Response> {
+    const outgoing = context.env.outgoing as ServerResponse
+    const requestId = this._options.requestIds.next()
+    const response = CallerResponse.create(requestId, outgoing)
+    if (this._options.stopping()) outgoing.setHeader('connection', 'close')
+    try {
+      const call = await read(requestId, context.env.incoming as IncomingMessage)
+      if (call.isErr()) this._refuse(response, call.error)
+      else this._begin(call.value, response)
+    } catch (error) {
+      this._log.error(`Request ${requestId} failed: ${describeError(error)}`)
+      if (!response.started) response.sendError(CallerError.create('internal_error', 'The gateway failed. It may have run; report the request id to the operator.', { outcome: 'unknown' }))
+      else response.cut()
+    }
+    return RESPONSE_ALREADY_SENT
+  }
+
+  private _begin (call: InboundCall, response: CallerResponse): void {
+    const task = RequestTask.create(this._options.services, call, response, ended => this._options.registry.remove(ended))
+    this._options.registry.add(task)
+    task.start()
+  }
+
+  private _refuse (response: CallerResponse, error: CallerError): void {
+    this._options.services.instrumentation.emit('request-refused', { code: error.callerCode }, response.requestId)
+    response.sendError(error)
+  }
+
+  private _listModels (context: CallerContext): Response {
+    const response = CallerResponse.create(this._options.requestIds.next(), context.env.outgoing as ServerResponse)
+    const workspace = this._options.reader.authenticate(context.env.incoming as IncomingMessage)
+    if (workspace.isErr()) {
+      this._refuse(response, workspace.error)
+      return RESPONSE_ALREADY_SENT
+    }
+    const data = this._options.configuration().listModels().map(id => ({ id, object: 'model', created: 0, owned_by: 'plumstage' }))
+    response.sendWhole(200, { 'content-type': 'application/json' }, JSON.stringify({ object: 'list', data }), 'complete')
+    return RESPONSE_ALREADY_SENT
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/callers/headerPolicy.ts
@@ -0,0 +1,35 @@
+/**
+ * Which headers pass through the gateway.
+ *
+ * @module
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { AnswerHeaders } from '../attempts/upstreamAttempt.js'
+import { OUTCOME_HEADER, REQUEST_ID_HEADER } from './callerResponse.js'
+import type { ResponseHeaders } from './callerResponse.js'
+
+/** Headers that belong to one connection, and those that the gateway sets itself. */
+const NOT_FORWARDED = new Set([
+  'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer',
+  'transfer-encoding', 'upgrade', 'host', 'content-length', 'authorization', 'expect', REQUEST_ID_HEADER, OUTCOME_HEADER
+])
+
+/** Returns the headers of a call that its upstream is given. The workspace's token is not among them. */
+export function selectCallHeaders (headers: IncomingHttpHeaders): Record<string, string> {
+  const selected: Record<string, string> = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || NOT_FORWARDED.has(name)) continue
+    selected[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return selected
+}
+
+/** Returns the headers of an answer that the caller is given. */
+export function selectAnswerHeaders (headers: AnswerHeaders): ResponseHeaders {
+  const selected: ResponseHeaders = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || NOT_FORWARDED.has(name)) continue
+    selected[name] = value
+  }
+  return selected
+}
--- /dev/null
+++ b/packages/gateway/src/configuration/configurationTask.ts
@@ -0,0 +1,182 @@
+/**
+ * Follows the configuration in the key-value service: a snapshot, then a watch from its revision, again after every
+ * failure.
+ *
+ * @module
+ */
+import { CallContext, getLogger } from '@plumstage/common'
+import type { Clock, Instrumentation } from '@plumstage/common'
+import type { KeySpace, KeyValueService, KeyValueWatchBatch } from '@plumstage/platform'
+import type { Configuration } from '@plumstage/records'
+import type { AdoptionOutcome, ConfigurationSource, ConfigurationState, StoredRecord, StoredState } from './configurationState.js'
+
+const FIRST_RETRY_MILLISECONDS = 250
+const LONGEST_RETRY_MILLISECONDS = 2000
+const SILENCE_LIMIT_MILLISECONDS = 15_000
+
+/** Called when another configuration is in force. */
+export type ConfigurationListener = (configuration: Configuration) => void
+
+/** What is known about the key-value service. */
+export type ServiceHealth = 'connecting' | 'following' | 'unreachable' | 'refused'
+
+/** Owns the configuration of a gateway. */
+export class ConfigurationTask {
+  private readonly _service: KeyValueService
+  private readonly _keySpace: KeySpace
+  private readonly _clock: Clock
+  private readonly _state: ConfigurationState
+  private readonly _instrumentation: Instrumentation
+  private readonly _listeners: ConfigurationListener[] = []
+  private readonly _log = getLogger('configuration')
+  private _health: ServiceHealth = 'connecting'
+  private _problem: string | undefined
+
+  private constructor (service: KeyValueService, keySpace: KeySpace, clock: Clock, state: ConfigurationState, instrumentation: Instrumentation) {
+    this._service = service
+    this._keySpace = keySpace
+    this._clock = clock
+    this._state = state
+    this._instrumentation = instrumentation
+  }
+
+  static create (service: KeyValueService, keySpace: KeySpace, clock: Clock, state: ConfigurationState, instrumentation: Instrumentation): ConfigurationTask {
+    return new ConfigurationTask(service, keySpace, clock, state, instrumentation)
+  }
+
+  get health (): ServiceHealth {
+    return this._health
+  }
+
+  /** What is wrong with the service or its state; undefined when nothing is. */
+  get problem (): string | undefined {
+    return this._problem
+  }
+
+  get state (): ConfigurationState {
+    return this._state
+  }
+
+  addListener (listener: ConfigurationListener): void {
+    this._listeners.push(listener)
+  }
+
+  /** Follows the service until the context ends. */
+  async run (context: CallContext): Promise<void> {
+    let delay = FIRST_RETRY_MILLISECONDS
+    while (!context.cancelled) {
+      const followed = await this._follow(context)
+      delay = followed ? FIRST_RETRY_MILLISECONDS : Math.min(LONGEST_RETRY_MILLISECONDS, delay * 2)
+      await this._pause(context, delay)
+    }
+  }
+
+  /** Takes the state that a peer has in force. */
+  adoptFromPeer (revision: number, records: readonly StoredRecord[]): AdoptionOutcome {
+    return this._adopt({ source: 'peer', revision, records })
+  }
+
+  /** Returns whether a snapshot was taken and the watch had started. */
+  private async _follow (context: CallContext): Promise<boolean> {
+    const snapshot = await this._service.list(context, this._keySpace.recordsPrefix)
+    if (snapshot.isErr()) {
+      this._setHealth('unreachable', snapshot.error.message)
+      return false
+    }
+    const records = snapshot.value.entries.map(entry => ({ key: entry.key, value: entry.value, revision: entry.modRevision }))
+    const outcome = this._adopt({ source: 'key-value-service', revision: snapshot.value.revision, records })
+    if (outcome.kind === 'refused') return false
+    this._setHealth('following', undefined)
+    await this._watch(context, snapshot.value.revision + 1)
+    return true
+  }
+
+  private async _watch (context: CallContext, startRevision: number): Promise<void> {
+    const watching = context.createChild()
+    const silence = SilenceGuard.create(this._clock, watching)
+    for await (const batch of this._service.watch(watching, this._keySpace.recordsPrefix, startRevision)) {
+      silence.noteActivity()
+      if (batch.isErr()) {
+        if (batch.error.kind !== 'compacted') this._setHealth('unreachable', batch.error.message)
+        break
+      }
+      this._applyBatch(batch.value)
+    }
+    silence.stop()
+    watching.cancel('superseded')
+  }
+
+  private _applyBatch (batch: KeyValueWatchBatch): void {
+    const records: StoredRecord[] = []
+    for (const change of batch.changes) {
+      if (change.kind === 'put') records.push({ key: change.entry.key, value: change.entry.value, revision: change.entry.modRevision })
+      else this._log.warn(`The record ${change.key} was removed from the key-value service by other means than \`plumstage apply --prune\`. It stays in force; apply it again or prune it.`)
+    }
+    this._announce('key-value-service', this._state.applyChanges(records))
+  }
+
+  private _adopt (state: StoredState): AdoptionOutcome {
+    const outcome = this._state.adoptState(state)
+    this._announce(state.source, outcome)
+    if (outcome.kind === 'refused' && state.source === 'key-value-service') this._setHealth('refused', `The state of the key-value service was refused: ${outcome.reason}. See docs/operators/key-value-service.md.`)
+    return outcome
+  }
+
+  private _announce (source: ConfigurationSource, outcome: AdoptionOutcome): void {
+    if (outcome.kind === 'refused') this._instrumentation.emit('configuration-refused', { source, reason: outcome.reason })
+    if (outcome.kind !== 'adopted') return
+    this._instrumentation.emit('configuration-adopted', { source, revision: outcome.configuration.revision })
+    for (const record of outcome.unreadable) this._log.warn(`The record ${record.key} at revision ${record.revision} can't be read: ${record.problem}. Its last good version stays in force; apply a corrected one.`)
+    for (const listener of this._listeners) listener(outcome.configuration)
+  }
+
+  private _setHealth (health: ServiceHealth, problem: string | undefined): void {
+    this._problem = problem
+    if (health === this._health) return
+    this._health = health
+    this._instrumentation.emit('key-value-service-health', { health, problem })
+    if (problem === undefined) this._log.info('The key-value service is being followed.')
+    else this._log.warn(`${problem} The configuration at revision ${this._state.revision} stays in force.`)
+  }
+
+  private async _pause (context: CallContext, milliseconds: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = this._clock.schedule(this._clock.now() + milliseconds, resolve)
+      context.onCancel(() => { timer.cancel(); resolve() })
+    })
+  }
+}
+
+/** Ends a watch that has reported neither change nor progress for too long. */
+class SilenceGuard {
+  private readonly _clock: Clock
+  private readonly _context: CallContext
+  private _deadline = 0
+  private _stopped = false
+
+  private constructor (clock: Clock, context: CallContext) {
+    this._clock = clock
+    this._context = context
+  }
+
+  static create (clock: Clock, context: CallContext): SilenceGuard {
+    const guard = new SilenceGuard(clock, context)
+    guard.noteActivity()
+    guard._check()
+    return guard
+  }
+
+  noteActivity (): void {
+    this._deadline = this._clock.now() + SILENCE_LIMIT_MILLISECONDS
+  }
+
+  stop (): void {
+    this._stopped = true
+  }
+
+  private _check (): void {
+    if (this._stopped) return
+    if (this._clock.now() >= this._deadline) return this._context.cancel('deadline')
+    this._clock.schedule(this._deadline, () => this._check())
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -0,0 +1,72 @@
+/**
+ * Settings of the gateway, from flags and `PLUMSTAGE_*` environment variables.
+ *
+ * @module
+ */
+import { z } from 'zod'
+import { LOG_LEVELS, readSettings } from '@plumstage/common'
+import type { SettingDefinition, SettingsSource } from '@plumstage/common'
+import type { Result } from 'neverthrow'
+
+const MEBIBYTE = 1024 * 1024
+const DEFAULT_MAXIMUM_BODY_BYTES = 8 * MEBIBYTE
+const DEFAULT_DRAIN_DELAY_MILLISECONDS = 2000
+const MINIMUM_TOKEN_LENGTH = 12
+
+const DEFINITIONS: readonly SettingDefinition[] = [
+  { flag: 'embedded', description: 'run with stand-ins for the platform and the upstreams inside this process, for a first look' },
+  { flag: 'name', value: 'name', description: 'name of this gateway, unique in the deployment' },
+  { flag: 'deployment', value: 'name', description: 'name of the deployment' },
+  { flag: 'failure-domain', value: 'name', description: 'failure domain of the instance' },
+  { flag: 'listen', value: 'address', description: 'IP number and port for callers' },
+  { flag: 'operator-listen', value: 'address', description: 'IP number and port for operators' },
+  { flag: 'operator-token', value: 'token', description: 'token that operators present, at least 12 characters' },
+  { flag: 'peer-listen', value: 'address', description: 'IP number and port for other gateways' },
+  { flag: 'peer-advertise', value: 'address', description: 'address under which other gateways reach this one, if it differs from --peer-listen' },
+  { flag: 'peer-token', value: 'token', description: 'secret that all gateways of the deployment share, at least 12 characters' },
+  { flag: 'peer-seed', value: 'address', description: 'peer address of another gateway; can be given several times', repeatable: true },
+  { flag: 'key-value-service', value: 'url', description: 'URL of the key-value service; can be given several times', repeatable: true },
+  { flag: 'instance-list', value: 'url', description: 'URL of the instance list' },
+  { flag: 'events', value: 'target', description: 'where events go: a path, - for standard output, or none' },
+  { flag: 'log-level', value: 'level', description: 'debug, info, warn, error or silent' },
+  { flag: 'maximum-body-bytes', value: 'bytes', description: 'largest body of a call' },
+  { flag: 'drain-delay-milliseconds', value: 'milliseconds', description: 'how long a stopping gateway stays open after it says that it is not ready' }
+]
+
+const addressSchema = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'must be an IP number and a port, for example 127.0.0.1:8080')
+const urlSchema = z.url({ protocol: /^http$/, error: 'must be a URL such as http://10.0.0.5:2379' })
+const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'must be 1 to 63 lower-case letters, digits, dots or dashes')
+const tokenSchema = z.string().min(MINIMUM_TOKEN_LENGTH, `must have at least ${MINIMUM_TOKEN_LENGTH} characters`)
+
+const settingsSchema = z.object({
+  embedded: z.boolean().default(false),
+  name: nameSchema.default('gateway'),
+  deployment: nameSchema.default('default'),
+  failureDomain: nameSchema.default('local'),
+  listen: addressSchema.default('127.0.0.1:8080'),
+  operatorListen: addressSchema.default('127.0.0.1:8081'),
+  operatorToken: tokenSchema.optional(),
+  peerListen: addressSchema.default('127.0.0.1:8082'),
+  peerAdvertise: addressSchema.optional(),
+  peerToken: tokenSchema.optional(),
+  peerSeed: z.array(addressSchema).default([]),
+  keyValueService: z.array(urlSchema).default([]),
+  instanceList: urlSchema.optional(),
+  events: z.string().min(1).default('none'),
+  logLevel: z.enum(LOG_LEVELS as ['debug', 'info', 'warn', 'error', 'silent'], 'must be debug, info, warn, error or silent').default('info'),
+  maximumBodyBytes: z.coerce.number('must be a number').int().min(1024, 'must be at least 1024').default(DEFAULT_MAXIMUM_BODY_BYTES),
+  drainDelayMilliseconds: z.coerce.number('must be a number').int().min(0).default(DEFAULT_DRAIN_DELAY_MILLISECONDS)
+}).superRefine((settings, context) => {
+  if (settings.embedded) return
+  if (settings.operatorToken === undefined) context.addIssue({ code: 'custom', path: ['operatorToken'], message: 'is missing' })
+  if (settings.peerToken === undefined) context.addIssue({ code: 'custom', path: ['peerToken'], message: 'is missing' })
+  if (settings.keyValueService.length === 0) context.addIssue({ code: 'custom', path: ['keyValueService'], message: 'is missing' })
+})
+
+/** Checked settings of a gateway. */
+export type GatewaySettings = z.infer<typeof settingsSchema>
+
+/** Reads the settings, or returns one error that lists every mistake. */
+export function readGatewaySettings (source: SettingsSource): Result<GatewaySettings, Error> {
+  return readSettings('plumstage-gateway', 'Serves callers from the upstreams of one deployment.', DEFINITIONS, settingsSchema, source)
+}
--- /dev/null
+++ b/packages/gateway/src/membership/peerConversion.ts
@@ -0,0 +1,53 @@
+/**
+ * Conversion between the peer protocol's messages and the types of membership and upstream state.
+ *
+ * @module
+ */
+import { create } from '@bufbuild/protobuf'
+import { peer } from '@plumstage/protocol'
+import type { UpstreamDeparture } from '../upstreams/upstream.js'
+import type { Member, MemberState } from './member.js'
+
+const STATE_TO_MESSAGE: Readonly<Record<MemberState, peer.MemberState>> = {
+  alive: peer.MemberState.ALIVE,
+  leaving: peer.MemberState.LEAVING,
+  dead: peer.MemberState.DEAD
+}
+
+export function toMemberMessage (member: Member): peer.Member {
+  return create(peer.MemberSchema, {
+    name: member.name,
+    address: member.address,
+    failureDomain: member.failureDomain,
+    incarnation: BigInt(member.incarnation),
+    state: STATE_TO_MESSAGE[member.state],
+    heartbeat: BigInt(member.heartbeat),
+    configurationRevision: BigInt(member.configurationRevision)
+  })
+}
+
+export function fromMemberMessage (message: peer.Member): Member {
+  return {
+    name: message.name,
+    address: message.address,
+    failureDomain: message.failureDomain,
+    incarnation: Number(message.incarnation),
+    state: fromStateMessage(message.state),
+    heartbeat: Number(message.heartbeat),
+    configurationRevision: Number(message.configurationRevision)
+  }
+}
+
+export function toDepartureMessage (departure: UpstreamDeparture): peer.UpstreamDeparture {
+  return create(peer.UpstreamDepartureSchema, { ...departure, deadline: BigInt(Math.round(departure.deadline)) })
+}
+
+export function fromDepartureMessage (message: peer.UpstreamDeparture): UpstreamDeparture {
+  return { service: message.service, address: message.address, incarnation: message.incarnation, deadline: Number(message.deadline) }
+}
+
+/** States that this version does not know count as alive. */
+function fromStateMessage (state: peer.MemberState): MemberState {
+  if (state === peer.MemberState.DEAD) return 'dead'
+  return state === peer.MemberState.LEAVING ? 'leaving' : 'alive'
+}
--- /dev/null
+++ b/packages/gateway/src/operators/gatewayStatus.ts
@@ -0,0 +1,21 @@
+/**
+ * What a gateway tells operators about itself.
+ *
+ * @module
+ */
+import type { UnreadableRecord } from '../configuration/configurationState.js'
+import type { ServiceHealth } from '../configuration/configurationTask.js'
+import type { KnownMember } from '../membership/membershipTable.js'
+import type { Member } from '../membership/member.js'
+import type { Upstream } from '../upstreams/upstream.js'
+
+/** State of one gateway. */
+export interface GatewayStatus {
+  self: Member
+  stopping: boolean
+  keyValueService: { health: ServiceHealth, problem?: string }
+  unreadableRecords: UnreadableRecord[]
+  members: KnownMember[]
+  upstreams: Upstream[]
+  requests: { inFlight: number, waiting: number, running: number }
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/instanceListTask.ts
@@ -0,0 +1,49 @@
+/**
+ * Reads the instance list again and again.
+ *
+ * @module
+ */
+import { CallContext, getLogger } from '@plumstage/common'
+import type { Clock } from '@plumstage/common'
+import type { Instance, InstanceList } from '@plumstage/platform'
+
+const POLL_MILLISECONDS = 500
+const CALL_TIMEOUT_MILLISECONDS = 2000
+
+/** Owns the reading of the instance list. */
+export class InstanceListTask {
+  private readonly _list: InstanceList
+  private readonly _clock: Clock
+  private readonly _onInstances: (instances: readonly Instance[]) => void
+  private readonly _log = getLogger('upstreams')
+  private _failing = false
+
+  private constructor (list: InstanceList, clock: Clock, onInstances: (instances: readonly Instance[]) => void) {
+    this._list = list
+    this._clock = clock
+    this._onInstances = onInstances
+  }
+
+  static create (list: InstanceList, clock: Clock, onInstances: (instances: readonly Instance[]) => void): InstanceListTask {
+    return new InstanceListTask(list, clock, onInstances)
+  }
+
+  async run (context: CallContext): Promise<void> {
+    while (!context.cancelled) {
+      await this._readOnce(context)
+      await new Promise<void>(resolve => {
+        const timer = this._clock.schedule(this._clock.now() + POLL_MILLISECONDS, resolve)
+        context.onCancel(() => { timer.cancel(); resolve() })
+      })
+    }
+  }
+
+  private async _readOnce (context: CallContext): Promise<void> {
+    const call = context.createChild(this._clock.now() + CALL_TIMEOUT_MILLISECONDS)
+    const result = await this._list.list(call)
+    call.finish()
+    if (result.isOk()) this._onInstances(result.value)
+    else if (!this._failing) this._log.warn(`${result.error.message} The upstreams known so far stay in use.`)
+    this._failing = result.isErr()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/upstreamClients.ts
@@ -0,0 +1,62 @@
+/**
+ * HTTP connections to upstreams.
+ *
+ * @module
+ */
+import { Pool } from 'undici'
+import type { Dispatcher as HttpClient } from 'undici'
+import type { UpstreamIdentity } from './upstream.js'
+import { keyOfUpstream } from './upstream.js'
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1000
+const KEEP_ALIVE_MILLISECONDS = 4000
+
+/** Whether a connection may be used for one call after another. */
+export type ConnectionReuse = 'reuse' | 'fresh'
+
+/**
+ * Keeps the connection pools of all upstreams. Calls that may not be repeated each get a connection of their own, so
+ * that none is lost because an idle connection was being closed while it was sent.
+ */
+export class UpstreamClients {
+  private readonly _reusing = new Map<string, Pool>()
+  private readonly _fresh = new Map<string, Pool>()
+
+  static create (): UpstreamClients {
+    return new UpstreamClients()
+  }
+
+  clientOf (upstream: UpstreamIdentity, reuse: ConnectionReuse): HttpClient {
+    const pools = reuse === 'reuse' ? this._reusing : this._fresh
+    const key = keyOfUpstream(upstream)
+    let pool = pools.get(key)
+    if (!pool) {
+      pool = createPool(upstream.address, reuse)
+      pools.set(key, pool)
+    }
+    return pool
+  }
+
+  /** Closes the connections of an upstream that is gone, after the calls that use them. */
+  forget (upstream: Pick<UpstreamIdentity, 'service' | 'address'>): void {
+    const key = keyOfUpstream(upstream)
+    for (const pools of [this._reusing, this._fresh]) {
+      void pools.get(key)?.close()
+      pools.delete(key)
+    }
+  }
+
+  async close (): Promise<void> {
+    const pools = [...this._reusing.values(), ...this._fresh.values()]
+    await Promise.all(pools.map(async pool => await pool.destroy()))
+  }
+}
+
+function createPool (address: string, reuse: ConnectionReuse): Pool {
+  return new Pool(`http://${address}`, {
+    connections: null,
+    pipelining: reuse === 'reuse' ? 1 : 0,
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS }
+  })
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Protocol definitions shared by the programs: the subset of the etcd v3 interface that is used towards the
+ * platform's key-value service, and the protocol between the gateways.
+ *
+ * @module
+ */
+export * as etcd from './generated/etcdserverpb/rpc_pb.js'
+export * as mvcc from './generated/mvccpb/kv_pb.js'
+export * as peer from './generated/plumstage/peer/v1/peer_pb.js'
--- /dev/null
+++ b/packages/records/src/model.ts
@@ -0,0 +1,106 @@
+/**
+ * The internal model of configuration records, to which every schema version is converted.
+ *
+ * @module
+ */
+
+/** Kinds of configuration records. */
+export type RecordKind = 'Service' | 'Workspace' | 'Route' | 'Priority'
+
+export const RECORD_KINDS: readonly RecordKind[] = ['Priority', 'Service', 'Route', 'Workspace']
+
+/** Whether a call may be sent to an upstream more than once. */
+export type Idempotency = 'idempotent' | 'idempotent-with-key' | 'non-idempotent'
+
+/** What kind of back end a service is. */
+export type ServiceType = 'model-engine' | 'plain'
+
+/** Whether the engines of a service refuse orders with an old fencing number. */
+export type FencingSupport = 'honoured' | 'ignored'
+
+/** An upstream that is listed in its Service record. */
+export interface StaticUpstream {
+  /** IP number and port, for example `127.0.0.1:9000`. */
+  address: string
+  failureDomain: string
+  instanceClass: string
+}
+
+/** What the upstreams of a service are able to do. */
+export interface UpstreamAbilities {
+  /** The engine names its answer after the request id that it was given. */
+  echoesRequestId: boolean
+  /** The engine continues an answer from a token position. */
+  resume: boolean
+  /** Statuses that say that the call was refused before it ran. */
+  notRunStatuses: readonly number[]
+  fencing: FencingSupport
+}
+
+export interface ServiceRecord {
+  kind: 'Service'
+  name: string
+  type: ServiceType
+  /** Model names that the service answers to; empty for plain services. */
+  models: readonly string[]
+  upstreams: readonly StaticUpstream[]
+  /** Pool of the instance list from which further upstreams are discovered. */
+  pool?: string
+  abilities: UpstreamAbilities
+  /** Requests that one upstream runs at the same time. */
+  concurrencyPerUpstream: number
+  /** Prompt tokens that one upstream prefills in a second. */
+  prefillTokensPerSecond: number
+  /** Weights of the routing score, in seconds for each unit. */
+  weights: ScoreWeights
+  /** Price of one instance hour by instance class; classes that are not listed cost nothing. */
+  prices: Readonly<Record<string, number>>
+  /** Addresses of upstreams that get no new work. */
+  drainedUpstreams: readonly string[]
+}
+
+/** How much each part of the routing score counts against a second of waiting. */
+export interface ScoreWeights {
+  /** Seconds for each unit of price of the instance class. */
+  price: number
+  /** Seconds for each thousand prompt tokens computed again. */
+  recomputation: number
+}
+
+export interface WorkspaceRecord {
+  kind: 'Workspace'
+  name: string
+  /** SHA-256 digests of the bearer tokens, in lower-case hexadecimal. */
+  tokenDigests: readonly string[]
+  /** Share of the capacity within a priority class, relative to the other workspaces. */
+  weight: number
+}
+
+export interface RouteRecord {
+  kind: 'Route'
+  name: string
+  service: string
+  priority: string
+  idempotency: Idempotency
+  /** Model name for calls of the OpenAI-compatible interface. */
+  model?: string
+  /** Path prefix for calls of plain services, for example `/wiki/`. */
+  pathPrefix?: string
+  /** HTTP methods for calls of plain services; empty means all. */
+  methods: readonly string[]
+}
+
+export interface PriorityRecord {
+  kind: 'Priority'
+  name: string
+  /** Order among the classes; 0 goes first. */
+  rank: number
+  /** Time within which a request of this class must have started, in milliseconds. */
+  startWithinMilliseconds: number
+  /** Time within which a request of this class must have ended, in milliseconds. */
+  answerWithinMilliseconds: number
+  /** Fraction of each service's capacity that lower classes leave free for this one. */
+  reservedShare: number
+}
+
+export type ConfigurationRecord = ServiceRecord | WorkspaceRecord | RouteRecord | PriorityRecord
--- /dev/null
+++ b/packages/standins/src/bin/standinsMain.ts
@@ -0,0 +1,99 @@
+#!/usr/bin/env node
+/**
+ * `plumstage-standins`: runs one stand-in as a process of its own.
+ *
+ * @module
+ */
+import { Command } from 'commander'
+import { Hono } from 'hono'
+import { createAdaptorServer } from '@hono/node-server'
+import type { Server } from 'node:http'
+import { SystemClock, describeError, getLogger, setLogLevel } from '@plumstage/common'
+import { HttpListener } from '../http/httpListener.js'
+import type { ListenAddress } from '../http/httpListener.js'
+import { DEFAULT_ENGINE_OPTIONS, EngineStandin } from '../engine/engineStandin.js'
+import { InstanceListStandin } from '../instances/instanceListStandin.js'
+import { keyValueFaultsSchema } from '../keyValue/keyValueFaults.js'
+import { KeyValueStandin } from '../keyValue/keyValueStandin.js'
+import { PlainServiceStandin } from '../plain/plainServiceStandin.js'
+
+const clock = SystemClock.create()
+const log = getLogger('standins')
+
+interface ListenOptions {
+  listen: string
+}
+
+interface KeyValueOptions extends ListenOptions {
+  controlListen?: string
+}
+
+interface EngineCommandOptions extends ListenOptions {
+  model: string
+  stepMilliseconds: string
+  maximumRunning: string
+  prefillTokensPerSecond: string
+}
+
+function parseListen (text: string): ListenAddress {
+  const match = /^(.+):(\d+)$/.exec(text)
+  if (!match) throw new Error(`--listen ${text} is not an IP number and a port; write for example 127.0.0.1:9000`)
+  return { host: match[1].replace(/^\[|\]$/g, ''), port: Number(match[2]) }
+}
+
+async function runKeyValue (options: KeyValueOptions): Promise<void> {
+  const standin = await KeyValueStandin.create(clock, parseListen(options.listen))
+  log.info(`The key-value service listens on ${standin.address}.`)
+  if (!options.controlListen) return
+  const routes = new Hono()
+  routes.get('/standin/counts', context => context.json(standin.faults.counts))
+  routes.post('/standin/faults', async context => {
+    standin.faults.change(keyValueFaultsSchema.partial().parse(await context.req.json()))
+    return context.json(standin.faults.settings)
+  })
+  routes.post('/standin/compact', context => {
+    standin.store.compact(standin.store.revision)
+    return context.json({ compactedRevision: standin.store.compactedRevision })
+  })
+  const control = await HttpListener.create(createAdaptorServer({ fetch: routes.fetch }) as Server, parseListen(options.controlListen))
+  log.info(`Its fault switches listen on ${control.address}.`)
+}
+
+async function runEngine (options: EngineCommandOptions): Promise<void> {
+  const engine = await EngineStandin.create(clock, parseListen(options.listen), {
+    models: options.model.split(','),
+    stepMilliseconds: Number(options.stepMilliseconds),
+    maximumRunning: Number(options.maximumRunning),
+    prefillTokensPerSecond: Number(options.prefillTokensPerSecond)
+  }, () => process.exit(1))
+  log.info(`The engine listens on ${engine.address}.`)
+}
+
+async function runPlain (options: ListenOptions): Promise<void> {
+  const service = await PlainServiceStandin.create(clock, parseListen(options.listen))
+  log.info(`The plain service listens on ${service.address}.`)
+}
+
+async function runInstanceList (options: ListenOptions): Promise<void> {
+  const list = await InstanceListStandin.create(clock, parseListen(options.listen))
+  log.info(`The instance list listens on ${list.url}.`)
+}
+
+const LISTEN_OPTION = '--listen <address>'
+const LISTEN_HELP = 'IP number and port to listen on; port 0 takes a free one'
+const program = new Command('plumstage-standins').description('Stand-ins for the platform and the upstreams, for tests and trials.')
+program.command('key-value').description('key-value service with the etcd v3 interface')
+  .option(LISTEN_OPTION, LISTEN_HELP, '127.0.0.1:2379').option('--control-listen <address>', 'where the fault switches listen').action(runKeyValue)
+program.command('engine').description('model engine with the OpenAI-compatible interface')
+  .option(LISTEN_OPTION, LISTEN_HELP, '127.0.0.1:9000').option('--model <names>', 'model names, separated by commas', DEFAULT_ENGINE_OPTIONS.models.join(','))
+  .option('--step-milliseconds <number>', 'time between two tokens', String(DEFAULT_ENGINE_OPTIONS.stepMilliseconds))
+  .option('--maximum-running <number>', 'sequences at the same time', String(DEFAULT_ENGINE_OPTIONS.maximumRunning))
+  .option('--prefill-tokens-per-second <number>', 'prompt tokens a second', String(DEFAULT_ENGINE_OPTIONS.prefillTokensPerSecond)).action(runEngine)
+program.command('plain').description('plain service that answers every call').option(LISTEN_OPTION, LISTEN_HELP, '127.0.0.1:9100').action(runPlain)
+program.command('instance-list').description('instance list with reclaim notices').option(LISTEN_OPTION, LISTEN_HELP, '127.0.0.1:7000').action(runInstanceList)
+
+setLogLevel('info')
+program.parseAsync().catch((error: unknown) => {
+  log.error(describeError(error))
+  process.exitCode = 2
+})
--- /dev/null
+++ b/packages/standins/src/engine/engineSequence.ts
@@ -0,0 +1,104 @@
+/**
+ * One answer that the engine stand-in generates and writes to its caller.
+ *
+ * @module
+ */
+import type { ServerResponse } from 'node:http'
+import type { Sequence } from './batchScheduler.js'
+import type { CompletionFormat, CompletionUsage } from './completionFormat.js'
+import type { EngineFaultSettings } from './engineFaults.js'
+import type { EngineCounts } from './engineCounts.js'
+import type { TokenSource } from './tokenSource.js'
+
+/** What the caller asked for. */
+export interface EngineRequest {
+  requestId: string
+  format: CompletionFormat
+  stream: boolean
+  priority: number
+  prompt: string
+  promptTokens: number
+  /** Position after which the answer goes on; 0 for a new answer. */
+  startPosition: number
+  /** Length of the whole answer in tokens. */
+  answerTokens: number
+}
+
+/** The parts of the engine that a sequence reads and counts. */
+export interface SequenceOwner {
+  faults: EngineFaultSettings
+  counts: EngineCounts
+}
+
+/** A running answer. */
+export class EngineSequence implements Sequence {
+  readonly priority: number
+  prefillTokens: number
+  private readonly _request: EngineRequest
+  private readonly _source: TokenSource
+  private readonly _response: ServerResponse
+  private readonly _owner: SequenceOwner
+  private readonly _cachedTokens: number
+  private _position: number
+  private _text = ''
+  private _ended = false
+
+  private constructor (request: EngineRequest, source: TokenSource, response: ServerResponse, owner: SequenceOwner, cachedTokens: number) {
+    this.priority = request.priority
+    this.prefillTokens = Math.max(0, request.promptTokens - cachedTokens) + request.startPosition
+    this._request = request
+    this._source = source
+    this._response = response
+    this._owner = owner
+    this._cachedTokens = cachedTokens
+    this._position = request.startPosition
+    owner.counts.prefilledTokens += this.prefillTokens
+    if (request.startPosition > 0) owner.counts.recomputedTokens += this.prefillTokens
+  }
+
+  static create (request: EngineRequest, source: TokenSource, response: ServerResponse, owner: SequenceOwner, cachedTokens: number): EngineSequence {
+    return new EngineSequence(request, source, response, owner, cachedTokens)
+  }
+
+  get ended (): boolean {
+    return this._ended
+  }
+
+  step (): boolean {
+    if (this._position === this._request.startPosition && this._request.stream) this._response.writeHead(200, { 'content-type': 'text/event-stream' })
+    if (this._position >= this._request.answerTokens) return this._end()
+    this._position++
+    this._owner.counts.generatedTokens++
+    const token = this._source.tokenAt(this._position)
+    if (this._request.stream) this._response.write(this._request.format.tokenEvent(this._position, token))
+    else this._text += token
+    return this._continueUnlessCut()
+  }
+
+  private _continueUnlessCut (): boolean {
+    const generated = this._position - this._request.startPosition
+    const faults = this._owner.faults
+    if (faults.cutAfterTokens > 0 && generated >= faults.cutAfterTokens) {
+      this._ended = true
+      this._response.destroy()
+      return false
+    }
+    if (faults.endAfterTokens > 0 && generated >= faults.endAfterTokens) {
+      this._ended = true
+      this._response.end()
+      return false
+    }
+    return true
+  }
+
+  private _end (): boolean {
+    this._ended = true
+    if (this._request.stream) this._response.end(this._request.format.lastEvents(this._position + 1, this._usage))
+    else this._response.writeHead(200, { 'content-type': 'application/json' }).end(this._request.format.whole(this._text, this._usage))
+    return false
+  }
+
+  private get _usage (): CompletionUsage {
+    return { promptTokens: this._request.promptTokens, cachedTokens: this._cachedTokens, completionTokens: this._position }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -0,0 +1,185 @@
+/**
+ * Stand-in for a model engine: the OpenAI-compatible interface with continuous batching, a prefix cache, resume at a
+ * token position, load reports and fault switches.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { Hono } from 'hono'
+import type { Context } from 'hono'
+import { createAdaptorServer } from '@hono/node-server'
+import type { HttpBindings } from '@hono/node-server'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import { z } from 'zod'
+import { digestPrefixBlocks, estimateTokens, renderChat } from '@plumstage/common'
+import type { Clock } from '@plumstage/common'
+import { HttpListener } from '../http/httpListener.js'
+import type { ListenAddress } from '../http/httpListener.js'
+import { BatchScheduler } from './batchScheduler.js'
+import { CompletionFormat } from './completionFormat.js'
+import type { CompletionEndpoint } from './completionFormat.js'
+import type { EngineCounts } from './engineCounts.js'
+import { EngineSequence } from './engineSequence.js'
+import type { EngineRequest } from './engineSequence.js'
+import { engineFaultsSchema } from './engineFaults.js'
+import type { EngineFaultSettings } from './engineFaults.js'
+import { PrefixCache } from './prefixCache.js'
+import { TokenSource } from './tokenSource.js'
+
+const DEFAULT_ANSWER_TOKENS = 32
+const MAXIMUM_ANSWER_TOKENS = 100_000
+const MILLISECONDS_PER_SECOND = 1000
+
+/** Size and speed of an engine stand-in. */
+export interface EngineOptions {
+  models: readonly string[]
+  /** Time between two tokens of a sequence, in milliseconds. */
+  stepMilliseconds: number
+  maximumRunning: number
+  prefillTokensPerSecond: number
+  cacheBlocks: number
+}
+
+export const DEFAULT_ENGINE_OPTIONS: EngineOptions = {
+  models: ['quetzal-8b'],
+  stepMilliseconds: 10,
+  maximumRunning: 16,
+  prefillTokensPerSecond: 8000,
+  cacheBlocks: 2048
+}
+
+const completionSchema = z.object({
+  model: z.string(),
+  messages: z.array(z.object({ role: z.string(), content: z.unknown() })).optional(),
+  prompt: z.string().optional(),
+  stream: z.boolean().default(false),
+  max_tokens: z.int().min(1).max(MAXIMUM_ANSWER_TOKENS).default(DEFAULT_ANSWER_TOKENS),
+  priority: z.int().default(0),
+  continue_from: z.object({ position: z.int().min(0), text: z.string() }).optional()
+})
+
+type EngineContext = Context<{ Bindings: HttpBindings }>
+
+/** A running engine stand-in. */
+export class EngineStandin {
+  readonly counts: EngineCounts = { started: 0, generatedTokens: 0, prefilledTokens: 0, recomputedTokens: 0, cancelled: 0 }
+  /** Request ids in the order in which their sequences were started. */
+  readonly startedRequests: string[] = []
+  faults: EngineFaultSettings = engineFaultsSchema.parse({})
+  private readonly _clock: Clock
+  private readonly _options: EngineOptions
+  private readonly _scheduler: BatchScheduler
+  private readonly _cache: PrefixCache
+  private readonly _onCrash: () => void
+  private _listener: HttpListener | undefined
+  private _stepTimer: NodeJS.Timeout | undefined
+
+  private constructor (clock: Clock, options: EngineOptions, onCrash: () => void) {
+    this._clock = clock
+    this._options = options
+    this._onCrash = onCrash
+    this._cache = PrefixCache.create(options.cacheBlocks)
+    this._scheduler = BatchScheduler.create({
+      maximumRunning: options.maximumRunning,
+      prefillTokensPerStep: Math.max(1, Math.round(options.prefillTokensPerSecond * options.stepMilliseconds / MILLISECONDS_PER_SECOND))
+    })
+  }
+
+  /** Starts an engine; `onCrash` is called when a fault switch takes it down. */
+  static async create (clock: Clock, listen: ListenAddress, options: Partial<EngineOptions> = {}, onCrash: () => void = () => {}): Promise<EngineStandin> {
+    const engine = new EngineStandin(clock, { ...DEFAULT_ENGINE_OPTIONS, ...options }, onCrash)
+    const server = createAdaptorServer({ fetch: engine._createRoutes().fetch }) as Server
+    engine._listener = await HttpListener.create(server, listen)
+    return engine
+  }
+
+  /** Address of the engine, for example `127.0.0.1:9000`. */
+  get address (): string {
+    return this._listener!.address
+  }
+
+  /** Cuts every connection, as when the instance is taken away. */
+  async stop (): Promise<void> {
+    clearInterval(this._stepTimer)
+    await this._listener!.destroy()
+  }
+
+  private _createRoutes (): Hono<{ Bindings: HttpBindings }> {
+    const routes = new Hono<{ Bindings: HttpBindings }>()
+    routes.post('/v1/chat/completions', async context => await this._complete(context, 'chat'))
+    routes.post('/v1/completions', async context => await this._complete(context, 'text'))
+    routes.get('/v1/models', context => context.json({ object: 'list', data: this._options.models.map(id => ({ id, object: 'model' })) }))
+    routes.get('/load', context => context.json({ running: this._scheduler.runningCount, waiting: this._scheduler.waitingCount, maximumRunning: this._options.maximumRunning }))
+    routes.get('/cache-events', context => context.json({ events: this._cache.eventsAfter(Number(context.req.query('after') ?? 0)) }))
+    routes.get('/standin/counts', context => context.json({ ...this.counts, startedRequests: this.startedRequests }))
+    routes.post('/standin/faults', async context => {
+      this.faults = engineFaultsSchema.parse({ ...this.faults, ...(await context.req.json() as object) })
+      return context.json(this.faults)
+    })
+    return routes
+  }
+
+  private async _complete (context: EngineContext, endpoint: CompletionEndpoint): Promise<Response> {
+    const parsed = completionSchema.safeParse(await context.req.json().catch(() => undefined))
+    if (!parsed.success) return refuse(context, 400, 'invalid_request_error', 'the body is not a completion request')
+    const body = parsed.data
+    if (!this._options.models.includes(body.model)) return refuse(context, 404, 'model_not_found', `the model ${body.model} is not loaded`)
+    if (this.faults.refuseWithStatus > 0) return refuse(context, this.faults.refuseWithStatus, 'refused', 'the engine does not take calls now')
+    if (this.faults.rubbish) return context.body('<<rubbish>>', 200, { 'content-type': body.stream ? 'text/event-stream' : 'application/json' })
+    const prompt = endpoint === 'chat' ? renderChat(body.messages ?? []) : body.prompt ?? ''
+    if (this.faults.crashOnText !== '' && prompt.includes(this.faults.crashOnText)) return this._crash(context)
+    const source = TokenSource.create(prompt)
+    if (body.continue_from && body.continue_from.text !== source.textUpTo(body.continue_from.position)) return refuse(context, 409, 'wrong_continuation', 'the text to continue is not the start of the answer')
+    this._start(context.env.outgoing as ServerResponse<IncomingMessage>, this._createRequest(context, endpoint, body, prompt), source)
+    return RESPONSE_ALREADY_SENT
+  }
+
+  private _createRequest (context: EngineContext, endpoint: CompletionEndpoint, body: z.infer<typeof completionSchema>, prompt: string): EngineRequest {
+    const requestId = context.req.header('x-request-id') ?? `engine-${this.counts.started + 1}`
+    const id = `${endpoint === 'chat' ? 'chatcmpl' : 'cmpl'}-${this.faults.foreignId ? 'foreign' : requestId}`
+    const position = body.continue_from?.position ?? 0
+    return {
+      requestId,
+      format: CompletionFormat.create(endpoint, id, body.model, this._clock.now()),
+      stream: body.stream,
+      priority: body.priority,
+      prompt,
+      promptTokens: estimateTokens(prompt),
+      startPosition: position,
+      answerTokens: body.max_tokens
+    }
+  }
+
+  private _start (response: ServerResponse, request: EngineRequest, source: TokenSource): void {
+    this.counts.started++
+    this.startedRequests.push(request.requestId)
+    if (this.faults.frozen) return
+    const cachedTokens = this._cache.use(digestPrefixBlocks(request.prompt))
+    const sequence = EngineSequence.create(request, source, response, this, cachedTokens)
+    response.once('close', () => {
+      if (sequence.ended) return
+      this.counts.cancelled++
+      this._scheduler.remove(sequence)
+    })
+    this._scheduler.add(sequence)
+    this._stepTimer ??= setInterval(() => this._step(), this._options.stepMilliseconds)
+  }
+
+  private _step (): void {
+    this._scheduler.step()
+    if (!this._scheduler.idle) return
+    clearInterval(this._stepTimer)
+    this._stepTimer = undefined
+  }
+
+  private _crash (context: EngineContext): Response {
+    context.env.incoming.socket.destroy()
+    void this.stop()
+    this._onCrash()
+    return RESPONSE_ALREADY_SENT
+  }
+}
+
+function refuse (context: EngineContext, status: number, code: string, message: string): Response {
+  return context.json({ error: { message, type: 'engine_error', code } }, status as 400)
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Stand-ins for the platform and the upstreams, for tests, measurements and the embedded default only.
+ *
+ * @module
+ */
+export * from './engine/engineCounts.js'
+export * from './engine/engineFaults.js'
+export * from './engine/engineStandin.js'
+export * from './engine/tokenSource.js'
+export * from './http/httpListener.js'
+export * from './instances/instanceListStandin.js'
+export * from './keyValue/keyValueFaults.js'
+export * from './keyValue/keyValueStandin.js'
+export * from './keyValue/keyValueStore.js'
+export * from './plain/plainServiceStandin.js'
--- /dev/null
+++ b/packages/standins/src/keyValue/keyValueFaults.ts
@@ -0,0 +1,113 @@
+/**
+ * Fault switches and call limits of the key-value stand-in.
+ *
+ * @module
+ */
+import { Code, ConnectError } from '@connectrpc/connect'
+import { z } from 'zod'
+import type { Clock } from '@plumstage/common'
+
+const RATE_WINDOW_MILLISECONDS = 1000
+
+/** What the stand-in is told to do wrong. */
+export const keyValueFaultsSchema = z.strictObject({
+  /** Refuses every call and ends every watch. */
+  down: z.boolean().default(false),
+  /** Holds every call back for this long before it is carried out. */
+  delayMilliseconds: z.int().min(0).default(0),
+  /** Carries out this many further writes without answering them. */
+  loseAnswers: z.int().min(0).default(0),
+  /** Writes carried out in a second; further ones are refused. */
+  writesPerSecond: z.int().min(1).default(500),
+  /** Reads carried out in a second; further ones are refused. */
+  readsPerSecond: z.int().min(1).default(2000)
+})
+
+export type KeyValueFaultSettings = z.infer<typeof keyValueFaultsSchema>
+
+/** Calls that the platform would have charged for. */
+export interface KeyValueCallCounts {
+  reads: number
+  writes: number
+  /** Watches that are waiting now. */
+  watches: number
+  refused: number
+}
+
+/** Applies the switches to the calls. */
+export class KeyValueFaults {
+  readonly counts: KeyValueCallCounts = { reads: 0, writes: 0, watches: 0, refused: 0 }
+  private readonly _clock: Clock
+  private _settings: KeyValueFaultSettings = keyValueFaultsSchema.parse({})
+  private _windowEnd = 0
+  private _windowReads = 0
+  private _windowWrites = 0
+  private readonly _downListeners = new Set<() => void>()
+
+  private constructor (clock: Clock) {
+    this._clock = clock
+  }
+
+  static create (clock: Clock): KeyValueFaults {
+    return new KeyValueFaults(clock)
+  }
+
+  get settings (): KeyValueFaultSettings {
+    return this._settings
+  }
+
+  /** Changes some of the switches and leaves the others as they are. */
+  change (settings: Partial<KeyValueFaultSettings>): void {
+    this._settings = keyValueFaultsSchema.parse({ ...this._settings, ...settings })
+    if (this._settings.down) for (const listener of this._downListeners) listener()
+  }
+
+  /** Calls back when the service goes down; returns the means to stop. */
+  onDown (listener: () => void): () => void {
+    this._downListeners.add(listener)
+    return () => this._downListeners.delete(listener)
+  }
+
+  /** Counts a call and refuses or delays it as the switches say. */
+  async admit (effect: 'read' | 'write'): Promise<void> {
+    this._refuseWhenDown()
+    this._countAgainstRate(effect)
+    if (this._settings.delayMilliseconds > 0) await this._delay()
+    this._refuseWhenDown()
+  }
+
+  /** Whether the answer to a write that took effect is to be lost. */
+  takeLostAnswer (): boolean {
+    if (this._settings.loseAnswers === 0) return false
+    this._settings = { ...this._settings, loseAnswers: this._settings.loseAnswers - 1 }
+    return true
+  }
+
+  private _refuseWhenDown (): void {
+    if (!this._settings.down) return
+    this.counts.refused++
+    throw new ConnectError('the service is down', Code.Unavailable)
+  }
+
+  private _countAgainstRate (effect: 'read' | 'write'): void {
+    const now = this._clock.now()
+    if (now >= this._windowEnd) {
+      this._windowEnd = now + RATE_WINDOW_MILLISECONDS
+      this._windowReads = 0
+      this._windowWrites = 0
+    }
+    const used = effect === 'read' ? ++this._windowReads : ++this._windowWrites
+    const limit = effect === 'read' ? this._settings.readsPerSecond : this._settings.writesPerSecond
+    if (used > limit) {
+      this.counts.refused++
+      throw new ConnectError('the rate limit of the service is reached', Code.ResourceExhausted)
+    }
+    if (effect === 'read') this.counts.reads++
+    else this.counts.writes++
+  }
+
+  private async _delay (): Promise<void> {
+    const deadline = this._clock.now() + this._settings.delayMilliseconds
+    await new Promise<void>(resolve => this._clock.schedule(deadline, resolve))
+  }
+}
--- /dev/null
+++ b/packages/standins/src/keyValue/keyValueStandin.ts
@@ -0,0 +1,47 @@
+/**
+ * Stand-in for the platform's key-value service: the etcd v3 interface over HTTP/2, with fault switches.
+ *
+ * @module
+ */
+import { createServer } from 'node:http2'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import type { Clock } from '@plumstage/common'
+import { HttpListener } from '../http/httpListener.js'
+import type { ListenAddress } from '../http/httpListener.js'
+import { EtcdHandlers } from './etcdHandlers.js'
+import { KeyValueFaults } from './keyValueFaults.js'
+import { KeyValueStore } from './keyValueStore.js'
+
+/** A running key-value stand-in. */
+export class KeyValueStandin {
+  readonly store: KeyValueStore
+  readonly faults: KeyValueFaults
+  private readonly _listener: HttpListener
+
+  private constructor (store: KeyValueStore, faults: KeyValueFaults, listener: HttpListener) {
+    this.store = store
+    this.faults = faults
+    this._listener = listener
+  }
+
+  /** Starts the stand-in; a state handed in outlives the server, as that of the real service does. */
+  static async create (clock: Clock, listen: ListenAddress, store: KeyValueStore = KeyValueStore.create()): Promise<KeyValueStandin> {
+    const faults = KeyValueFaults.create(clock)
+    const handlers = EtcdHandlers.create(store, faults, clock)
+    const server = createServer(connectNodeAdapter({ routes: router => handlers.register(router) }))
+    return new KeyValueStandin(store, faults, await HttpListener.create(server, listen))
+  }
+
+  /** URL of the service. */
+  get url (): string {
+    return `http://${this._listener.address}`
+  }
+
+  get address (): string {
+    return this._listener.address
+  }
+
+  async stop (): Promise<void> {
+    await this._listener.destroy()
+  }
+}
--- /dev/null
+++ b/packages/standins/src/plain/plainServiceStandin.ts
@@ -0,0 +1,105 @@
+/**
+ * Stand-in for a plain service beside the model engines, such as a wiki front end or a booking application.
+ *
+ * @module
+ */
+import type { Server } from 'node:http'
+import { Hono } from 'hono'
+import type { Context } from 'hono'
+import { createAdaptorServer } from '@hono/node-server'
+import type { HttpBindings } from '@hono/node-server'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import { z } from 'zod'
+import type { Clock } from '@plumstage/common'
+import { HttpListener } from '../http/httpListener.js'
+import type { ListenAddress } from '../http/httpListener.js'
+
+export const plainServiceFaultsSchema = z.strictObject({
+  /** Holds every answer back for this long after the call has run. */
+  delayMilliseconds: z.int().min(0).default(0),
+  /** Runs calls and cuts the connection without an answer. */
+  cutAfterRun: z.boolean().default(false),
+  /** Refuses calls with this status, after reading them and before running them; 0 means never. */
+  refuseWithStatus: z.int().min(0).max(599).default(0),
+  /** Announces a longer answer than it sends, then cuts the connection. */
+  halfAnswer: z.boolean().default(false)
+})
+
+export type PlainServiceFaultSettings = z.infer<typeof plainServiceFaultsSchema>
+
+type PlainContext = Context<{ Bindings: HttpBindings }>
+
+/** A running plain service. It counts how often each call body was run. */
+export class PlainServiceStandin {
+  /** Runs of each call, by method, path and body. */
+  readonly runs = new Map<string, number>()
+  faults: PlainServiceFaultSettings = plainServiceFaultsSchema.parse({})
+  private readonly _clock: Clock
+  private _listener: HttpListener | undefined
+
+  private constructor (clock: Clock) {
+    this._clock = clock
+  }
+
+  static async create (clock: Clock, listen: ListenAddress): Promise<PlainServiceStandin> {
+    const service = new PlainServiceStandin(clock)
+    const server = createAdaptorServer({ fetch: service._createRoutes().fetch }) as Server
+    service._listener = await HttpListener.create(server, listen)
+    return service
+  }
+
+  /** Address of the service, for example `127.0.0.1:9100`. */
+  get address (): string {
+    return this._listener!.address
+  }
+
+  /** Returns how often a call was run. */
+  countRuns (method: string, path: string, body: string): number {
+    return this.runs.get(`${method} ${path} ${body}`) ?? 0
+  }
+
+  async stop (): Promise<void> {
+    await this._listener!.destroy()
+  }
+
+  private _createRoutes (): Hono<{ Bindings: HttpBindings }> {
+    const routes = new Hono<{ Bindings: HttpBindings }>()
+    routes.get('/standin/runs', context => context.json(Object.fromEntries(this.runs)))
+    routes.post('/standin/faults', async context => {
+      this.faults = plainServiceFaultsSchema.parse({ ...this.faults, ...(await context.req.json() as object) })
+      return context.json(this.faults)
+    })
+    routes.all('*', async context => await this._run(context))
+    return routes
+  }
+
+  private async _run (context: PlainContext): Promise<Response> {
+    const body = await context.req.text()
+    const path = context.req.path
+    if (this.faults.refuseWithStatus > 0) return context.json({ refused: true }, this.faults.refuseWithStatus as 503)
+    const call = `${context.req.method} ${path} ${body}`
+    const run = (this.runs.get(call) ?? 0) + 1
+    this.runs.set(call, run)
+    if (this.faults.delayMilliseconds > 0) await this._delay()
+    if (this.faults.cutAfterRun) return this._cut(context)
+    if (this.faults.halfAnswer) return this._answerHalf(context)
+    return context.json({ path, method: context.req.method, run, body })
+  }
+
+  private async _delay (): Promise<void> {
+    await new Promise<void>(resolve => this._clock.schedule(this._clock.now() + this.faults.delayMilliseconds, resolve))
+  }
+
+  private _cut (context: PlainContext): Response {
+    context.env.incoming.socket.destroy()
+    return RESPONSE_ALREADY_SENT
+  }
+
+  private _answerHalf (context: PlainContext): Response {
+    const half = '{"half":'
+    context.env.outgoing.writeHead(200, { 'content-type': 'application/json', 'content-length': String(half.length * 2) })
+    context.env.outgoing.write(half)
+    setImmediate(() => context.env.incoming.socket.destroy())
+    return RESPONSE_ALREADY_SENT
+  }
+}
