--- a/packages/gateway/src/claims/claimRegistry.ts
+++ b/packages/gateway/src/claims/claimRegistry.ts
@@ -192,23 +192,19 @@
   }
 
   private async _repeat (event: string, requestId: string, action: (context: CallContext) => Promise<boolean>): Promise<void> {
-    const giveUpAt = this._clock.now() + SETTLE_MILLISECONDS
+    const context = CallContext.create(this._clock, this._clock.now() + SETTLE_MILLISECONDS)
     let delay = FIRST_RETRY_MILLISECONDS
-    while (this._clock.now() < giveUpAt) {
-      const context = CallContext.create(this._clock, giveUpAt)
-      const done = await action(context)
-      context.finish()
-      if (done) return this._instrumentation.emit(event, undefined, requestId)
-      await this._pause(delay)
+    while (!context.cancelled) {
+      if (await action(context)) {
+        context.finish()
+        return this._instrumentation.emit(event, undefined, requestId)
+      }
+      await context.sleepUntil(this._clock.now() + delay)
       delay = Math.min(LONGEST_RETRY_MILLISECONDS, delay * 2)
     }
     this._instrumentation.emit('claim-not-settled', undefined, requestId)
   }
 
-  private async _pause (milliseconds: number): Promise<void> {
-    await new Promise<void>(resolve => this._clock.schedule(this._clock.now() + milliseconds, resolve))
-  }
-
   private _inBackground (work: Promise<void>): void {
     this._background.add(work)
     void work.finally(() => this._background.delete(work))
--- a/packages/gateway/src/configuration/configurationTask.ts
+++ b/packages/gateway/src/configuration/configurationTask.ts
@@ -67,7 +67,7 @@
     while (!context.cancelled) {
       const followed = await this._follow(context)
       delay = followed ? FIRST_RETRY_MILLISECONDS : Math.min(LONGEST_RETRY_MILLISECONDS, delay * 2)
-      await this._pause(context, delay)
+      await context.sleepUntil(this._clock.now() + delay)
     }
   }
 
@@ -104,6 +104,7 @@
     }
     silence.stop()
     watching.cancel('superseded')
+    watching.finish()
   }
 
   private _applyBatch (batch: KeyValueWatchBatch): void {
@@ -138,13 +139,6 @@
     if (problem === undefined) this._log.info('The key-value service is being followed.')
     else this._log.warn(`${problem} The configuration at revision ${this._state.revision} stays in force.`)
   }
-
-  private async _pause (context: CallContext, milliseconds: number): Promise<void> {
-    await new Promise<void>(resolve => {
-      const timer = this._clock.schedule(this._clock.now() + milliseconds, resolve)
-      context.onCancel(() => { timer.cancel(); resolve() })
-    })
-  }
 }
 
 /** Ends a watch that has reported neither change nor progress for too long. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -228,7 +228,7 @@
     this._platform.instrumentation.emit('gateway-stopping', { inFlight: this._registry.size })
     this._membership.leave()
     await this._peers.tellNow(this._context)
-    await this._pause(this._settings.drainDelayMilliseconds)
+    await this._context.sleepUntil(this._platform.clock.now() + this._settings.drainDelayMilliseconds)
     const closed = this._callers.closeGracefully()
     await this._registry.waitUntilEmpty()
     await closed
@@ -238,8 +238,4 @@
     await this.destroy()
     this._log.info('The gateway has stopped.')
   }
-
-  private async _pause (milliseconds: number): Promise<void> {
-    await new Promise<void>(resolve => this._platform.clock.schedule(this._platform.clock.now() + milliseconds, resolve))
-  }
 }
--- a/packages/gateway/src/membership/peerTask.ts
+++ b/packages/gateway/src/membership/peerTask.ts
@@ -69,7 +69,7 @@
       this._announce(membership.beginRound(clock.now()))
       const targets = membership.chooseTargets(TARGETS_PER_ROUND, random, clock.now())
       await Promise.all(targets.map(async address => await this._exchange(context, address)))
-      await this._pause(context)
+      await context.sleepUntil(clock.now() + ROUND_MILLISECONDS)
     }
   }
 
@@ -82,13 +82,16 @@
   }
 
   private async _exchange (context: CallContext, address: string): Promise<void> {
+    const call = context.createChild()
     try {
       const client = this._clientOf(address)
-      const response = await client.exchange({ deployment: this._identity.deployment, ...this._tell() }, { signal: context.signal, timeoutMs: EXCHANGE_TIMEOUT_MILLISECONDS })
+      const response = await client.exchange({ deployment: this._identity.deployment, ...this._tell() }, { signal: call.signal, timeoutMs: EXCHANGE_TIMEOUT_MILLISECONDS })
       this._merge(response.members, response.departures)
-      await this._catchUp(context, client, response.members)
+      await this._catchUp(call, client, response.members)
     } catch (error) {
       if (!context.cancelled) this._log.debug(`The gateway at ${address} did not answer: ${describeError(error)}`)
+    } finally {
+      call.finish()
     }
   }
 
@@ -156,11 +159,4 @@
     }
     return client
   }
-
-  private async _pause (context: CallContext): Promise<void> {
-    await new Promise<void>(resolve => {
-      const timer = this._services.clock.schedule(this._services.clock.now() + ROUND_MILLISECONDS, resolve)
-      context.onCancel(() => { timer.cancel(); resolve() })
-    })
-  }
 }
--- a/packages/gateway/src/upstreams/instanceListTask.ts
+++ b/packages/gateway/src/upstreams/instanceListTask.ts
@@ -31,10 +31,7 @@
   async run (context: CallContext): Promise<void> {
     while (!context.cancelled) {
       await this._readOnce(context)
-      await new Promise<void>(resolve => {
-        const timer = this._clock.schedule(this._clock.now() + POLL_MILLISECONDS, resolve)
-        context.onCancel(() => { timer.cancel(); resolve() })
-      })
+      await context.sleepUntil(this._clock.now() + POLL_MILLISECONDS)
     }
   }
 
--- /dev/null
+++ b/packages/operator/src/commands/operatorCommands.ts
@@ -0,0 +1,175 @@
+/**
+ * The commands of `plumstage`. Each returns what is to be printed, or an error with its exit code.
+ *
+ * @module
+ */
+import { randomBytes } from 'node:crypto'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { stringify } from 'yaml'
+import type { Clock } from '@plumstage/common'
+import { digestToken, formatProblem, isTombstone, readStoredRecord, validateRecordSet } from '@plumstage/records'
+import type { ConfigurationRecord, RecordDeclaration } from '@plumstage/records'
+import type { KeyValueEntry } from '@plumstage/platform'
+import { planChanges } from '../changePlan.js'
+import type { ChangePlan, PlannedChange } from '../changePlan.js'
+import { waitUntilInForce } from '../forceWaiter.js'
+import type { ExplainQuestion, GatewayClient } from '../gatewayClient.js'
+import { ConflictError, InvalidRecordsError, UsageError } from '../operatorErrors.js'
+import { formatTable } from '../output.js'
+import type { CommandOutput } from '../output.js'
+import { readRecordFiles } from '../recordFiles.js'
+import type { RecordStore } from '../recordStore.js'
+import { formatDifference } from './recordDifference.js'
+import { drainUpstream } from './recordEdits.js'
+
+const TOKEN_BYTES = 24
+
+/** What commands work on. */
+export interface CommandServices {
+  clock: Clock
+  store: RecordStore
+  gateway: GatewayClient
+}
+
+/** How records are applied. */
+export interface ApplyOptions {
+  prune: boolean
+  wait: boolean
+  waitSeconds: number
+}
+
+export type CommandResult = Promise<Result<CommandOutput, Error>>
+
+/** Checks record files by themselves. */
+export async function validate (paths: readonly string[]): CommandResult {
+  const declarations = await readValidDeclarations(paths, [])
+  return declarations.map(found => ({ text: `${found.length} records are valid.`, json: { valid: found.length } }))
+}
+
+/** Shows what an apply would change. */
+export async function diff (services: CommandServices, paths: readonly string[], prune: boolean): CommandResult {
+  const plan = await planApply(services.store, paths, prune)
+  return plan.map(({ changes, unchanged }) => ({
+    text: [...changes.map(change => formatDifference(services.store.labelOf(change.key), change)), `${changes.length} records would change, ${unchanged.length} stay as they are.`].join('\n'),
+    json: { changes: changes.map(change => ({ kind: change.kind, record: services.store.labelOf(change.key) })), unchanged: unchanged.map(key => services.store.labelOf(key)) }
+  }))
+}
+
+/** Writes the records and, if asked, waits until they are in force everywhere. */
+export async function apply (services: CommandServices, paths: readonly string[], options: ApplyOptions): CommandResult {
+  const plan = await planApply(services.store, paths, options.prune)
+  if (plan.isErr()) return err(plan.error)
+  if (plan.value.changes.length === 0) return ok({ text: 'Nothing to change.', json: { changes: [] } })
+  return await writeChanges(services, plan.value.changes, options)
+}
+
+/** Prints stored records as YAML, with the revision that an edit can be checked against. */
+export async function get (services: CommandServices, selector: string | undefined): CommandResult {
+  const snapshot = await services.store.read()
+  if (snapshot.isErr()) return err(snapshot.error)
+  const entries = snapshot.value.entries.filter(entry => !isTombstone(entry.value) && matchesSelector(services.store.labelOf(entry.key), selector))
+  if (entries.length === 0 && selector !== undefined) return err(new UsageError(`There is no record ${selector}. Name a kind, or a kind and a name as in Route/summaries.`))
+  const documents = entries.map(withRevision)
+  return ok({ text: documents.map(document => stringify(document)).join('---\n').trimEnd(), json: { records: documents } })
+}
+
+/** Shows the state of a gateway and of all gateways that it knows. */
+export async function status (services: CommandServices): CommandResult {
+  const result = await services.gateway.readStatus()
+  return result.map(view => {
+    const members = [{ member: view.self, suspect: false }, ...view.members]
+    const memberRows = members.map(({ member, suspect }) => [member.name, member.address, member.failureDomain, suspect ? 'suspect' : member.state, String(member.configurationRevision)])
+    const upstreamRows = view.upstreams.map(upstream => [upstream.service, upstream.address, upstream.failureDomain, upstream.drained ? 'drained' : upstream.state, String(upstream.estimatedLoad)])
+    const text = [
+      formatTable([['GATEWAY', 'PEER ADDRESS', 'FAILURE DOMAIN', 'STATE', 'REVISION'], ...memberRows]),
+      '',
+      formatTable([['SERVICE', 'UPSTREAM', 'FAILURE DOMAIN', 'STATE', 'LOAD'], ...upstreamRows]),
+      '',
+      `Key-value service: ${view.keyValueService.health}. ${view.keyValueService.problem ?? ''}`.trim(),
+      ...view.unreadableRecords.map(record => `The record ${record.key} at revision ${record.revision} can't be read: ${record.problem}. Apply a corrected one.`),
+      `Requests: ${view.requests.inFlight} in flight, ${view.requests.waiting} waiting, ${view.requests.running} running.`
+    ].join('\n')
+    return { text, json: view }
+  })
+}
+
+/** Shows where a request would go now, and why. */
+export async function explain (services: CommandServices, question: ExplainQuestion): CommandResult {
+  if (question.model === undefined && question.path === undefined) return err(new UsageError('Name what to explain: --model MODEL, or --method METHOD --path PATH.'))
+  const result = await services.gateway.explain(question)
+  return result.map(explanation => {
+    const rows = explanation.candidates.map(({ address, failureDomain, excluded, score }) => [address, failureDomain, excluded ?? '', ...[score.total, score.wait, score.prefill, score.distance, score.price, score.recomputation].map(seconds => seconds.toFixed(4))])
+    const table = formatTable([['UPSTREAM', 'FAILURE DOMAIN', 'EXCLUDED', 'SCORE', 'WAIT', 'PREFILL', 'DISTANCE', 'PRICE', 'RECOMPUTATION'], ...rows])
+    return { text: `${explanation.summary}\n${table}`, json: explanation }
+  })
+}
+
+/** Keeps new work away from an upstream, or lets it have work again. */
+export async function drain (services: CommandServices, service: string, upstream: string, undo: boolean, options: ApplyOptions): CommandResult {
+  const snapshot = await services.store.read()
+  if (snapshot.isErr()) return err(snapshot.error)
+  const key = services.store.keyOf('Service', service)
+  const entry = snapshot.value.entries.find(candidate => candidate.key === key)
+  if (!entry || isTombstone(entry.value)) return err(new UsageError(`There is no Service ${service}. \`plumstage get Service\` lists them.`))
+  const edited = drainUpstream(entry.value, upstream, undo)
+  if (edited.isErr()) return err(edited.error)
+  if (edited.value === entry.value) return ok({ text: 'Nothing to change.', json: { changes: [] } })
+  return await writeChanges(services, [{ kind: 'update', key, value: edited.value, previous: entry.value, revision: entry.modRevision }], options)
+}
+
+/** Makes a new bearer token and its digest. */
+export function createToken (): CommandOutput {
+  const token = randomBytes(TOKEN_BYTES).toString('base64url')
+  const digest = digestToken(token)
+  return { text: `Token for the caller: ${token}\nDigest for the Workspace record: ${digest}`, json: { token, digest } }
+}
+
+async function planApply (store: RecordStore, paths: readonly string[], prune: boolean): Promise<Result<ChangePlan, Error>> {
+  const snapshot = await store.read()
+  if (snapshot.isErr()) return err(snapshot.error)
+  const others = prune ? [] : snapshot.value.entries
+  const declarations = await readValidDeclarations(paths, others, declaration => store.keyOf(declaration.record.kind, declaration.record.name))
+  if (declarations.isErr()) return err(declarations.error)
+  const plan = planChanges(declarations.value, snapshot.value.entries, declaration => store.keyOf(declaration.record.kind, declaration.record.name), prune)
+  if (plan.stale.length === 0) return ok(plan)
+  const lines = plan.stale.map(stale => `  - ${store.labelOf(stale.key)}: the file states revision ${stale.statedRevision}, stored is ${stale.storedRevision}`)
+  return err(new ConflictError(`Nothing was changed: these records were changed since they were read. Get them again with \`plumstage get\`, repeat the edit and apply.\n${lines.join('\n')}`))
+}
+
+async function readValidDeclarations (paths: readonly string[], stored: readonly KeyValueEntry[], keyOf: (declaration: RecordDeclaration) => string = () => ''): Promise<Result<RecordDeclaration[], Error>> {
+  const content = await readRecordFiles(paths)
+  if (content.isErr()) return err(content.error)
+  const { declarations, problems } = content.value
+  const declaredKeys = new Set(declarations.map(keyOf))
+  const others = stored.filter(entry => !declaredKeys.has(entry.key)).map(entry => readRecordOf(entry)).filter((record): record is ConfigurationRecord => record !== undefined)
+  const all = problems.length > 0 ? problems : validateRecordSet(declarations, others)
+  if (all.length > 0) return err(new InvalidRecordsError(`These records can't be used:\n${all.map(formatProblem).join('\n')}`))
+  return ok(declarations)
+}
+
+async function writeChanges (services: CommandServices, changes: readonly PlannedChange[], options: ApplyOptions): CommandResult {
+  const written = await services.store.write(changes)
+  if (written.isErr()) return err(written.error)
+  const revision = written.value
+  const accepted = `Accepted at revision ${revision}: ${changes.map(change => `${change.kind} ${services.store.labelOf(change.key)}`).join(', ')}.`
+  const json = { revision, changes: changes.map(change => ({ kind: change.kind, record: services.store.labelOf(change.key) })) }
+  if (!options.wait) return ok({ text: accepted, json })
+  const force = await waitUntilInForce(services.gateway, services.clock, revision, services.clock.now() + options.waitSeconds * 1000)
+  return force.map(report => ({ text: `${accepted}\nIn force on ${report.gateways.join(', ')} after ${report.seconds.toFixed(2)} s.`, json: { ...json, inForce: report } }))
+}
+
+function readRecordOf (entry: KeyValueEntry): ConfigurationRecord | undefined {
+  if (isTombstone(entry.value)) return undefined
+  const result = readStoredRecord(entry.value)
+  return result.isOk() ? result.value.record : undefined
+}
+
+function matchesSelector (label: string, selector: string | undefined): boolean {
+  return selector === undefined || label === selector || label.startsWith(`${selector}/`)
+}
+
+function withRevision (entry: KeyValueEntry): object {
+  const document = JSON.parse(entry.value) as { metadata?: object }
+  return { ...document, metadata: { ...document.metadata, revision: entry.modRevision } }
+}
--- a/packages/platform/src/keyValue/etcdKeyValueService.ts
+++ b/packages/platform/src/keyValue/etcdKeyValueService.ts
@@ -113,12 +113,15 @@
 
   private async _call<Value> (context: CallContext, effect: 'read' | 'write', call: (endpoint: EtcdEndpoint, options: CallOptions) => Promise<Value>): Promise<Result<Value, KeyValueError>> {
     const endpoint = this._endpoint
-    const remaining = context.deadline - this._clock.now()
-    const timeoutMs = Math.max(MINIMUM_TIMEOUT_MILLISECONDS, Math.min(CALL_TIMEOUT_MILLISECONDS, remaining))
+    const now = this._clock.now()
+    const child = context.createChild(now + CALL_TIMEOUT_MILLISECONDS)
+    const timeoutMs = Math.max(MINIMUM_TIMEOUT_MILLISECONDS, child.deadline - now)
     try {
-      return ok(await call(endpoint, { signal: context.signal, timeoutMs }))
+      return ok(await call(endpoint, { signal: child.signal, timeoutMs }))
     } catch (error) {
       return err(this._fail(error, effect, endpoint))
+    } finally {
+      child.finish()
     }
   }
 
--- a/packages/platform/src/keyValue/writeSettlement.ts
+++ b/packages/platform/src/keyValue/writeSettlement.ts
@@ -72,7 +72,7 @@
         onFailure: [{ kind: 'get', key: write.tokenKey }]
       })
       if (result.isOk()) return ok(result.value.succeeded ? { kind: 'not-applied', cause } : readSettledOutcome(result.value, cause))
-      await this._pause(context)
+      await context.sleepUntil(this._clock.now() + SETTLE_RETRY_MILLISECONDS)
     }
     return err(KeyValueError.create('ambiguous', `It is not known whether the write ${write.tokenKey} took effect, because the key-value service did not answer in time. Ask again once it does.`))
   }
@@ -80,13 +80,6 @@
   private _putToken (write: SettledWrite, value: string): KeyValueOperation {
     return { kind: 'put', key: write.tokenKey, value, lease: write.tokenLease?.id }
   }
-
-  private async _pause (context: CallContext): Promise<void> {
-    await new Promise<void>(resolve => {
-      const timer = this._clock.schedule(this._clock.now() + SETTLE_RETRY_MILLISECONDS, resolve)
-      context.onCancel(() => { timer.cancel(); resolve() })
-    })
-  }
 }
 
 function readOutcome (outcome: KeyValueTransactionOutcome): WriteOutcome {
--- a/packages/records/src/recordSetValidation.ts
+++ b/packages/records/src/recordSetValidation.ts
@@ -12,6 +12,7 @@
   const all = [...declarations.map(declaration => declaration.record), ...others]
   for (const declaration of declarations) {
     if (declaration.record.kind === 'Route') problems.push(...checkRoute(declaration, declaration.record, all))
+    if (declaration.record.kind === 'Service') problems.push(...checkModels(declaration, declaration.record, others))
     if (declaration.record.kind === 'Workspace') problems.push(...checkTokens(declaration, all))
   }
   return problems
@@ -40,6 +41,12 @@
   return problems
 }
 
+/** A service must go on listing the models that routes outside the files send to it. */
+function checkModels (declaration: RecordDeclaration, service: ServiceRecord, others: readonly ConfigurationRecord[]): RecordProblem[] {
+  const broken = others.filter((record): record is RouteRecord => record.kind === 'Route' && record.service === service.name && record.model !== undefined && !service.models.includes(record.model))
+  return broken.map(route => createProblem(declaration, 'spec.models', `no longer lists model ${route.model}, which Route ${route.name} sends to it; list it, or change the route in the same apply`))
+}
+
 function matchesSameCalls (left: RouteRecord, right: RouteRecord): boolean {
   if (left.model !== right.model || left.pathPrefix !== right.pathPrefix) return false
   if (left.methods.length === 0 || right.methods.length === 0) return left.methods.length === right.methods.length
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+/**
+ * Time line of the events of all processes.
+ *
+ * @module
+ */
+export * from './eventReader.js'
+export * from './timeline.js'
+export * from './timelineFormat.js'
