--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+/**
+ * Measurements and load.
+ *
+ * @module
+ */
+export * from './measurements/closedLoop.js'
+export * from './measurements/processGroup.js'
