Write small answers and streamed tokens in one write each, and events by hand

Cause, from processor profiles of the gateway: of 237 µs of script time for a plain call, 15 µs went into JSON for events, 23 µs into vectored writes of head and body, 4 µs into the token's digest; of 40 µs for a streamed token, 15 µs went into a vectored write of four buffers. Ruled out: the decisions (dispatcher, lifecycle and router together take under 3 µs a call). Change: events are formatted by hand, small bodies are joined with their head, chunks are framed in one buffer, the digest is taken in one call.

--- a/packages/common/src/eventLog.ts
+++ b/packages/common/src/eventLog.ts
@@ -28,7 +28,7 @@
   }
 
   append (event: ActionEvent): void {
-    this._lines.push(JSON.stringify(event))
+    this._lines.push(formatEvent(event))
     if (this._lines.length >= FLUSH_LINE_COUNT) this.flush()
   }
 
@@ -63,3 +63,12 @@
     }
   }
 }
+
+/** Writes the fields whose values need no escaping by hand, which takes a fraction of the time of a general writer. */
+function formatEvent (event: ActionEvent): string {
+  let line = `{"process":"${event.process}","incarnation":"${event.incarnation}","sequence":${event.sequence},"time":${event.time},"kind":"${event.kind}"`
+  if (event.request !== undefined) line += `,"request":"${event.request}"`
+  if (event.attempt !== undefined) line += `,"attempt":"${event.attempt}"`
+  if (event.attributes !== undefined) line += `,"attributes":${JSON.stringify(event.attributes)}`
+  return line + '}'
+}
--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -14,6 +14,10 @@
 const EVENT_STREAM_TYPE = 'text/event-stream'
 const JSON_TYPE = 'application/json'
 
+const LARGEST_JOINED_BYTES = 16 * 1024
+const HEXADECIMAL = 16
+const LINE_END = '\r\n'
+
 /** Headers of a response. */
 export type ResponseHeaders = Record<string, string | string[]>
 
@@ -44,13 +48,14 @@
 
   /** Calls back once when the caller has read enough to be sent more. */
   onceDrained (callback: () => void): void {
-    this._response.once('drain', callback)
+    this._response.socket?.once('drain', callback)
   }
 
   /** Starts a stream of events. Its outcome follows as a trailer. */
   startEventStream (): void {
     this._streaming = true
     this._response.writeHead(200, { 'content-type': EVENT_STREAM_TYPE, 'cache-control': 'no-store', [REQUEST_ID_HEADER]: this.requestId, trailer: OUTCOME_HEADER })
+    this._response.flushHeaders()
   }
 
   /** Starts an answer whose length is not known to the gateway. Its outcome follows as a trailer. */
@@ -58,11 +63,17 @@
     this._streaming = true
     const { 'content-length': _length, ...others } = headers
     this._response.writeHead(status, { ...others, [REQUEST_ID_HEADER]: this.requestId, trailer: OUTCOME_HEADER })
+    this._response.flushHeaders()
   }
 
-  /** Writes bytes of a started stream; false when the caller does not keep up. */
+  /**
+   * Writes bytes of a started stream; false when the caller does not keep up. They go straight to the socket: Node's
+   * own writing of chunks costs four buffers and a vectored write for each token.
+   */
   write (bytes: Buffer): boolean {
-    return this._response.write(bytes)
+    const socket = this._response.socket
+    if (!socket) return true
+    return socket.write(frameChunk(bytes))
   }
 
   /** Ends a started stream. */
@@ -73,9 +84,13 @@
 
   /** Sends a whole answer. */
   sendWhole (status: number, headers: ResponseHeaders, body: Buffer | string, outcome: Outcome): void {
-    const length = typeof body === 'string' ? Buffer.byteLength(body) : body.length
-    this._response.writeHead(status, { ...headers, 'content-length': String(length), [REQUEST_ID_HEADER]: this.requestId, [OUTCOME_HEADER]: outcome })
-    this._response.end(body)
+    headers['content-length'] = String(typeof body === 'string' ? Buffer.byteLength(body) : body.length)
+    headers[REQUEST_ID_HEADER] = this.requestId
+    headers[OUTCOME_HEADER] = outcome
+    this._response.writeHead(status, headers)
+    // Node joins head and body to one write only where both are strings; latin1 keeps every byte as it is.
+    if (typeof body === 'string' || body.length > LARGEST_JOINED_BYTES) this._response.end(body)
+    else this._response.end(body.toString('latin1'), 'latin1')
   }
 
   /** Sends an error: as a response, or as the last event of a stream that has started. */
@@ -86,7 +101,7 @@
       this.sendWhole(error.status, headers, body, error.outcome)
       return
     }
-    if (this._streaming && this._isEventStream) this._response.write(`data: ${body}\n\n`)
+    if (this._streaming && this._isEventStream) this.write(Buffer.from(`data: ${body}\n\n`))
     else if (this._streaming) return this.cut()
     this.endStream(error.outcome)
   }
@@ -100,3 +115,13 @@
     return this._response.getHeader('content-type') === EVENT_STREAM_TYPE
   }
 }
+
+/** Frames bytes as one chunk of a chunked body, so that they go out in one write instead of four. */
+function frameChunk (bytes: Buffer): Buffer {
+  const head = bytes.length.toString(HEXADECIMAL) + LINE_END
+  const frame = Buffer.allocUnsafe(head.length + bytes.length + LINE_END.length)
+  frame.write(head, 0, 'latin1')
+  bytes.copy(frame, head.length)
+  frame.write(LINE_END, head.length + bytes.length, 'latin1')
+  return frame
+}
--- a/packages/load/src/measurements/overhead.ts
+++ b/packages/load/src/measurements/overhead.ts
@@ -15,7 +15,8 @@
 import type { MeasuredProcess } from './processGroup.js'
 
 const TOKEN = 'token-of-the-measurement'
-const PORTS = { keyValue: 21001, engine: 21002, plain: 21003, gateway: 21010, operators: 21011, peers: 21012, passThrough: 21020 }
+const PORTS = { keyValue: 21001, engine: 21002, plain: 21003, gateway: 21010, operators: 21011, peers: 21012, passThrough: 21020, rawRelay: 21030 }
+const CONFIGURATION_MILLISECONDS = 1000
 const CALLERS = 32
 const STREAMS = 175
 const TOKENS_PER_STREAM = 300
@@ -42,12 +43,20 @@
   rounds: number
 }
 
-interface Target {
-  name: string
+type LoadKind = 'plain' | 'whole' | 'stream'
+
+/** One way to an upstream, with the process whose processor time is counted. */
+interface Way {
   address: string
   process: MeasuredProcess
 }
 
+interface Target {
+  name: string
+  plain: Way
+  engine: Way
+}
+
 /** Runs the measurement: all targets in turn, as often as asked. */
 export async function measureOverhead (options: OverheadOptions): Promise<OverheadRow[]> {
   const group = ProcessGroup.create()
@@ -79,38 +88,28 @@
     '--listen', `127.0.0.1:${PORTS.gateway}`, '--operator-listen', `127.0.0.1:${PORTS.operators}`, '--peer-listen', `127.0.0.1:${PORTS.peers}`,
     '--operator-token', TOKEN, '--peer-token', TOKEN, '--key-value-service', `http://127.0.0.1:${PORTS.keyValue}`, '--events', events
   ])
-  const passThroughPlain = await group.start('pass-through to the plain service', 'pass-through', [String(PORTS.passThrough), plainAddress])
-  const passThroughEngine = await group.start('pass-through to the engine', 'pass-through', [String(PORTS.passThrough + 1), engineAddress])
-  await new Promise(resolve => setTimeout(resolve, 1000))
+  await new Promise(resolve => setTimeout(resolve, CONFIGURATION_MILLISECONDS))
+  const gatewayWay = { address: `127.0.0.1:${PORTS.gateway}`, process: gateway }
   return [
-    { name: 'direct', address: '', process: engine },
-    { name: 'pass-through', address: '', process: passThroughPlain },
-    { name: 'gateway', address: `127.0.0.1:${PORTS.gateway}`, process: gateway }
-  ].map(target => resolveAddress(target, plain, passThroughEngine))
-}
-
-/** Direct calls and the pass-through have one address for each upstream; the gateway routes by itself. */
-interface ResolvedTarget extends Target {
-  plain: { address: string, process: MeasuredProcess }
-  engine: { address: string, process: MeasuredProcess }
+    { name: 'direct', plain: { address: plainAddress, process: plain }, engine: { address: engineAddress, process: engine } },
+    { name: 'raw relay', plain: await startWay(group, 'raw-relay', PORTS.rawRelay, plainAddress), engine: await startWay(group, 'raw-relay', PORTS.rawRelay + 1, engineAddress) },
+    { name: 'pass-through', plain: await startWay(group, 'pass-through', PORTS.passThrough, plainAddress), engine: await startWay(group, 'pass-through', PORTS.passThrough + 1, engineAddress) },
+    { name: 'gateway', plain: gatewayWay, engine: gatewayWay }
+  ]
 }
 
-function resolveAddress (target: Target, plain: MeasuredProcess, passThroughEngine: MeasuredProcess): ResolvedTarget {
-  const own = { address: target.address, process: target.process }
-  if (target.name === 'direct') return { ...target, plain: { address: `127.0.0.1:${PORTS.plain}`, process: plain }, engine: { address: `127.0.0.1:${PORTS.engine}`, process: target.process } }
-  if (target.name === 'pass-through') return { ...target, plain: { address: `127.0.0.1:${PORTS.passThrough}`, process: target.process }, engine: { address: `127.0.0.1:${PORTS.passThrough + 1}`, process: passThroughEngine } }
-  return { ...target, plain: own, engine: own }
+async function startWay (group: ProcessGroup, program: 'raw-relay' | 'pass-through', port: number, upstream: string): Promise<Way> {
+  return { address: `127.0.0.1:${port}`, process: await group.start(program, program, [String(port), upstream]) }
 }
 
-async function runLoad (target: Target, load: 'plain' | 'whole' | 'stream', seconds: number): Promise<OverheadRow> {
-  const resolved = target as ResolvedTarget
-  const { address, process } = load === 'plain' ? resolved.plain : resolved.engine
+async function runLoad (target: Target, load: LoadKind, seconds: number): Promise<OverheadRow> {
+  const { address, process } = load === 'plain' ? target.plain : target.engine
   const processorBefore = process.readProcessorTime()
   const result = await runClosedLoop(address, createCall(load), load === 'stream' ? STREAMS : CALLERS, seconds)
   return createRow(target.name, load, result, process.readProcessorTime() - processorBefore, process.readMemory())
 }
 
-function createCall (load: 'plain' | 'whole' | 'stream'): RepeatedCall {
+function createCall (load: LoadKind): RepeatedCall {
   const headers = { authorization: `Bearer ${TOKEN}`, 'content-type': 'application/json' }
   if (load === 'plain') return { method: 'GET', path: '/wiki/page', headers }
   const tokens = load === 'stream' ? TOKENS_PER_STREAM : 1
--- a/packages/load/src/measurements/processGroup.ts
+++ b/packages/load/src/measurements/processGroup.ts
@@ -15,14 +15,15 @@
 const READY_PATTERN = /ready|Callers:|listens on/
 
 /** Programs that a measurement can start. */
-export type MeasuredProgram = 'gateway' | 'standins' | 'pass-through'
+export type MeasuredProgram = 'gateway' | 'standins' | 'pass-through' | 'raw-relay'
 
 const require = createRequire(import.meta.url)
 
 const PROGRAM_FILES: Readonly<Record<MeasuredProgram, string>> = {
   gateway: require.resolve('@plumstage/gateway/bin/gatewayMain.js'),
   standins: require.resolve('@plumstage/standins/bin/standinsMain.js'),
-  'pass-through': new URL('../baselines/passThroughMain.js', import.meta.url).pathname
+  'pass-through': new URL('../baselines/passThroughMain.js', import.meta.url).pathname,
+  'raw-relay': new URL('../baselines/rawRelayMain.js', import.meta.url).pathname
 }
 
 /** One started process. */
--- a/packages/records/src/configuration.ts
+++ b/packages/records/src/configuration.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import { createHash } from 'node:crypto'
+import { hash } from 'node:crypto'
 import type { ConfigurationRecord, PriorityRecord, RouteRecord, ServiceRecord, WorkspaceRecord } from './model.js'
 
 /** Returns the digest under which a bearer token is stored. */
 export function digestToken (token: string): string {
-  return createHash('sha256').update(token).digest('hex')
+  return hash('sha256', token, 'hex')
 }
 
 /** An immutable view of all records at one revision. */
