Check settings as a whole; retry with growing delay; never refuse all upstreams at once

Causes found by the new tests of bad input. A single upstream that answers rubbish was ejected after three failures, and the next request waited for it until its answer deadline (504 after 20 s instead of an error at once): where all upstreams of a service have failed they are used again, and from the second retry on a request waits 100 ms, doubling. The list of settings mistakes left out missing ones as soon as another was wrong: which settings are required is now part of the schema.

--- a/packages/common/src/settings.ts
+++ b/packages/common/src/settings.ts
@@ -32,7 +32,8 @@
 }
 
 /**
- * Reads and checks the settings of a program.
+ * Reads and checks the settings of a program. The schema may depend on what was given, for settings that are required
+ * only beside others.
  *
  * @returns the checked settings, or one error that lists every mistake.
  */
@@ -40,12 +41,13 @@
   program: string,
   description: string,
   definitions: readonly SettingDefinition[],
-  schema: Schema,
+  createSchema: (given: Readonly<Record<string, unknown>>) => Schema,
   source: SettingsSource
 ): Result<z.infer<Schema>, Error> {
   const command = createCommand(program, description, definitions, source.environment)
   command.parse([...source.arguments], { from: 'user' })
-  const checked = schema.safeParse(command.opts())
+  const given = command.opts()
+  const checked = createSchema(given).safeParse(given)
   if (checked.success) return ok(checked.data)
   const mistakes = checked.error.issues.map(issue => describeMistake(definitions, issue))
   return err(new SettingsError(`${program} cannot start with these settings:\n${mistakes.join('\n')}`))
--- a/packages/gateway/src/attempts/requestLifecycle.ts
+++ b/packages/gateway/src/attempts/requestLifecycle.ts
@@ -16,6 +16,7 @@
 
 const MAXIMUM_ATTEMPTS = 5
 const MAXIMUM_ATTEMPTS_AFTER_RECLAIM = 20
+const FIRST_RETRY_DELAY_MILLISECONDS = 100
 
 /** What the course of a request depends on. */
 export interface LifecycleRequest {
@@ -47,7 +48,8 @@
 /** What a request task is to do. */
 export type LifecycleAction =
   | { kind: 'acquire-claim' }
-  | { kind: 'enqueue', excludedUpstreams: readonly string[], resumed: boolean }
+  /** Waits for an upstream, from `notBefore` on. */
+  | { kind: 'enqueue', excludedUpstreams: readonly string[], resumed: boolean, notBefore: Timestamp }
   | { kind: 'withdraw' }
   | { kind: 'start-attempt', attempt: string, upstream: UpstreamIdentity, serverErrorsAreFinal: boolean }
   | { kind: 'abandon-attempt', attempt: string }
@@ -104,8 +106,8 @@
   handle (message: LifecycleMessage, now: Timestamp): LifecycleAction[] {
     if (this._phase.kind === 'finished') return []
     switch (message.kind) {
-      case 'begin': return this._begin()
-      case 'claim-granted': return this._acceptClaim(message.dispatchDeadline)
+      case 'begin': return this._begin(now)
+      case 'claim-granted': return this._acceptClaim(message.dispatchDeadline, now)
       case 'claim-refused': return this._finish('not-run', 'claim-refused')
       case 'admitted': return this._startAttempt(message.upstream, now)
       case 'refused': return this._finish(this._outcome, message.reason, message.retryAfterSeconds)
@@ -120,21 +122,28 @@
     return decideRequestOutcome(this._outcomes)
   }
 
-  private _begin (): LifecycleAction[] {
-    if (!this.needsClaim) return this._enqueue(false)
+  private _begin (now: Timestamp): LifecycleAction[] {
+    if (!this.needsClaim) return this._enqueue(false, now)
     this._phase = { kind: 'claiming' }
     return [{ kind: 'acquire-claim' }]
   }
 
-  private _acceptClaim (dispatchDeadline: Timestamp): LifecycleAction[] {
+  private _acceptClaim (dispatchDeadline: Timestamp, now: Timestamp): LifecycleAction[] {
     if (this._phase.kind !== 'claiming') return []
     this._dispatchDeadline = dispatchDeadline
-    return this._enqueue(false)
+    return this._enqueue(false, now)
   }
 
-  private _enqueue (resumed: boolean): LifecycleAction[] {
+  private _enqueue (resumed: boolean, notBefore: Timestamp): LifecycleAction[] {
     this._phase = { kind: 'waiting' }
-    return [{ kind: 'enqueue', excludedUpstreams: [...this._excludedUpstreams], resumed }]
+    return [{ kind: 'enqueue', excludedUpstreams: [...this._excludedUpstreams], resumed, notBefore }]
+  }
+
+  /** The first retry and moves start at once; further retries wait longer each time. */
+  private _retryAt (moved: boolean, now: Timestamp): Timestamp {
+    const failures = this._attemptCount - this._moveCount
+    if (moved || failures <= 1) return now
+    return now + FIRST_RETRY_DELAY_MILLISECONDS * 2 ** (failures - 2)
   }
 
   private _startAttempt (upstream: UpstreamIdentity, now: Timestamp): LifecycleAction[] {
@@ -156,7 +165,7 @@
     if (outcome === 'complete') return [release, ...this._finish('complete')]
     if (!this._excludedUpstreams.includes(upstream.address)) this._excludedUpstreams.push(upstream.address)
     if (!this._mayTryAgain(outcome, report, moving || retryAllowed, now)) return [release, ...this._finish(this._outcome, 'attempts-failed', undefined, report.detail)]
-    return [release, ...this._enqueue(true)]
+    return [release, ...this._enqueue(true, this._retryAt(moving, now))]
   }
 
   private _mayTryAgain (outcome: Outcome, report: AttemptReport, retryAllowed: boolean, now: Timestamp): boolean {
--- a/packages/gateway/src/attempts/requestTask.ts
+++ b/packages/gateway/src/attempts/requestTask.ts
@@ -43,6 +43,7 @@
 }
 
 type FinishAction = Extract<LifecycleAction, { kind: 'finish' }>
+type EnqueueAction = Extract<LifecycleAction, { kind: 'enqueue' }>
 type StartAction = Extract<LifecycleAction, { kind: 'start-attempt' }>
 
 /** One request in flight. */
@@ -165,7 +166,7 @@
   private _carryOut (action: LifecycleAction): void {
     switch (action.kind) {
       case 'acquire-claim': return this._beginClaim()
-      case 'enqueue': return this._enqueue(action.excludedUpstreams, action.resumed)
+      case 'enqueue': return this._enqueueAt(action)
       case 'withdraw': return this._services.dispatch.withdraw(this.call.requestId)
       case 'start-attempt': return this._startAttempt(action)
       case 'abandon-attempt': return this._attempt?.abandon('given up')
@@ -208,7 +209,12 @@
     this._tell({ kind: 'claim-granted', dispatchDeadline: claim.record.dispatchDeadline })
   }
 
-  private _enqueue (excludedUpstreams: readonly string[], resumed: boolean): void {
+  private _enqueueAt (action: EnqueueAction): void {
+    if (action.notBefore <= this._services.clock.now()) return this._enqueue(action)
+    this._services.clock.schedule(action.notBefore, () => { if (!this._lifecycle.finished) this._enqueue(action) })
+  }
+
+  private _enqueue ({ excludedUpstreams, resumed }: EnqueueAction): void {
     const call = this.call
     this._services.dispatch.offer({
       requestId: call.requestId,
--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -72,7 +72,8 @@
    */
   write (bytes: Buffer): boolean {
     const socket = this._response.socket
-    if (!socket) return true
+    // A pipelined response has no socket before its turn; Node keeps its bytes until then.
+    if (!socket) return this._response.write(bytes)
     return socket.write(frameChunk(bytes))
   }
 
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -38,6 +38,13 @@
 const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'must be 1 to 63 lower-case letters, digits, dots or dashes')
 const tokenSchema = z.string().min(MINIMUM_TOKEN_LENGTH, `must have at least ${MINIMUM_TOKEN_LENGTH} characters`)
 
+/** Settings that a gateway needs unless it brings stand-ins for the platform itself. */
+const platformSettingsSchema = z.object({
+  operatorToken: tokenSchema,
+  peerToken: tokenSchema,
+  keyValueService: z.array(urlSchema).min(1, 'is missing')
+})
+
 const settingsSchema = z.object({
   embedded: z.boolean().default(false),
   name: nameSchema.default('gateway'),
@@ -56,17 +63,16 @@
   logLevel: z.enum(LOG_LEVELS as ['debug', 'info', 'warn', 'error', 'silent'], 'must be debug, info, warn, error or silent').default('info'),
   maximumBodyBytes: z.coerce.number('must be a number').int().min(1024, 'must be at least 1024').default(DEFAULT_MAXIMUM_BODY_BYTES),
   drainDelayMilliseconds: z.coerce.number('must be a number').int().min(0).default(DEFAULT_DRAIN_DELAY_MILLISECONDS)
-}).superRefine((settings, context) => {
-  if (settings.embedded) return
-  if (settings.operatorToken === undefined) context.addIssue({ code: 'custom', path: ['operatorToken'], message: 'is missing' })
-  if (settings.peerToken === undefined) context.addIssue({ code: 'custom', path: ['peerToken'], message: 'is missing' })
-  if (settings.keyValueService.length === 0) context.addIssue({ code: 'custom', path: ['keyValueService'], message: 'is missing' })
 })
 
 /** Checked settings of a gateway. */
 export type GatewaySettings = z.infer<typeof settingsSchema>
 
+function createSchema (given: Readonly<Record<string, unknown>>): z.ZodType<GatewaySettings> {
+  return given.embedded === true ? settingsSchema : settingsSchema.extend(platformSettingsSchema.shape)
+}
+
 /** Reads the settings, or returns one error that lists every mistake. */
 export function readGatewaySettings (source: SettingsSource): Result<GatewaySettings, Error> {
-  return readSettings('plumstage-gateway', 'Serves callers from the upstreams of one deployment.', DEFINITIONS, settingsSchema, source)
+  return readSettings('plumstage-gateway', 'Serves callers from the upstreams of one deployment.', DEFINITIONS, createSchema, source)
 }
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -49,9 +49,11 @@
     return this.list().filter(upstream => upstream.service === service)
   }
 
-  /** Returns the upstreams of a service that may get new work. */
+  /** Returns the upstreams of a service that may get new work. Where all have failed, those that have are better than none. */
   listAvailable (service: string, now: Timestamp): Upstream[] {
-    return this.listOfService(service).filter(upstream => upstream.state === 'live' && !upstream.drained && upstream.ejectedUntil <= now)
+    const open = this.listOfService(service).filter(upstream => upstream.state === 'live' && !upstream.drained)
+    const healthy = open.filter(upstream => upstream.ejectedUntil <= now)
+    return healthy.length > 0 ? healthy : open
   }
 
   /** Returns the departures to tell peers about. */
--- /dev/null
+++ b/tests/records/recordFile.spec.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Configuration, formatProblem, readRecordFile, validateRecordSet } from '@plumstage/records'
+
+const PRIORITY = `apiVersion: plumstage/v1
+kind: Priority
+metadata: { name: standard }
+spec: { rank: 1, startWithinMilliseconds: 1000 }
+`
+
+function problemsOf (text: string): string[] {
+  const { declarations, problems } = readRecordFile('records.yaml', text)
+  return [...problems, ...validateRecordSet(declarations, [])].map(formatProblem)
+}
+
+describe('record files', () => {
+  it('converts both schema versions to the same model', () => {
+    const newer = readRecordFile('a.yaml', 'apiVersion: plumstage/v1\nkind: Route\nmetadata: { name: r }\nspec: { model: m, service: s, priority: p, idempotency: non-idempotent }')
+    const older = readRecordFile('b.yaml', 'apiVersion: plumstage/v1beta1\nkind: Route\nmetadata: { name: r }\nspec: { model: m, service: s, priority: p, repeatable: false }')
+    assert.deepEqual(older.declarations[0].record, { ...newer.declarations[0].record, pathPrefix: undefined })
+  })
+
+  it('reads old and new versions side by side', () => {
+    const { declarations, problems } = readRecordFile('mixed.yaml', `${PRIORITY}---
+apiVersion: plumstage/v1beta1
+kind: Service
+metadata: { name: old }
+spec: { addresses: ["10.0.0.1:9000"], failureDomain: zona-4, models: [m] }
+`)
+    assert.deepEqual(problems, [])
+    const configuration = Configuration.create(1, declarations.map(declaration => declaration.record))
+    assert.equal(configuration.services.get('old')?.upstreams[0].failureDomain, 'zona-4')
+  })
+
+  it('names file, line, field and remedy of a mistake', () => {
+    const [problem] = problemsOf(`${PRIORITY}---
+apiVersion: plumstage/v1
+kind: Service
+metadata: { name: s }
+spec:
+  type: plain
+  upstreams:
+    - { address: "wiki.example:80", failureDomain: zona-4 }
+`)
+    assert.match(problem, /^records\.yaml:12: spec\.upstreams\.0\.address must be an IP number and a port/)
+  })
+
+  it('names unknown fields, unknown versions and broken YAML', () => {
+    assert.match(problemsOf(PRIORITY.replace('rank: 1', 'rank: 1, rnak: 2'))[0], /spec\.rnak is not a known field; correct its name or remove it/)
+    assert.match(problemsOf(PRIORITY.replace('plumstage/v1', 'plumstage/v7'))[0], /apiVersion must be one of plumstage\/v1, plumstage\/v1beta1/)
+    assert.match(problemsOf('a: [')[0], /^records\.yaml:1: the record is not valid YAML/)
+  })
+
+  it('finds references to records that do not exist, and calls that two routes take', () => {
+    const route = 'apiVersion: plumstage/v1\nkind: Route\nmetadata: { name: NAME }\nspec: { pathPrefix: /a, service: s, priority: standard, idempotency: idempotent }\n'
+    const problems = problemsOf(`${PRIORITY}---\n${route.replace('NAME', 'one')}---\n${route.replace('NAME', 'two')}`)
+    assert.ok(problems.some(problem => problem.includes('names Service s, which does not exist')))
+    assert.ok(problems.some(problem => problem.includes('matches the same calls as Route two')))
+  })
+
+  it('lets the longest prefix and the named method win', () => {
+    const route = (name: string, prefix: string, methods: string): string => `apiVersion: plumstage/v1\nkind: Route\nmetadata: { name: ${name} }\nspec: { pathPrefix: ${prefix}, methods: [${methods}], service: s, priority: p, idempotency: idempotent }\n`
+    const { declarations } = readRecordFile('r.yaml', [route('all', '/', ''), route('wiki', '/wiki/', ''), route('edits', '/wiki/', 'POST')].join('---\n'))
+    const configuration = Configuration.create(1, declarations.map(declaration => declaration.record))
+    assert.equal(configuration.findRouteByPath('GET', '/wiki/a')?.name, 'wiki')
+    assert.equal(configuration.findRouteByPath('POST', '/wiki/a')?.name, 'edits')
+    assert.equal(configuration.findRouteByPath('GET', '/other')?.name, 'all')
+  })
+})
