Split the gateway into a core without listeners and its sockets

The core takes its clock, upstream clients, peer link, key-value service and instance list from outside, so that scenarios can run the same decisions and tasks on a virtual clock. Peer messages are plain types; Connect is one link. Ruled out: a second set of decision drivers for scenarios, which would test code that nobody runs.

--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -21,8 +21,33 @@
 /** Headers of a response. */
 export type ResponseHeaders = Record<string, string | string[]>
 
-/** Writes the response to one caller: a whole answer, a stream, or an error, and never more than one of them. */
-export class CallerResponse {
+/** The response to one caller: a whole answer, a stream, or an error, and never more than one of them. */
+export interface CallerResponse {
+  readonly requestId: string
+  /** Whether any part of the response was written. */
+  readonly started: boolean
+  /** Calls back once when the caller's connection ends before the response does. */
+  onCallerGone (callback: () => void): void
+  /** Calls back once when the caller has read enough to be sent more. */
+  onceDrained (callback: () => void): void
+  /** Starts a stream of events. Its outcome follows as a trailer. */
+  startEventStream (): void
+  /** Starts an answer whose length is not known to the gateway. Its outcome follows as a trailer. */
+  startBytes (status: number, headers: ResponseHeaders): void
+  /** Writes bytes of a started stream; false when the caller does not keep up. */
+  write (bytes: Buffer): boolean
+  /** Ends a started stream. */
+  endStream (outcome: Outcome): void
+  /** Sends a whole answer. */
+  sendWhole (status: number, headers: ResponseHeaders, body: Buffer | string, outcome: Outcome): void
+  /** Sends an error: as a response, or as the last event of a stream that has started. */
+  sendError (error: CallerError): void
+  /** Cuts the connection: the only way to say that a started answer is not whole. */
+  cut (): void
+}
+
+/** Writes the response to a caller of the HTTP interface. */
+export class HttpCallerResponse implements CallerResponse {
   readonly requestId: string
   private readonly _response: ServerResponse
   private _streaming = false
@@ -32,33 +57,28 @@
     this._response = response
   }
 
-  static create (requestId: string, response: ServerResponse): CallerResponse {
-    return new CallerResponse(requestId, response)
+  static create (requestId: string, response: ServerResponse): HttpCallerResponse {
+    return new HttpCallerResponse(requestId, response)
   }
 
-  /** Whether any part of the response was written. */
   get started (): boolean {
     return this._response.headersSent
   }
 
-  /** Calls back once when the caller's connection ends before the response does. */
   onCallerGone (callback: () => void): void {
     this._response.once('close', () => { if (!this._response.writableFinished) callback() })
   }
 
-  /** Calls back once when the caller has read enough to be sent more. */
   onceDrained (callback: () => void): void {
     this._response.socket?.once('drain', callback)
   }
 
-  /** Starts a stream of events. Its outcome follows as a trailer. */
   startEventStream (): void {
     this._streaming = true
     this._response.writeHead(200, { 'content-type': EVENT_STREAM_TYPE, 'cache-control': 'no-store', [REQUEST_ID_HEADER]: this.requestId, trailer: OUTCOME_HEADER })
     this._response.flushHeaders()
   }
 
-  /** Starts an answer whose length is not known to the gateway. Its outcome follows as a trailer. */
   startBytes (status: number, headers: ResponseHeaders): void {
     this._streaming = true
     const { 'content-length': _length, ...others } = headers
@@ -67,8 +87,8 @@
   }
 
   /**
-   * Writes bytes of a started stream; false when the caller does not keep up. They go straight to the socket: Node's
-   * own writing of chunks costs four buffers and a vectored write for each token.
+   * The bytes go straight to the socket: Node's own writing of chunks costs four buffers and a vectored write for each
+   * token.
    */
   write (bytes: Buffer): boolean {
     const socket = this._response.socket
@@ -77,13 +97,11 @@
     return socket.write(frameChunk(bytes))
   }
 
-  /** Ends a started stream. */
   endStream (outcome: Outcome): void {
     this._response.addTrailers({ [OUTCOME_HEADER]: outcome })
     this._response.end()
   }
 
-  /** Sends a whole answer. */
   sendWhole (status: number, headers: ResponseHeaders, body: Buffer | string, outcome: Outcome): void {
     headers['content-length'] = String(typeof body === 'string' ? Buffer.byteLength(body) : body.length)
     headers[REQUEST_ID_HEADER] = this.requestId
@@ -94,7 +112,6 @@
     else this._response.end(body.toString('latin1'), 'latin1')
   }
 
-  /** Sends an error: as a response, or as the last event of a stream that has started. */
   sendError (error: CallerError): void {
     const body = formatCallerError(error, this.requestId)
     if (!this.started) {
@@ -107,7 +124,6 @@
     this.endStream(error.outcome)
   }
 
-  /** Cuts the connection: the only way to say that a started answer is not whole. */
   cut (): void {
     this._response.destroy()
   }
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -11,14 +11,12 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
 import type { Result } from 'neverthrow'
 import { describeError, getLogger } from '@plumstage/common'
-import type { IdentitySequence } from '@plumstage/common'
+import type { IdentitySequence, Instrumentation } from '@plumstage/common'
 import type { Configuration } from '@plumstage/records'
-import { RequestTask } from '../attempts/requestTask.js'
-import type { RequestServices } from '../attempts/requestTask.js'
-import type { RequestRegistry } from '../attempts/requestRegistry.js'
 import type { InboundCall } from '../attempts/inboundCall.js'
 import { CallerError } from './callerError.js'
-import { CallerResponse } from './callerResponse.js'
+import { HttpCallerResponse } from './callerResponse.js'
+import type { CallerResponse } from './callerResponse.js'
 import type { CallReader } from './callReader.js'
 
 const MAXIMUM_HEADER_BYTES = 16 * 1024
@@ -31,8 +29,9 @@
 
 /** What the server shares with the rest of the gateway. */
 export interface CallerServerOptions {
-  services: RequestServices
-  registry: RequestRegistry
+  instrumentation: Instrumentation
+  /** Takes a checked call into service. */
+  accept (call: InboundCall, response: CallerResponse): void
   reader: CallReader
   requestIds: IdentitySequence
   configuration (): Configuration
@@ -76,12 +75,12 @@
   private async _serve (context: CallerContext, read: ReadCall): Promise<Response> {
     const outgoing = context.env.outgoing as ServerResponse
     const requestId = this._options.requestIds.next()
-    const response = CallerResponse.create(requestId, outgoing)
+    const response = HttpCallerResponse.create(requestId, outgoing)
     if (this._options.stopping()) outgoing.setHeader('connection', 'close')
     try {
       const call = await read(requestId, context.env.incoming as IncomingMessage)
       if (call.isErr()) this._refuse(response, call.error)
-      else this._begin(call.value, response)
+      else this._options.accept(call.value, response)
     } catch (error) {
       this._log.error(`Request ${requestId} failed: ${describeError(error)}`)
       if (!response.started) response.sendError(CallerError.create('internal_error', 'The gateway failed. It may have run; report the request id to the operator.', { outcome: 'unknown' }))
@@ -90,19 +89,13 @@
     return RESPONSE_ALREADY_SENT
   }
 
-  private _begin (call: InboundCall, response: CallerResponse): void {
-    const task = RequestTask.create(this._options.services, call, response, ended => this._options.registry.remove(ended))
-    this._options.registry.add(task)
-    task.start()
-  }
-
   private _refuse (response: CallerResponse, error: CallerError): void {
-    this._options.services.instrumentation.emit('request-refused', { code: error.callerCode }, response.requestId)
+    this._options.instrumentation.emit('request-refused', { code: error.callerCode }, response.requestId)
     response.sendError(error)
   }
 
   private _listModels (context: CallerContext): Response {
-    const response = CallerResponse.create(this._options.requestIds.next(), context.env.outgoing as ServerResponse)
+    const response = HttpCallerResponse.create(this._options.requestIds.next(), context.env.outgoing as ServerResponse)
     const workspace = this._options.reader.authenticate(context.env.incoming as IncomingMessage)
     if (workspace.isErr()) {
       this._refuse(response, workspace.error)
--- a/packages/gateway/src/membership/peerConversion.ts
+++ b/packages/gateway/src/membership/peerConversion.ts
@@ -5,9 +5,13 @@
  */
 import { create } from '@bufbuild/protobuf'
 import { peer } from '@plumstage/protocol'
+import type { StoredRecord } from '../configuration/configurationState.js'
 import type { UpstreamDeparture } from '../upstreams/upstream.js'
 import type { Member, MemberState } from './member.js'
 
+const encoder = new TextEncoder()
+const decoder = new TextDecoder()
+
 const STATE_TO_MESSAGE: Readonly<Record<MemberState, peer.MemberState>> = {
   alive: peer.MemberState.ALIVE,
   leaving: peer.MemberState.LEAVING,
@@ -51,3 +55,11 @@
   if (state === peer.MemberState.DEAD) return 'dead'
   return state === peer.MemberState.LEAVING ? 'leaving' : 'alive'
 }
+
+export function toRecordMessage (record: StoredRecord): peer.StoredRecord {
+  return create(peer.StoredRecordSchema, { key: record.key, value: encoder.encode(record.value), revision: BigInt(record.revision) })
+}
+
+export function fromRecordMessage (message: peer.StoredRecord): StoredRecord {
+  return { key: message.key, value: decoder.decode(message.value), revision: Number(message.revision) }
+}
--- a/packages/gateway/src/upstreams/upstreamClients.ts
+++ b/packages/gateway/src/upstreams/upstreamClients.ts
@@ -14,16 +14,24 @@
 /** Whether a connection may be used for one call after another. */
 export type ConnectionReuse = 'reuse' | 'fresh'
 
+/** Gives the HTTP client for one call to an upstream. */
+export interface UpstreamClients {
+  clientOf (upstream: UpstreamIdentity, reuse: ConnectionReuse): HttpClient
+  /** Closes the connections of an upstream that is gone, after the calls that use them. */
+  forget (upstream: Pick<UpstreamIdentity, 'service' | 'address'>): void
+  close (): Promise<void>
+}
+
 /**
  * Keeps the connection pools of all upstreams. Calls that may not be repeated each get a connection of their own, so
  * that none is lost because an idle connection was being closed while it was sent.
  */
-export class UpstreamClients {
+export class PooledUpstreamClients implements UpstreamClients {
   private readonly _reusing = new Map<string, Pool>()
   private readonly _fresh = new Map<string, Pool>()
 
-  static create (): UpstreamClients {
-    return new UpstreamClients()
+  static create (): PooledUpstreamClients {
+    return new PooledUpstreamClients()
   }
 
   clientOf (upstream: UpstreamIdentity, reuse: ConnectionReuse): HttpClient {
@@ -37,7 +45,6 @@
     return pool
   }
 
-  /** Closes the connections of an upstream that is gone, after the calls that use them. */
   forget (upstream: Pick<UpstreamIdentity, 'service' | 'address'>): void {
     const key = keyOfUpstream(upstream)
     for (const pools of [this._reusing, this._fresh]) {
