--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -80,6 +80,11 @@
     this._now = Math.max(this._now, target)
   }
 
+  /** Returns when the next timer is due; undefined when there is none. */
+  get nextDeadline (): Timestamp | undefined {
+    return this._findNextDue(Number.POSITIVE_INFINITY)?.deadline
+  }
+
   private _findNextDue (target: Timestamp): ScheduledCallback | undefined {
     let next: ScheduledCallback | undefined
     for (const entry of this._scheduled) {
--- /dev/null
+++ b/packages/standins/src/instances/instanceListState.ts
@@ -0,0 +1,70 @@
+/**
+ * State of the instance list stand-in. A change becomes visible only after a lag.
+ *
+ * @module
+ */
+import { z } from 'zod'
+import type { Clock, Timestamp } from '@plumstage/common'
+
+export const listedInstanceSchema = z.strictObject({
+  pool: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  instanceClass: z.string().default('standard'),
+  incarnation: z.string(),
+  state: z.enum(['live', 'leaving']).default('live'),
+  deadline: z.number().optional()
+})
+
+export type ListedInstance = z.infer<typeof listedInstanceSchema>
+
+interface ListVersion {
+  visibleFrom: Timestamp
+  instances: readonly ListedInstance[]
+}
+
+/** All instances, as they are and as the list shows them. */
+export class InstanceListState {
+  /** How long a change stays invisible, in milliseconds. */
+  lagMilliseconds = 0
+  private readonly _clock: Clock
+  private _versions: ListVersion[] = [{ visibleFrom: 0, instances: [] }]
+
+  private constructor (clock: Clock) {
+    this._clock = clock
+  }
+
+  static create (clock: Clock): InstanceListState {
+    return new InstanceListState(clock)
+  }
+
+  /** What the list shows now. */
+  get visible (): readonly ListedInstance[] {
+    const now = this._clock.now()
+    while (this._versions.length > 1 && this._versions[1].visibleFrom <= now) this._versions.shift()
+    return this._versions[0].instances
+  }
+
+  /** Adds an instance, or replaces the one at its address. */
+  put (instance: ListedInstance): void {
+    const others = this._latest.filter(other => other.address !== instance.address)
+    this._change([...others, instance])
+  }
+
+  remove (address: string): void {
+    this._change(this._latest.filter(instance => instance.address !== address))
+  }
+
+  /** Announces that an instance is taken away at `deadline`, in milliseconds since the epoch. */
+  announceReclaim (address: string, deadline: Timestamp): void {
+    this._change(this._latest.map(instance => instance.address === address ? { ...instance, state: 'leaving' as const, deadline } : instance))
+  }
+
+  private get _latest (): readonly ListedInstance[] {
+    return this._versions[this._versions.length - 1].instances
+  }
+
+  private _change (instances: readonly ListedInstance[]): void {
+    this._versions.push({ visibleFrom: this._clock.now() + this.lagMilliseconds, instances })
+  }
+}
--- /dev/null
+++ b/scenarios/runner/expectations.ts
@@ -0,0 +1,79 @@
+/**
+ * Checks what a single scenario expects.
+ *
+ * @module
+ */
+import type { CallRecord } from '../world/callRecord.js'
+import type { VirtualWorld } from '../world/virtualWorld.js'
+import type { Expectation } from './scenarioSchema.js'
+
+/** Returns what is not as expected; undefined when all is. */
+export function checkExpectation (expectation: Expectation, world: VirtualWorld): string | undefined {
+  const { evidence } = world
+  switch (expectation.expect) {
+    case 'outcomes': return checkOutcomes(expectation, callsOf(world, expectation.label))
+    case 'code': {
+      const calls = callsOf(world, expectation.label)
+      const matching = calls.filter(call => call.errorCode === expectation.is).length
+      return matching === (expectation.count ?? calls.length) ? undefined : `${expectation.label}: ${matching} calls have code ${expectation.is}; codes are ${calls.map(call => call.errorCode).join(', ')}`
+    }
+    case 'runs': {
+      const runs = evidence.runs.filter(run => run.content === expectation.content).length
+      return runs === expectation.exactly ? undefined : `${expectation.content} ran ${runs} times, not ${expectation.exactly}`
+    }
+    case 'answered-within': {
+      const late = callsOf(world, expectation.label).filter(call => (call.endedAt ?? Infinity) - call.sentAt > expectation.milliseconds)
+      return late.length === 0 ? undefined : `${expectation.label}: ${late.length} calls took longer than ${expectation.milliseconds} ms`
+    }
+    case 'retry-after': {
+      const missing = callsOf(world, expectation.label).filter(call => call.retryAfterSeconds === undefined)
+      return missing.length === 0 ? undefined : `${expectation.label}: ${missing.length} calls were not told when to come back`
+    }
+    case 'event': {
+      const count = evidence.events.filter(event => event.kind === expectation.kind).length
+      return count >= expectation.atLeast ? undefined : `${expectation.kind} happened ${count} times, not ${expectation.atLeast}`
+    }
+    case 'in-force-within': return checkInForce(world, expectation.milliseconds)
+    case 'same-answer': {
+      const texts = new Set(expectation.labels.flatMap(label => callsOf(world, label)).map(call => call.text))
+      return texts.size === 1 ? undefined : `${expectation.labels.join(', ')}: there are ${texts.size} different answers`
+    }
+    case 'members': {
+      const gateway = world.gateways[expectation.gateway - 1]
+      const present = gateway.core.membership.listPresent(world.clock.now()).length
+      return present === expectation.present ? undefined : `${gateway.name} knows ${present} present members, not ${expectation.present}`
+    }
+  }
+}
+
+function callsOf (world: VirtualWorld, label: string): CallRecord[] {
+  const calls = world.evidence.calls.filter(call => call.label === label)
+  if (calls.length === 0) throw new Error(`no call has the label ${label}`)
+  return calls
+}
+
+function checkOutcomes (expectation: Extract<Expectation, { expect: 'outcomes' }>, calls: readonly CallRecord[]): string | undefined {
+  const counts = {
+    complete: calls.filter(call => call.outcome === 'complete').length,
+    notRun: calls.filter(call => call.outcome === 'not-run').length,
+    unknown: calls.filter(call => call.outcome === 'unknown').length,
+    lost: calls.filter(call => call.outcome === undefined).length
+  }
+  for (const name of ['complete', 'notRun', 'unknown', 'lost'] as const) {
+    if (expectation[name] !== undefined && counts[name] !== expectation[name]) return `${expectation.label}: outcomes are ${JSON.stringify(counts)}, expected ${name} ${expectation[name]}; codes are ${calls.map(call => call.errorCode ?? '-').join(', ')}`
+  }
+  return undefined
+}
+
+/** Every serving gateway must have adopted every accepted change in time. */
+function checkInForce (world: VirtualWorld, milliseconds: number): string | undefined {
+  for (const change of world.evidence.changes.slice(1)) {
+    for (const gateway of world.gateways) {
+      if (gateway.process.state !== 'running') continue
+      const adopted = world.evidence.events.find(event => event.process === gateway.name && event.kind === 'configuration-adopted' && Number(event.attributes?.revision) >= change.revision)
+      const took = (adopted?.time ?? Infinity) - change.acceptedAt
+      if (took > milliseconds) return `revision ${change.revision} was in force on ${gateway.name} after ${took} ms`
+    }
+  }
+  return undefined
+}
--- /dev/null
+++ b/scenarios/world/virtualGateway.ts
@@ -0,0 +1,113 @@
+/**
+ * A gateway on the virtual clock: the real core, over simulated connections.
+ *
+ * @module
+ */
+import { Readable } from 'node:stream'
+import type { IncomingMessage } from 'node:http'
+import { CallContext, IdentitySequence, Instrumentation, SeededRandom } from '@plumstage/common'
+import type { ActionEvent, VirtualClock } from '@plumstage/common'
+import { CallReader, GatewayCore } from '@plumstage/gateway'
+import type { PeerConfiguration, PeerLink, PeerMessage, UpstreamClients } from '@plumstage/gateway'
+import type { InstanceList } from '@plumstage/platform'
+import type { CallRecord } from './callRecord.js'
+import { RecordedResponse } from './callRecord.js'
+import { ProcessClock } from './processClock.js'
+import type { VirtualKeyValueServer } from './virtualKeyValueService.js'
+
+const MAXIMUM_BODY_BYTES = 1024 * 1024
+const PEER_TIMEOUT_MILLISECONDS = 1000
+const PEER_LATENCY_MILLISECONDS = 1
+
+/** What a simulated gateway reaches. */
+export interface VirtualSurroundings {
+  clock: VirtualClock
+  seed: number
+  keyValue: VirtualKeyValueServer
+  instanceList (process: ProcessClock): InstanceList
+  clients (process: ProcessClock): UpstreamClients
+  findGateway (peerAddress: string): VirtualGateway | undefined
+  isCut (from: string, to: string): boolean
+  record (event: ActionEvent): void
+}
+
+/** One simulated gateway. */
+export class VirtualGateway implements PeerLink {
+  readonly name: string
+  readonly peerAddress: string
+  readonly process: ProcessClock
+  readonly core: GatewayCore
+  private readonly _surroundings: VirtualSurroundings
+  private readonly _reader: CallReader
+  private readonly _requestIds: IdentitySequence
+
+  private constructor (name: string, number: number, seeds: readonly string[], surroundings: VirtualSurroundings) {
+    const incarnation = `${name}-${surroundings.clock.now()}`
+    this.name = name
+    this.peerAddress = `10.1.0.${number}:8082`
+    this.process = ProcessClock.create(surroundings.clock)
+    this._surroundings = surroundings
+    const instrumentation = Instrumentation.create(name, incarnation, this.process)
+    instrumentation.addListener(event => surroundings.record(event))
+    this._requestIds = IdentitySequence.create('req', incarnation)
+    this.core = GatewayCore.create({ name, deployment: 'scenario', failureDomain: `domain-${(number - 1) % 3 + 1}`, peerAddress: this.peerAddress, peerSeeds: seeds }, {
+      clock: this.process,
+      random: SeededRandom.create(surroundings.seed + number),
+      instrumentation,
+      keyValueService: surroundings.keyValue.connect(this.process),
+      instanceList: surroundings.instanceList(this.process),
+      clients: surroundings.clients(this.process),
+      peerLink: this
+    })
+    this._reader = CallReader.create({ clock: this.process, maximumBodyBytes: MAXIMUM_BODY_BYTES, configuration: () => this.core.configuration.state.configuration })
+    this.core.run()
+  }
+
+  static create (name: string, number: number, seeds: readonly string[], surroundings: VirtualSurroundings): VirtualGateway {
+    return new VirtualGateway(name, number, seeds, surroundings)
+  }
+
+  /** Takes a call, as from a connection of a caller. */
+  async receive (record: CallRecord, headers: Record<string, string>, body: string): Promise<void> {
+    record.requestId = this._requestIds.next()
+    const response = RecordedResponse.create(record, () => this.process.now())
+    const isChat = record.kind === 'stream' || record.kind === 'whole'
+    const incoming = Object.assign(Readable.from(body === '' ? [] : [Buffer.from(body)]), { headers, method: record.kind === 'read' ? 'GET' : 'POST', url: isChat ? '/v1/chat/completions' : '/plain/item' }) as unknown as IncomingMessage
+    const call = isChat ? await this._reader.readCompletion(record.requestId, incoming, 'chat') : await this._reader.readPlain(record.requestId, incoming)
+    this.process.deliver(() => {
+      if (call.isErr()) return response.sendError(call.error)
+      record.accepted = true
+      this.core.accept(call.value, response)
+    })
+  }
+
+  async exchange (context: CallContext, address: string, message: PeerMessage): Promise<PeerMessage> {
+    return await this._reach(context, address, target => target.core.peers.answerExchange(structuredClone(message)))
+  }
+
+  async fetchConfiguration (context: CallContext, address: string, knownRevision: number): Promise<PeerConfiguration | undefined> {
+    return await this._reach(context, address, target => target.core.peers.answerFetch(knownRevision))
+  }
+
+  forget (): void {}
+
+  private async _reach<Answer> (context: CallContext, address: string, call: (target: VirtualGateway) => Answer): Promise<Answer> {
+    const { clock } = this._surroundings
+    const limited = context.createChild(clock.now() + PEER_TIMEOUT_MILLISECONDS)
+    const answer = new Promise<Answer>((resolve, reject) => {
+      limited.onCancel(() => reject(new Error('no answer in time')))
+      clock.schedule(clock.now() + PEER_LATENCY_MILLISECONDS, () => {
+        const target = this._surroundings.findGateway(address)
+        if (!target || target.process.state === 'dead' || this._surroundings.isCut(this.name, target.name)) return
+        target.process.deliver(() => {
+          const value = structuredClone(call(target))
+          if (this._surroundings.isCut(target.name, this.name)) return
+          clock.schedule(clock.now() + PEER_LATENCY_MILLISECONDS, () => resolve(value))
+        })
+      })
+    })
+    const received = await this.process.receive(answer)
+    limited.finish()
+    return received
+  }
+}
--- /dev/null
+++ b/scenarios/world/virtualUpstream.ts
@@ -0,0 +1,190 @@
+/**
+ * Engines and plain services on the virtual clock.
+ *
+ * @module
+ */
+import type { Dispatcher as HttpClient } from 'undici'
+import { renderChat } from '@plumstage/common'
+import type { Timestamp, VirtualClock } from '@plumstage/common'
+import { CompletionFormat, TokenSource } from '@plumstage/standins'
+
+const CONNECT_MILLISECONDS = 1
+const TOKEN_MILLISECONDS = 20
+const PLAIN_MILLISECONDS = 15
+
+/** What a simulated upstream serves. */
+export type UpstreamKind = 'engine' | 'plain'
+
+/** One run of one call on one upstream. */
+export interface UpstreamRun {
+  upstream: string
+  /** What the call asked for: the chat's text, or the body of a plain call. */
+  content: string
+  requestId: string
+  startedAt: Timestamp
+  /** Position after which the run continued an answer. */
+  position: number
+}
+
+/** What an upstream does wrong. */
+export interface UpstreamFaults {
+  frozen?: boolean
+  /** Cuts the connection after this many tokens, or after the run of a plain call when it is 0. */
+  cutAfter?: number
+  /** Refuses calls with this status before running them. */
+  refuseWith?: number
+  /** Goes on sending after its caller has given up. */
+  sendsLate?: boolean
+  /** Leaves out every third token. */
+  skipsTokens?: boolean
+  foreignId?: boolean
+}
+
+interface Connection {
+  handler: HttpClient.DispatchHandler
+  aborted: boolean
+  ended: boolean
+}
+
+interface CompletionBody {
+  messages: Array<{ role: string, content: string }>
+  max_tokens: number
+  stream: boolean
+  continue_from?: { position: number, text: string }
+}
+
+/** One simulated upstream. */
+export class VirtualUpstream {
+  readonly address: string
+  readonly kind: UpstreamKind
+  readonly failureDomain: string
+  readonly incarnation: string
+  faults: UpstreamFaults = {}
+  alive = true
+  private readonly _clock: VirtualClock
+  private readonly _runs: UpstreamRun[]
+  private readonly _connections = new Set<Connection>()
+
+  private constructor (clock: VirtualClock, kind: UpstreamKind, address: string, failureDomain: string, incarnation: string, runs: UpstreamRun[]) {
+    this._clock = clock
+    this.kind = kind
+    this.address = address
+    this.failureDomain = failureDomain
+    this.incarnation = incarnation
+    this._runs = runs
+  }
+
+  /** Runs are added to `runs`, which all upstreams share. */
+  static create (clock: VirtualClock, kind: UpstreamKind, address: string, failureDomain: string, incarnation: string, runs: UpstreamRun[]): VirtualUpstream {
+    return new VirtualUpstream(clock, kind, address, failureDomain, incarnation, runs)
+  }
+
+  /** Ends the upstream and cuts its connections. */
+  kill (): void {
+    this.alive = false
+    for (const connection of [...this._connections]) this._fail(connection, 'other side closed')
+  }
+
+  /** Takes a call, as the HTTP library would dispatch it. `deliver` reaches the calling process. */
+  dispatch (options: HttpClient.DispatchOptions, handler: HttpClient.DispatchHandler, deliver: (callback: () => void) => void): void {
+    const connection: Connection = { handler: relayTo(handler, deliver), aborted: false, ended: false }
+    this._after(CONNECT_MILLISECONDS, () => {
+      if (!this.alive) return connection.handler.onResponseError?.(createController(connection), new Error('connect ECONNREFUSED'))
+      this._connections.add(connection)
+      connection.handler.onRequestStart?.(createController(connection), undefined)
+      this._after(CONNECT_MILLISECONDS, () => { if (!connection.aborted && this.alive) this._receive(options, connection) })
+    })
+  }
+
+  private _receive (options: HttpClient.DispatchOptions, connection: Connection): void {
+    const headers = options.headers as Record<string, string>
+    if (this.faults.refuseWith !== undefined) return this._answerWhole(connection, this.faults.refuseWith, '{"refused":true}')
+    if (this.kind === 'plain') return this._runPlain(String(options.body ?? ''), headers['x-request-id'], connection)
+    const body = JSON.parse(String(options.body)) as CompletionBody
+    this._runCompletion(body, headers['x-request-id'], connection)
+  }
+
+  private _runPlain (content: string, requestId: string, connection: Connection): void {
+    this._note(content, requestId, 0)
+    if (this.faults.frozen) return
+    if (this.faults.cutAfter !== undefined) return this._fail(connection, 'other side closed')
+    this._after(PLAIN_MILLISECONDS, () => this._answerWhole(connection, 200, JSON.stringify({ content })))
+  }
+
+  private _runCompletion (body: CompletionBody, requestId: string, connection: Connection): void {
+    const content = body.messages[0].content
+    const source = TokenSource.create(renderChat(body.messages))
+    const position = body.continue_from?.position ?? 0
+    if (body.continue_from && body.continue_from.text !== source.textUpTo(position)) return this._answerWhole(connection, 409, '{"error":{"code":"wrong_continuation"}}')
+    this._note(content, requestId, position)
+    if (this.faults.frozen) return
+    if (content.startsWith('crash')) return this.kill()
+    const format = CompletionFormat.create('chat', `chatcmpl-${this.faults.foreignId ? 'foreign' : requestId}`, 'model-a', this._clock.now())
+    this._startStream(connection)
+    this._generate(connection, format, source, position, position, body.max_tokens)
+  }
+
+  private _startStream (connection: Connection): void {
+    connection.handler.onResponseStart?.(createController(connection), 200, { 'content-type': 'text/event-stream' })
+  }
+
+  private _generate (connection: Connection, format: CompletionFormat, source: TokenSource, start: number, position: number, tokens: number): void {
+    this._after(TOKEN_MILLISECONDS, () => {
+      if (!this.alive || this.faults.frozen || (connection.aborted && !this.faults.sendsLate)) return
+      if (this.faults.cutAfter !== undefined && position - start >= this.faults.cutAfter) return this._fail(connection, 'other side closed')
+      if (position >= tokens) return this._finishStream(connection, format, position, tokens)
+      const next = position + (this.faults.skipsTokens && position % 3 === 2 ? 2 : 1)
+      connection.handler.onResponseData?.(createController(connection), Buffer.from(format.tokenEvent(next, source.tokenAt(next))))
+      this._generate(connection, format, source, start, next, tokens)
+    })
+  }
+
+  private _finishStream (connection: Connection, format: CompletionFormat, position: number, tokens: number): void {
+    const usage = { promptTokens: 0, cachedTokens: 0, completionTokens: tokens }
+    connection.handler.onResponseData?.(createController(connection), Buffer.from(format.lastEvents(position + 1, usage)))
+    this._finish(connection)
+  }
+
+  private _answerWhole (connection: Connection, status: number, body: string): void {
+    if (!this.alive || (connection.aborted && !this.faults.sendsLate)) return
+    connection.handler.onResponseStart?.(createController(connection), status, { 'content-type': 'application/json' })
+    connection.handler.onResponseData?.(createController(connection), Buffer.from(body))
+    this._finish(connection)
+  }
+
+  private _finish (connection: Connection): void {
+    connection.ended = true
+    this._connections.delete(connection)
+    connection.handler.onResponseEnd?.(createController(connection), {})
+  }
+
+  private _fail (connection: Connection, message: string): void {
+    this._connections.delete(connection)
+    if (connection.ended) return
+    connection.ended = true
+    connection.handler.onResponseError?.(createController(connection), new Error(message))
+  }
+
+  private _note (content: string, requestId: string, position: number): void {
+    this._runs.push({ upstream: this.address, content, requestId, startedAt: this._clock.now(), position })
+  }
+
+  private _after (milliseconds: number, callback: () => void): void {
+    this._clock.schedule(this._clock.now() + milliseconds, callback)
+  }
+}
+
+function createController (connection: Connection): HttpClient.DispatchController {
+  const abort = (): void => { connection.aborted = true }
+  return { abort, pause: () => {}, resume: () => {}, get aborted () { return connection.aborted }, paused: false, reason: null } as HttpClient.DispatchController
+}
+
+function relayTo (handler: HttpClient.DispatchHandler, deliver: (callback: () => void) => void): HttpClient.DispatchHandler {
+  return {
+    onRequestStart: (controller, context) => deliver(() => handler.onRequestStart?.(controller, context)),
+    onResponseStart: (controller, status, headers) => deliver(() => handler.onResponseStart?.(controller, status, headers)),
+    onResponseData: (controller, chunk) => deliver(() => handler.onResponseData?.(controller, chunk)),
+    onResponseEnd: (controller, trailers) => deliver(() => handler.onResponseEnd?.(controller, trailers)),
+    onResponseError: (controller, error) => deliver(() => handler.onResponseError?.(controller, error))
+  }
+}
--- /dev/null
+++ b/scenarios/world/virtualWorld.ts
@@ -0,0 +1,260 @@
+/**
+ * A deployment on the virtual clock: real gateway cores, and simulated upstreams, key-value service, instance list
+ * and callers.
+ *
+ * @module
+ */
+import { createHash } from 'node:crypto'
+import { ok } from 'neverthrow'
+import { VirtualClock, setLogLevel } from '@plumstage/common'
+import type { ActionEvent, Timestamp } from '@plumstage/common'
+import type { UpstreamClients } from '@plumstage/gateway'
+import { KeySpace } from '@plumstage/platform'
+import { readRecordFile } from '@plumstage/records'
+import { InstanceListState } from '@plumstage/standins'
+import type { CallKind, CallRecord } from './callRecord.js'
+import type { ProcessClock } from './processClock.js'
+import { VirtualGateway } from './virtualGateway.js'
+import { VirtualKeyValueServer } from './virtualKeyValueService.js'
+import { VirtualUpstream } from './virtualUpstream.js'
+import type { UpstreamKind, UpstreamRun } from './virtualUpstream.js'
+
+const START: Timestamp = 1_700_000_000_000
+const WORKSPACE_TOKEN = 'token-of-the-scenario'
+const WARM_UP_MILLISECONDS = 1500
+const DOMAIN_COUNT = 3
+
+/** Size of the deployment. */
+export interface WorldSize {
+  gateways: number
+  engines: number
+  plainServices: number
+  concurrencyPerUpstream: number
+}
+
+/** A group of equal calls. */
+export interface CallGroup {
+  label: string
+  kind: CallKind
+  count: number
+  /** Name of the gateway; each in turn when undefined. */
+  gateway?: string
+  tokens: number
+  /** Start of the content; a number follows, unless `same` is set. */
+  content: string
+  /** Whether all calls have the same content and key. */
+  same: boolean
+  keyed: boolean
+}
+
+/** A change that an operator's command was told is accepted. */
+export interface AcceptedChange {
+  revision: number
+  acceptedAt: Timestamp
+}
+
+/** A planned stop of a gateway. */
+export interface PlannedStop {
+  gateway: string
+  startedAt: Timestamp
+}
+
+/** An announced reclaim of an upstream. */
+export interface AnnouncedReclaim {
+  address: string
+  incarnation: string
+  announcedAt: Timestamp
+  deadline: Timestamp
+}
+
+/** Everything that happened, for the checker. */
+export interface Evidence {
+  calls: CallRecord[]
+  runs: UpstreamRun[]
+  events: ActionEvent[]
+  reclaims: AnnouncedReclaim[]
+  stops: PlannedStop[]
+  changes: AcceptedChange[]
+  /** Whether anything happened beside announced reclaims and planned stops that may cost an answer. */
+  unannouncedFailure: boolean
+}
+
+setLogLevel('silent')
+
+/** A simulated deployment. */
+export class VirtualWorld {
+  readonly clock = VirtualClock.create(START)
+  readonly keyValue = VirtualKeyValueServer.create(this.clock)
+  readonly instances = InstanceListState.create(this.clock)
+  readonly gateways: VirtualGateway[] = []
+  readonly upstreams: VirtualUpstream[] = []
+  readonly evidence: Evidence = { calls: [], runs: [], events: [], reclaims: [], stops: [], changes: [], unannouncedFailure: false }
+  private readonly _keySpace = KeySpace.create('scenario')
+  private readonly _size: WorldSize
+  private readonly _seed: number
+  private readonly _cuts = new Set<string>()
+  private _nextUpstream = 1
+  private _nextCall = 1
+
+  private constructor (size: WorldSize, seed: number) {
+    this._size = size
+    this._seed = seed
+  }
+
+  /** Creates the deployment and lets it start up. */
+  static async create (size: WorldSize, seed: number): Promise<VirtualWorld> {
+    const world = new VirtualWorld(size, seed)
+    for (let index = 0; index < size.engines; index++) world.addUpstream('engine')
+    for (let index = 0; index < size.plainServices; index++) world.addUpstream('plain')
+    world.storeRecords(world._describeRecords())
+    for (let index = 0; index < size.gateways; index++) world.addGateway()
+    await world.runFor(WARM_UP_MILLISECONDS)
+    return world
+  }
+
+  /** Milliseconds since the scenario's start. */
+  get elapsed (): number {
+    return this.clock.now() - START - WARM_UP_MILLISECONDS
+  }
+
+  /** Lets time pass; after every timer all that follows from it is done. */
+  async runFor (milliseconds: number): Promise<void> {
+    const target = this.clock.now() + milliseconds
+    await settle()
+    for (;;) {
+      const next = this.clock.nextDeadline
+      if (next === undefined || next > target) break
+      this.clock.advanceTo(next)
+      await settle()
+    }
+    this.clock.advanceTo(target)
+  }
+
+  addGateway (): VirtualGateway {
+    const number = this.gateways.length + 1
+    const gateway = VirtualGateway.create(`gateway-${number}`, number, this.gateways.map(other => other.peerAddress), {
+      clock: this.clock,
+      seed: this._seed,
+      keyValue: this.keyValue,
+      instanceList: process => ({ list: async () => await process.receive(Promise.resolve(ok([...this.instances.visible]))) }),
+      clients: process => this._createClients(process),
+      findGateway: address => this.gateways.find(candidate => candidate.peerAddress === address),
+      isCut: (from, to) => this._cuts.has(`${from} ${to}`),
+      record: event => this.evidence.events.push(event)
+    })
+    this.gateways.push(gateway)
+    return gateway
+  }
+
+  addUpstream (kind: UpstreamKind, failureDomain = `domain-${(this._nextUpstream - 1) % DOMAIN_COUNT + 1}`): VirtualUpstream {
+    const number = this._nextUpstream++
+    const upstream = VirtualUpstream.create(this.clock, kind, `10.2.0.${number}:9000`, failureDomain, `instance-${number}`, this.evidence.runs)
+    this.upstreams.push(upstream)
+    this.instances.put({ pool: kind, address: upstream.address, failureDomain, instanceClass: 'standard', incarnation: upstream.incarnation, state: 'live' })
+    return upstream
+  }
+
+  /** Announces the reclaim of an upstream and carries it out at its deadline. */
+  reclaimUpstream (upstream: VirtualUpstream, noticeMilliseconds: number): void {
+    const deadline = this.clock.now() + noticeMilliseconds
+    this.evidence.reclaims.push({ address: upstream.address, incarnation: upstream.incarnation, announcedAt: this.clock.now(), deadline })
+    this.instances.announceReclaim(upstream.address, deadline)
+    this.clock.schedule(deadline, () => {
+      upstream.kill()
+      this.instances.remove(upstream.address)
+    })
+  }
+
+  /** Cuts messages of gateways in one direction, or lets them through again. */
+  setCut (from: string, to: string, cut: boolean): void {
+    if (cut) this._cuts.add(`${from} ${to}`)
+    else this._cuts.delete(`${from} ${to}`)
+  }
+
+  /** Starts a planned stop, as on SIGTERM. */
+  stopGateway (gateway: VirtualGateway): void {
+    this.evidence.stops.push({ gateway: gateway.name, startedAt: this.clock.now() })
+    void gateway.core.announceStop().then(async () => {
+      await gateway.core.finishRequests()
+      gateway.process.kill()
+    })
+  }
+
+  killGateway (gateway: VirtualGateway): void {
+    this.evidence.unannouncedFailure = true
+    gateway.process.kill()
+    for (const call of this.evidence.calls) if (call.gateway === gateway.name && call.endedAt === undefined) call.endedAt = this.clock.now()
+  }
+
+  /** Stores records as an operator's accepted change. Returns the revision. */
+  storeRecords (yaml: string): number {
+    const { declarations, problems } = readRecordFile('scenario.yaml', yaml)
+    if (problems.length > 0) throw new Error(problems.map(problem => `${problem.line} ${problem.field} ${problem.message}`).join('; '))
+    const outcome = this.keyValue.transact({
+      conditions: [],
+      onSuccess: declarations.map(({ record, storedText }) => ({ kind: 'put', key: this._keySpace.recordKey(record.kind, record.name), value: storedText })),
+      onFailure: []
+    })
+    this.evidence.changes.push({ revision: outcome.revision, acceptedAt: this.clock.now() })
+    return outcome.revision
+  }
+
+  /** Sends a group of calls now. */
+  send (group: CallGroup): void {
+    for (let index = 0; index < group.count; index++) this._sendOne(group, index)
+  }
+
+  private _sendOne (group: CallGroup, index: number): void {
+    const running = this.gateways.filter(gateway => gateway.process.state !== 'dead' && !gateway.core.stopping)
+    const gateway = group.gateway === undefined ? running[index % running.length] : this.gateways.find(candidate => candidate.name === group.gateway)
+    if (!gateway || gateway.process.state === 'dead') return
+    const content = group.same ? group.content : `${group.content} ${this._nextCall++}`
+    const record: CallRecord = { label: group.label, kind: group.kind, gateway: gateway.name, content, tokens: group.tokens, idempotencyKey: group.keyed ? content : undefined, requestId: '', sentAt: this.clock.now(), text: '', accepted: false }
+    this.evidence.calls.push(record)
+    const headers: Record<string, string> = { authorization: `Bearer ${WORKSPACE_TOKEN}` }
+    if (record.idempotencyKey !== undefined) headers['idempotency-key'] = record.idempotencyKey
+    gateway.process.deliver(() => void gateway.receive(record, headers, formatBody(record)))
+  }
+
+  private _createClients (process: ProcessClock): UpstreamClients {
+    const dispatch = (address: string): UpstreamClients['clientOf'] extends (...parameters: never[]) => infer Client ? Client : never => ({
+      dispatch: (options: never, handler: never) => {
+        const upstream = this.upstreams.find(candidate => candidate.address === address)
+        upstream?.dispatch(options, handler, callback => process.deliver(callback))
+        return true
+      }
+    }) as never
+    return { clientOf: upstream => dispatch(upstream.address), forget: () => {}, close: async () => {} }
+  }
+
+  private _describeRecords (): string {
+    const digest = createHash('sha256').update(WORKSPACE_TOKEN).digest('hex')
+    const concurrency = this._size.concurrencyPerUpstream
+    return `
+{ apiVersion: plumstage/v1, kind: Priority, metadata: { name: standard }, spec: { rank: 1, startWithinMilliseconds: 5000, answerWithinMilliseconds: 30000 } }
+---
+{ apiVersion: plumstage/v1, kind: Service, metadata: { name: model }, spec: { type: model-engine, models: [model-a], pool: engine, concurrencyPerUpstream: ${concurrency}, abilities: { echoesRequestId: true, resume: true, notRunStatuses: [503] } } }
+---
+{ apiVersion: plumstage/v1, kind: Service, metadata: { name: plain }, spec: { type: plain, pool: plain, concurrencyPerUpstream: ${concurrency}, abilities: { notRunStatuses: [503] } } }
+---
+{ apiVersion: plumstage/v1, kind: Route, metadata: { name: model }, spec: { model: model-a, service: model, priority: standard, idempotency: idempotent } }
+---
+{ apiVersion: plumstage/v1, kind: Route, metadata: { name: reads }, spec: { pathPrefix: /plain/, methods: [GET], service: plain, priority: standard, idempotency: idempotent } }
+---
+{ apiVersion: plumstage/v1, kind: Route, metadata: { name: writes }, spec: { pathPrefix: /plain/, methods: [POST], service: plain, priority: standard, idempotency: non-idempotent } }
+---
+{ apiVersion: plumstage/v1, kind: Workspace, metadata: { name: test }, spec: { tokenDigests: [${digest}] } }
+`
+  }
+}
+
+function formatBody (record: CallRecord): string {
+  if (record.kind === 'read') return ''
+  if (record.kind === 'write') return record.content
+  return JSON.stringify({ model: 'model-a', stream: record.kind === 'stream', max_tokens: record.tokens, messages: [{ role: 'user', content: record.content }] })
+}
+
+/** Lets everything happen that follows from what has happened, without time passing. */
+async function settle (): Promise<void> {
+  await new Promise<void>(resolve => setImmediate(resolve))
+}
--- a/tests/support/deployment.ts
+++ b/tests/support/deployment.ts
@@ -129,7 +129,7 @@
   async addEngine (): Promise<EngineStandin> {
     const engine = await EngineStandin.create(this.clock, ANY_PORT, { models: ['model-a'], stepMilliseconds: 2, ...this._options.engineOptions })
     this.engines.push(engine)
-    this.instanceList.put({ pool: 'engines', address: engine.address, failureDomain: 'domain-1', instanceClass: 'standard', incarnation: `engine-${this.engines.length}`, state: 'live' })
+    this.instanceList.state.put({ pool: 'engines', address: engine.address, failureDomain: 'domain-1', instanceClass: 'standard', incarnation: `engine-${this.engines.length}`, state: 'live' })
     return engine
   }
 
