--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -63,19 +63,12 @@
 
   applyConfiguration (configuration: Configuration, now: Timestamp): UpstreamChange[] {
     this._configuration = configuration
-    return this._reconcile(now)
+    return [...this._reconcile(now), ...this._foldLeavingInstances(now)]
   }
 
   applyInstances (instances: readonly Instance[], now: Timestamp): UpstreamChange[] {
     this._instances = instances
-    const changes = this._reconcile(now)
-    for (const instance of instances) {
-      if (instance.state !== 'leaving') continue
-      for (const service of this._servicesOfPool(instance.pool)) {
-        changes.push(...this.applyDeparture({ service: service.name, address: instance.address, incarnation: instance.incarnation, deadline: instance.deadline ?? now }, now))
-      }
-    }
-    return changes
+    return [...this._reconcile(now), ...this._foldLeavingInstances(now)]
   }
 
   /** Marks an upstream as leaving. Within its incarnation nothing brings it back. */
@@ -144,6 +137,18 @@
     return changes
   }
 
+  /** The list and the configuration arrive in any order: whichever comes last meets the notices of the other. */
+  private _foldLeavingInstances (now: Timestamp): UpstreamChange[] {
+    const changes: UpstreamChange[] = []
+    for (const instance of this._instances) {
+      if (instance.state !== 'leaving') continue
+      for (const service of this._servicesOfPool(instance.pool)) {
+        changes.push(...this.applyDeparture({ service: service.name, address: instance.address, incarnation: instance.incarnation, deadline: instance.deadline ?? now }, now))
+      }
+    }
+    return changes
+  }
+
   private _listDeclared (): ListedUpstream[] {
     const declared: ListedUpstream[] = []
     for (const service of this._configuration?.services.values() ?? []) {
--- a/scenarios/world/virtualWorld.ts
+++ b/scenarios/world/virtualWorld.ts
@@ -22,6 +22,7 @@
 const START: Timestamp = 1_700_000_000_000
 const WORKSPACE_TOKEN = 'token-of-the-scenario'
 const WARM_UP_MILLISECONDS = 1500
+const DRAIN_DELAY_MILLISECONDS = 2000
 const DOMAIN_COUNT = 3
 
 /** Size of the deployment. */
@@ -174,10 +175,7 @@
   /** Starts a planned stop, as on SIGTERM. */
   stopGateway (gateway: VirtualGateway): void {
     this.evidence.stops.push({ gateway: gateway.name, startedAt: this.clock.now() })
-    void gateway.core.announceStop().then(async () => {
-      await gateway.core.finishRequests()
-      gateway.process.kill()
-    })
+    gateway.process.deliver(() => void this._stopGracefully(gateway))
   }
 
   killGateway (gateway: VirtualGateway): void {
@@ -204,6 +202,13 @@
     for (let index = 0; index < group.count; index++) this._sendOne(group, index)
   }
 
+  private async _stopGracefully (gateway: VirtualGateway): Promise<void> {
+    await gateway.core.announceStop()
+    await gateway.core.context.sleepUntil(this.clock.now() + DRAIN_DELAY_MILLISECONDS)
+    await gateway.core.finishRequests()
+    gateway.process.kill()
+  }
+
   private _sendOne (group: CallGroup, index: number): void {
     const running = this.gateways.filter(gateway => gateway.process.state !== 'dead' && !gateway.core.stopping)
     const gateway = group.gateway === undefined ? running[index % running.length] : this.gateways.find(candidate => candidate.name === group.gateway)
