--- /dev/null
+++ b/tests/callers/gracefulStop.spec.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict'
+import { after, before, describe, it } from 'node:test'
+import { expectedText, readStream } from '../support/answers.js'
+import { Deployment } from '../support/deployment.js'
+
+const STREAMS = 50
+const TOKENS = 300
+
+describe('graceful stop', () => {
+  let deployment: Deployment
+  before(async () => { deployment = await Deployment.create({ gateways: 2, concurrencyPerUpstream: 64, engineOptions: { maximumRunning: 64 } }) })
+  after(async () => await deployment.stop())
+
+  it('cuts off none of fifty open streams', async () => {
+    const responses = await Promise.all(Array.from({ length: STREAMS }, async () => await deployment.chat({ stream: true, max_tokens: TOKENS })))
+    const stopped = deployment.gateways[0].stop()
+    const ready = await fetch(`http://${deployment.gateways[0].operatorAddress}/readyz`)
+    assert.equal(ready.status, 503)
+    const texts = await Promise.all(responses.map(async response => await response.text()))
+    await stopped
+    for (const text of texts) {
+      const seen = readStream(text)
+      assert.equal(seen.text, expectedText('hello', TOKENS))
+      assert.equal(seen.done, true)
+    }
+    await assert.rejects(deployment.chat({ max_tokens: 1 }))
+    assert.equal((await deployment.chat({ max_tokens: 1 }, {}, deployment.gateways[1])).status, 200)
+  })
+})
