--- a/packages/gateway/src/admission/dispatchTask.ts
+++ b/packages/gateway/src/admission/dispatchTask.ts
@@ -60,6 +60,10 @@
     return this._dispatcher.tryTakeRetry(service)
   }
 
+  applyGateways (gateways: readonly string[]): void {
+    this._dispatcher.applyGateways(gateways)
+  }
+
   applyConfiguration (configuration: Configuration, now: Timestamp): void {
     this._carryOut(this._dispatcher.applyConfiguration(configuration, now))
   }
--- a/packages/gateway/src/admission/dispatcher.ts
+++ b/packages/gateway/src/admission/dispatcher.ts
@@ -8,10 +8,12 @@
 import type { Configuration, PriorityRecord, ServiceRecord } from '@plumstage/records'
 import type { PrefixIndex } from '../routing/prefixIndex.js'
 import type { Router } from '../routing/router.js'
+import { shareForIsolation } from '../recovery/isolationShare.js'
 import { keyOfUpstream } from '../upstreams/upstream.js'
 import type { Upstream, UpstreamIdentity } from '../upstreams/upstream.js'
 import type { UpstreamTable } from '../upstreams/upstreamTable.js'
 import { FairQueue } from './fairQueue.js'
+import { Isolation } from './isolation.js'
 import type { WaitingRequest } from './fairQueue.js'
 import { RetryBudget } from './retryBudget.js'
 import { ServiceRate } from './serviceRate.js'
@@ -25,6 +27,8 @@
   excludedUpstreams: readonly string[]
   /** Whether the request had started before and is to go first. */
   resumed: boolean
+  /** Whether it may have crashed an upstream and so runs alone. */
+  isolated: boolean
 }
 
 /** Why a request was refused before it started. */
@@ -40,6 +44,9 @@
   rate: ServiceRate
   retries: RetryBudget
   runningByRank: Map<number, number>
+  /** Suspects that wait, first come first served. */
+  suspects: DispatchRequest[]
+  isolation: Isolation
 }
 
 interface RunningRequest {
@@ -58,21 +65,26 @@
   private readonly _queues = new Map<string, ServiceQueue>()
   private readonly _running = new Map<string, RunningRequest>()
   private _configuration: Configuration
+  private readonly _self: string
+  private _gateways: readonly string[]
 
-  private constructor (table: UpstreamTable, router: Router, prefixIndex: PrefixIndex, configuration: Configuration) {
+  private constructor (self: string, table: UpstreamTable, router: Router, prefixIndex: PrefixIndex, configuration: Configuration) {
+    this._self = self
+    this._gateways = [self]
     this._table = table
     this._router = router
     this._prefixIndex = prefixIndex
     this._configuration = configuration
   }
 
-  static create (table: UpstreamTable, router: Router, prefixIndex: PrefixIndex, configuration: Configuration): Dispatcher {
-    return new Dispatcher(table, router, prefixIndex, configuration)
+  /** `self` is the name of this gateway. */
+  static create (self: string, table: UpstreamTable, router: Router, prefixIndex: PrefixIndex, configuration: Configuration): Dispatcher {
+    return new Dispatcher(self, table, router, prefixIndex, configuration)
   }
 
   get waitingCount (): number {
     let count = 0
-    for (const queue of this._queues.values()) count += queue.waiting.size
+    for (const queue of this._queues.values()) count += queue.waiting.size + queue.suspects.length
     return count
   }
 
@@ -85,6 +97,11 @@
     return this.pump(now)
   }
 
+  /** Takes the names of the gateways that are present, this one included. */
+  applyGateways (gateways: readonly string[]): void {
+    this._gateways = gateways
+  }
+
   /** Takes a new request, or one whose last attempt is to be followed by another. */
   offer (request: DispatchRequest, now: Timestamp): DispatchAction[] {
     const service = this._configuration.services.get(request.service)
@@ -93,14 +110,18 @@
     if (!request.resumed) queue.retries.recordRequest()
     const refusal = this._refuseEarly(request, service, queue, now)
     if (refusal) return [refusal]
-    if (request.resumed) queue.waiting.addFirst(request)
+    if (request.isolated) queue.suspects.push(request)
+    else if (request.resumed) queue.waiting.addFirst(request)
     else queue.waiting.add(request)
     return this._pumpService(service, queue, now)
   }
 
   /** Takes a waiting request back. */
   withdraw (requestId: string): void {
-    for (const queue of this._queues.values()) if (queue.waiting.remove(requestId)) return
+    for (const queue of this._queues.values()) {
+      queue.suspects = queue.suspects.filter(suspect => suspect.requestId !== requestId)
+      if (queue.waiting.remove(requestId)) return
+    }
   }
 
   /** Notes that the running attempt of a request has ended, and starts what waits. */
@@ -111,6 +132,7 @@
     this._table.recordAttemptEnded(running.upstream)
     const queue = this._queueOf(running.request.service)
     addToCount(queue.runningByRank, running.request.rank, -1)
+    queue.isolation.end(requestId)
     queue.rate.recordHold(now - running.startedAt)
     return this.pumpService(running.request.service, now)
   }
@@ -126,7 +148,8 @@
 
   pumpService (name: string, now: Timestamp): DispatchAction[] {
     const queue = this._queueOf(name)
-    if (queue.waiting.size === 0) return []
+    if (queue.suspects.length === 0) queue.isolation.release()
+    if (queue.waiting.size === 0 && queue.suspects.length === 0) return []
     const service = this._configuration.services.get(name)
     if (!service) return this._refuseAll(queue)
     return this._pumpService(service, queue, now)
@@ -134,20 +157,44 @@
 
   private _pumpService (service: ServiceRecord, queue: ServiceQueue, now: Timestamp): DispatchAction[] {
     const actions: DispatchAction[] = []
-    for (const request of queue.waiting.takeExpired(now)) actions.push(refuse(request, 'start-deadline', this._retryAfter(service, queue, request, now)))
+    for (const request of takeExpired(queue, now)) actions.push(refuse(request, 'start-deadline', this._retryAfter(service, queue, request, now)))
+    actions.push(...this._startSuspects(service, queue, now))
     for (;;) {
-      const free = this._listFree(service, now)
+      const free = this._listFree(service, queue, now)
       if (free.length === 0) return actions
-      const request = queue.waiting.peek(candidate => this._mayUse(candidate, service, queue, free))
+      const request = queue.waiting.peek(candidate => this._mayUse(candidate, service, queue, free) && this._isWorthTrying(candidate, free, now))
       if (!request) return actions
       actions.push(this._start(request, service, queue, free, now))
     }
   }
 
+  /** Starts suspects on upstreams that are kept free for them. */
+  private _startSuspects (service: ServiceRecord, queue: ServiceQueue, now: Timestamp): DispatchAction[] {
+    const actions: DispatchAction[] = []
+    while (queue.suspects.length > 0) {
+      const [suspect] = queue.suspects
+      const upstream = queue.isolation.findUpstream(this._listForIsolation(service, now), suspect.excludedUpstreams)
+      if (!upstream) break
+      queue.suspects.shift()
+      queue.isolation.start(upstream.address, suspect.requestId)
+      actions.push(this._startOn(suspect, upstream, queue, now))
+    }
+    return actions
+  }
+
+  private _listForIsolation (service: ServiceRecord, now: Timestamp): Upstream[] {
+    const share = shareForIsolation(this._gateways, this._self, this._table.listOfService(service.name).map(upstream => upstream.address))
+    return this._table.listAvailable(service.name, now).filter(upstream => share.has(upstream.address))
+  }
+
   private _start (request: DispatchRequest, service: ServiceRecord, queue: ServiceQueue, free: readonly Upstream[], now: Timestamp): DispatchAction {
     queue.waiting.take(request.requestId)
     const candidates = preferUntried(free, request)
     const upstream = this._router.choose({ service, promptTokens: request.promptTokens, prefixBlocks: request.prefixBlocks }, candidates, now) ?? candidates[0]
+    return this._startOn(request, upstream, queue, now)
+  }
+
+  private _startOn (request: DispatchRequest, upstream: Upstream, queue: ServiceQueue, now: Timestamp): DispatchAction {
     const identity = { service: upstream.service, address: upstream.address, incarnation: upstream.incarnation }
     this._running.set(request.requestId, { request, upstream: identity, startedAt: now })
     this._table.recordAttemptStarted(identity)
@@ -167,15 +214,15 @@
   }
 
   private _refuseAll (queue: ServiceQueue): DispatchAction[] {
-    return queue.waiting.takeExpired(Number.POSITIVE_INFINITY).map(request => refuse(request, 'service-removed', RETRY_AFTER_NO_UPSTREAM_SECONDS))
+    return takeExpired(queue, Number.POSITIVE_INFINITY).map(request => refuse(request, 'service-removed', RETRY_AFTER_NO_UPSTREAM_SECONDS))
   }
 
   private _retryAfter (service: ServiceRecord, queue: ServiceQueue, request: DispatchRequest, now: Timestamp): number {
     return queue.rate.estimateRetryAfterSeconds(queue.waiting.countAhead(request.rank), this._countSlots(service, now))
   }
 
-  private _listFree (service: ServiceRecord, now: Timestamp): Upstream[] {
-    return this._table.listAvailable(service.name, now).filter(upstream => upstream.estimatedLoad < service.concurrencyPerUpstream)
+  private _listFree (service: ServiceRecord, queue: ServiceQueue, now: Timestamp): Upstream[] {
+    return this._table.listAvailable(service.name, now).filter(upstream => upstream.estimatedLoad < service.concurrencyPerUpstream && !queue.isolation.isReserved(upstream.address))
   }
 
   private _countSlots (service: ServiceRecord, now: Timestamp): number {
@@ -189,6 +236,13 @@
     return freeSlots > this._countReserved(request, service, queue)
   }
 
+  /** A request that has failed somewhere waits for an upstream that it has not tried, as long as there is one. */
+  private _isWorthTrying (request: DispatchRequest, free: readonly Upstream[], now: Timestamp): boolean {
+    if (request.excludedUpstreams.length === 0) return true
+    const isUntried = (upstream: Upstream): boolean => !request.excludedUpstreams.includes(upstream.address)
+    return free.some(isUntried) || !this._table.listAvailable(request.service, now).some(isUntried)
+  }
+
   private _countReserved (request: DispatchRequest, service: ServiceRecord, queue: ServiceQueue): number {
     const slots = this._table.listOfService(service.name).length * service.concurrencyPerUpstream
     let reserved = 0
@@ -206,13 +260,20 @@
   private _queueOf (service: string): ServiceQueue {
     let queue = this._queues.get(service)
     if (!queue) {
-      queue = { waiting: FairQueue.create(), rate: ServiceRate.create(), retries: RetryBudget.create(), runningByRank: new Map() }
+      queue = { waiting: FairQueue.create(), rate: ServiceRate.create(), retries: RetryBudget.create(), runningByRank: new Map(), suspects: [], isolation: Isolation.create() }
       this._queues.set(service, queue)
     }
     return queue
   }
 }
 
+/** Takes the waiting requests and suspects that can no longer start in time. */
+function takeExpired (queue: ServiceQueue, now: Timestamp): DispatchRequest[] {
+  const late = queue.suspects.filter(suspect => suspect.startDeadline <= now)
+  queue.suspects = queue.suspects.filter(suspect => suspect.startDeadline > now)
+  return [...queue.waiting.takeExpired(now), ...late]
+}
+
 /** Leaves out upstreams that failed the request, unless there is no other. */
 function preferUntried (free: readonly Upstream[], request: DispatchRequest): readonly Upstream[] {
   if (request.excludedUpstreams.length === 0) return free
--- a/packages/gateway/src/admission/retryBudget.ts
+++ b/packages/gateway/src/admission/retryBudget.ts
@@ -5,7 +5,7 @@
  */
 
 const RETRIES_PER_REQUEST = 0.2
-const MAXIMUM_SAVED_RETRIES = 20
+const MAXIMUM_SAVED_RETRIES = 100
 
 /** Retries that may still be made for one service. */
 export class RetryBudget {
--- a/packages/gateway/src/attempts/dispatchBoundary.ts
+++ b/packages/gateway/src/attempts/dispatchBoundary.ts
@@ -39,6 +39,8 @@
   status?: number
   /** Whether bytes of this attempt's answer have reached the caller in a way that cannot be continued. */
   answerStarted: boolean
+  /** Whether the connection ended by itself after the call was offered, as it does when an upstream crashes. */
+  connectionLost: boolean
   /** Position of the last token delivered to the caller in all attempts. */
   position: number
   /** What happened, for logs and for the caller. */
--- a/packages/gateway/src/attempts/inboundCall.ts
+++ b/packages/gateway/src/attempts/inboundCall.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
-import type { PriorityRecord, RouteRecord, ServiceRecord, WorkspaceRecord } from '@plumstage/records'
+import { digestPrefixBlocks, estimateTokens, renderChat } from '@plumstage/common'
+import type { ChatMessage } from '@plumstage/common'
+import type { HandedRequest } from '../recovery/handedRequest.js'
+import type { Configuration, PriorityRecord, RouteRecord, ServiceRecord, WorkspaceRecord } from '@plumstage/records'
 import type { CompletionEndpoint } from './streamedAnswer.js'
 
 /** The part of a call that is meant for a model engine. */
@@ -46,3 +49,38 @@
 export function answerDeadlineOf (call: InboundCall): Timestamp {
   return call.acceptedAt + call.priority.answerWithinMilliseconds
 }
+
+/** Paths of the two completion endpoints. */
+export const COMPLETION_PATHS: Readonly<Record<CompletionEndpoint, string>> = { chat: '/v1/chat/completions', text: '/v1/completions' }
+
+/** Returns the text that an engine prefills for a completion call. */
+export function renderPrompt (completion: CompletionCall): string {
+  return completion.endpoint === 'chat' ? renderChat(completion.body.messages as ChatMessage[]) : completion.body.prompt as string
+}
+
+/** Makes the call of a request that another gateway had accepted; undefined when its route no longer exists. */
+export function createHandedCall (handed: HandedRequest, configuration: Configuration): InboundCall | undefined {
+  const workspace = configuration.workspaces.get(handed.workspace)
+  const route = configuration.routes.get(handed.route)
+  const service = route && configuration.services.get(route.service)
+  const priority = route && configuration.priorities.get(route.priority)
+  if (!workspace || !route || !service || !priority) return undefined
+  const body = JSON.parse(handed.body.toString()) as { [field: string]: unknown }
+  const completion = { endpoint: handed.endpoint, body, stream: body.stream === true }
+  const prompt = renderPrompt(completion)
+  return {
+    requestId: handed.requestId,
+    workspace,
+    route,
+    service,
+    priority,
+    method: 'POST',
+    path: COMPLETION_PATHS[handed.endpoint],
+    headers: {},
+    body: handed.body,
+    completion,
+    promptTokens: estimateTokens(prompt),
+    prefixBlocks: digestPrefixBlocks(prompt),
+    acceptedAt: handed.acceptedAt
+  }
+}
--- a/packages/gateway/src/attempts/requestLifecycle.ts
+++ b/packages/gateway/src/attempts/requestLifecycle.ts
@@ -28,7 +28,7 @@
 }
 
 /** Why a request ended without a whole answer. */
-export type FailureReason = RefusalReason | 'attempts-failed' | 'answer-deadline' | 'caller-gone' | 'claim-refused' | 'claim-expired'
+export type FailureReason = RefusalReason | 'attempts-failed' | 'answer-deadline' | 'caller-gone' | 'claim-refused' | 'claim-expired' | 'quarantined' | 'handed-over' | 'gateway-leaving'
 
 /** What a request task tells its lifecycle. */
 export type LifecycleMessage =
@@ -40,8 +40,14 @@
   | { kind: 'admitted', upstream: UpstreamIdentity }
   | { kind: 'refused', reason: RefusalReason, retryAfterSeconds: number }
   | { kind: 'attempt-ended', attempt: string, report: AttemptReport, retryAllowed: boolean }
+  /** The request has crashed a second upstream; it is not run again. */
+  | { kind: 'quarantined' }
   /** The upstream of the running attempt is leaving and will not end in time. */
   | { kind: 'move' }
+  /** This gateway is about to be taken away; what has not started is refused while that can still be said. */
+  | { kind: 'gateway-leaving' }
+  /** Another gateway goes on with the request. */
+  | { kind: 'handed-over' }
   | { kind: 'deadline-reached', dispatch: DispatchState }
   | { kind: 'caller-gone', dispatch: DispatchState }
 
@@ -112,6 +118,9 @@
       case 'admitted': return this._startAttempt(message.upstream, now)
       case 'refused': return this._finish(this._outcome, message.reason, message.retryAfterSeconds)
       case 'attempt-ended': return this._endAttempt(message.attempt, message.report, message.retryAllowed, now)
+      case 'quarantined': return this._giveUp('quarantined', 'offered')
+      case 'gateway-leaving': return this._phase.kind === 'running' ? [] : this._giveUp('gateway-leaving', 'not-offered')
+      case 'handed-over': return this._giveUp('handed-over', 'offered')
       case 'move': return this._move()
       case 'deadline-reached': return this._giveUp('answer-deadline', message.dispatch)
       case 'caller-gone': return this._giveUp('caller-gone', message.dispatch)
--- a/packages/gateway/src/attempts/requestRegistry.ts
+++ b/packages/gateway/src/attempts/requestRegistry.ts
@@ -31,6 +31,10 @@
     for (const resolve of waiting) resolve()
   }
 
+  list (): RequestTask[] {
+    return [...this._tasks.values()]
+  }
+
   listOnUpstream (upstream: UpstreamIdentity): RequestTask[] {
     return [...this._tasks.values()].filter(task => task.upstream?.service === upstream.service && task.upstream.address === upstream.address && task.upstream.incarnation === upstream.incarnation)
   }
--- a/packages/gateway/src/attempts/requestTask.ts
+++ b/packages/gateway/src/attempts/requestTask.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { createHash } from 'node:crypto'
 import { describeError } from '@plumstage/common'
 import type { Clock, Instrumentation, Timer, Timestamp } from '@plumstage/common'
 import type { DispatchClient, DispatchTask } from '../admission/dispatchTask.js'
@@ -14,10 +13,13 @@
 import { selectAnswerHeaders } from '../callers/headerPolicy.js'
 import type { ClaimRegistry, HeldClaim } from '../claims/claimRegistry.js'
 import type { KeptAnswer } from '../claims/claimRecord.js'
+import type { HandedRequest } from '../recovery/handedRequest.js'
+import type { QuarantineTable, SuspicionState } from '../recovery/quarantineTable.js'
 import type { ReclaimedRequest } from '../recovery/reclaimPlanner.js'
 import type { UpstreamIdentity } from '../upstreams/upstream.js'
 import type { UpstreamClients } from '../upstreams/upstreamClients.js'
 import type { UpstreamTable } from '../upstreams/upstreamTable.js'
+import { checkCompletion, describeCrash, digestCall } from './callChecks.js'
 import type { AttemptReport, DispatchState } from './dispatchBoundary.js'
 import { answerDeadlineOf, startDeadlineOf } from './inboundCall.js'
 import type { InboundCall } from './inboundCall.js'
@@ -25,7 +27,7 @@
 import type { LifecycleAction, LifecycleMessage } from './requestLifecycle.js'
 import { StreamReceiver } from './streamReceiver.js'
 import type { StreamDestination } from './streamReceiver.js'
-import { StreamedAnswer } from './streamedAnswer.js'
+import type { StreamedAnswer } from './streamedAnswer.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import type { AnswerHeaders, AnswerReceiver } from './upstreamAttempt.js'
 import { buildUpstreamCall, isResumable } from './upstreamCallBuilder.js'
@@ -40,6 +42,9 @@
   clients: UpstreamClients
   table: UpstreamTable
   claims: ClaimRegistry
+  quarantine: QuarantineTable
+  /** Tells all peers at once what they must not hear late. */
+  tellPeers (): Promise<void>
 }
 
 type FinishAction = Extract<LifecycleAction, { kind: 'finish' }>
@@ -53,16 +58,19 @@
   private readonly _response: CallerResponse
   private readonly _onFinished: (task: RequestTask) => void
   private readonly _lifecycle: RequestLifecycle
-  private readonly _answer = StreamedAnswer.create()
+  private readonly _answer: StreamedAnswer
   private readonly _deadlineTimer: Timer
   private _attempt: UpstreamAttempt | undefined
   private _claim: HeldClaim | undefined
   private _wholeAnswer: WholeAnswer | undefined
   private _answeredFromClaim = false
+  private _handedOver = false
   private _firstBytesAt: Timestamp = 0
+  private _callDigest: string | undefined
 
-  private constructor (services: RequestServices, call: InboundCall, response: CallerResponse, onFinished: (task: RequestTask) => void) {
+  private constructor (services: RequestServices, call: InboundCall, response: CallerResponse, answer: StreamedAnswer, onFinished: (task: RequestTask) => void) {
     this._services = services
+    this._answer = answer
     this.call = call
     this._response = response
     this._onFinished = onFinished
@@ -76,8 +84,9 @@
     this._deadlineTimer = services.clock.schedule(answerDeadlineOf(call), () => this._tell({ kind: 'deadline-reached', dispatch: this._dispatch }))
   }
 
-  static create (services: RequestServices, call: InboundCall, response: CallerResponse, onFinished: (task: RequestTask) => void): RequestTask {
-    return new RequestTask(services, call, response, onFinished)
+  /** Creates the task of a call; `answer` holds what another gateway had of it already. */
+  static create (services: RequestServices, call: InboundCall, response: CallerResponse, answer: StreamedAnswer, onFinished: (task: RequestTask) => void): RequestTask {
+    return new RequestTask(services, call, response, answer, onFinished)
   }
 
   get upstream (): UpstreamIdentity | undefined {
@@ -100,7 +109,42 @@
     const call = this.call
     this._services.instrumentation.emit('request-accepted', { workspace: call.workspace.name, route: call.route.name, priority: call.priority.name, promptTokens: call.promptTokens }, call.requestId)
     this._response.onCallerGone(() => this._tell({ kind: 'caller-gone', dispatch: this._dispatch }))
-    this._tell({ kind: 'begin' })
+    if (this._isAnswerWhole) {
+      this._addEnd()
+      return this._finish({ kind: 'finish', outcome: 'complete' })
+    }
+    this._tell(this._suspicion === 'quarantined' ? { kind: 'quarantined' } : { kind: 'begin' })
+  }
+
+  /** Whether another gateway can go on with the request without running anything twice. */
+  get mayBeHandedOver (): boolean {
+    return isResumable(this.call) && this.call.route.idempotency === 'idempotent' && !this._lifecycle.finished
+  }
+
+  /** Refuses the request if it has not started, because this gateway is about to be taken away. */
+  refuseUnlessStarted (): void {
+    this._tell({ kind: 'gateway-leaving' })
+  }
+
+  /** Ends the running attempt and returns what another gateway needs to go on. */
+  releaseForHandover (): HandedRequest | undefined {
+    if (!this.mayBeHandedOver) return undefined
+    this._handedOver = true
+    this._tell({ kind: 'handed-over' })
+    return this.describeHandover(false)
+  }
+
+  describeHandover (complete: boolean): HandedRequest {
+    const { requestId, workspace, route, completion, body, acceptedAt } = this.call
+    return { requestId, workspace: workspace.name, route: route.name, endpoint: completion!.endpoint, body, acceptedAt, position: this._answer.position, events: Buffer.from(this._answer.readEvents()), complete }
+  }
+
+  /** Tells the caller what became of its request after a hand-over. */
+  endAfterHandover (accepted: boolean): void {
+    if (!this._handedOver) return
+    if (accepted) this._response.sendMoved(`/v1/requests/${this.call.requestId}`)
+    else this._response.sendError(createFailureError({ outcome: 'unknown', reason: 'handed-over' }))
+    this._onFinished(this)
   }
 
   /** Moves the request to another upstream, if it still runs on this one and may be repeated. */
@@ -190,7 +234,7 @@
       requestId: call.requestId,
       workspace: call.workspace.name,
       idempotencyKey: call.idempotencyKey!,
-      requestDigest: digestCall(call),
+      requestDigest: this._digest,
       dispatchDeadline: startDeadlineOf(call) + CLAIM_PAUSE_MARGIN_MILLISECONDS,
       answerDeadline: answerDeadlineOf(call)
     })
@@ -227,7 +271,8 @@
       promptTokens: call.promptTokens,
       prefixBlocks: call.prefixBlocks,
       excludedUpstreams,
-      resumed
+      resumed,
+      isolated: this._suspicion === 'suspect'
     }, this)
   }
 
@@ -253,23 +298,61 @@
     const settled = this._completeIfFinished(report)
     this._services.instrumentation.emit('attempt-ended', { upstream: attempt.upstream.address, ending: settled.ending, dispatch: settled.dispatch, status: settled.status, position: settled.position, detail: settled.detail }, this.call.requestId, attempt.id)
     this._recordHealth(attempt.upstream, settled)
+    if (this._recordSuspicion(attempt.upstream, settled) === 'quarantined') {
+      void this._services.tellPeers().finally(() => this._tell({ kind: 'quarantined' }))
+      return
+    }
     const retryAllowed = settled.ending !== 'complete' && settled.ending !== 'abandoned' && this._mayRetry(attempt)
     this._tell({ kind: 'attempt-ended', attempt: attempt.id, report: settled, retryAllowed })
   }
 
   /** An upstream lost after the last token but before the end marker has given the whole answer. */
   private _completeIfFinished (report: AttemptReport): AttemptReport {
-    if (report.ending === 'complete' || this._answer.position === 0 || !this.call.service.abilities.resume) return report
-    if (this._answer.readText().finishReason === undefined) return report
-    this.deliver(this._answer.doneEvent)
+    if (report.ending === 'complete' || !this._isAnswerWhole) return report
+    this._addEnd()
     return { ...report, ending: 'complete' }
   }
 
+  private _addEnd (): void {
+    const end = this._answer.addEnd()
+    if (end) this.deliver(end)
+  }
+
+  /** Whether the engine has ended the answer, although its end marker may be missing. */
+  private get _isAnswerWhole (): boolean {
+    return this._answer.position > 0 && this.call.service.abilities.resume && this._answer.readText().finishReason !== undefined
+  }
+
   /** A retry because of an announced reclaim is free; any other is taken from the budget. */
   private _mayRetry (attempt: UpstreamAttempt): boolean {
-    const upstream = this._services.table.find(attempt.upstream)
-    const announced = upstream === undefined || upstream.incarnation !== attempt.upstream.incarnation || upstream.state !== 'live'
-    return announced || this._services.dispatch.tryTakeRetry(this.call.service.name)
+    return this._isLeaving(attempt.upstream) || this._services.dispatch.tryTakeRetry(this.call.service.name)
+  }
+
+  private _isLeaving (identity: UpstreamIdentity): boolean {
+    const upstream = this._services.table.find(identity)
+    return upstream === undefined || upstream.incarnation !== identity.incarnation || upstream.state !== 'live'
+  }
+
+  /** How far this request is suspected of crashing upstreams. The digest is taken only when anything is suspected. */
+  private get _suspicion (): SuspicionState {
+    const { quarantine, clock } = this._services
+    return quarantine.empty ? 'clear' : quarantine.stateOf(this._digest, clock.now())
+  }
+
+  /** Suspects the request when its upstream was lost without notice; clears it when it has finished. */
+  private _recordSuspicion (upstream: UpstreamIdentity, report: AttemptReport): SuspicionState {
+    const { quarantine, clock, instrumentation } = this._services
+    if (report.ending === 'complete' && this._suspicion !== 'clear') quarantine.recordFinished(this._digest, clock.now())
+    if (!report.connectionLost || this._isLeaving(upstream)) return 'clear'
+    const state = quarantine.recordCrash(this._digest, describeCrash(upstream, clock.now()), clock.now())
+    instrumentation.emit('request-suspected', { state, upstream: upstream.address, digest: this._digest }, this.call.requestId)
+    if (state === 'suspect') void this._services.tellPeers()
+    return state
+  }
+
+  private get _digest (): string {
+    this._callDigest ??= digestCall(this.call)
+    return this._callDigest
   }
 
   private _recordHealth (upstream: UpstreamIdentity, report: AttemptReport): void {
@@ -279,6 +362,7 @@
 
   private _finish (action: FinishAction): void {
     this._deadlineTimer.cancel()
+    if (this._handedOver) return
     this._settleClaim(action)
     if (action.reason !== 'caller-gone' && !this._answeredFromClaim) this._answerCaller(action)
     this._services.instrumentation.emit('request-ended', { outcome: action.outcome, reason: action.reason, attempts: this._lifecycle.attemptCount, position: this._answer.position }, this.call.requestId)
@@ -305,17 +389,3 @@
     return { status: 200, contentType: 'text/event-stream', body: Buffer.from(this._answer.readEvents()) }
   }
 }
-
-function digestCall (call: InboundCall): string {
-  return createHash('sha256').update(`${call.method} ${call.path}\n`).update(call.body).digest('hex')
-}
-
-function checkCompletion (body: Buffer, expectedId: string | undefined): string | undefined {
-  try {
-    const answer = JSON.parse(body.toString()) as { id?: unknown }
-    if (expectedId !== undefined && answer.id !== expectedId) return 'the upstream answered another request'
-    return undefined
-  } catch {
-    return 'the upstream sent an answer that is not JSON'
-  }
-}
--- a/packages/gateway/src/attempts/streamedAnswer.ts
+++ b/packages/gateway/src/attempts/streamedAnswer.ts
@@ -7,6 +7,9 @@
 import { createParser } from 'eventsource-parser'
 
 const DONE_DATA = '[DONE]'
+const DONE_LINE = 'data: [DONE]'
+const EVENT_END = '\n\n'
+const POSITION_LINE = /^id: (\d+)$/m
 const DONE_EVENT = Buffer.from('data: [DONE]\n\n')
 
 /** The part of a completion event that is read. */
@@ -35,8 +38,12 @@
   private readonly _chunks: Buffer[] = []
   private _byteLength = 0
 
-  static create (): StreamedAnswer {
-    return new StreamedAnswer()
+  /** Creates an answer that goes on from the given events, of which the last is at `position`. */
+  static create (position = 0, events: Buffer = Buffer.alloc(0)): StreamedAnswer {
+    const answer = new StreamedAnswer()
+    answer.position = position
+    if (events.length > 0) answer.append(events)
+    return answer
   }
 
   get byteLength (): number {
@@ -59,8 +66,10 @@
     return answer
   }
 
-  /** Returns the event that ends the answer, for an upstream that was lost after the last token. */
-  get doneEvent (): Buffer {
+  /** Adds the event that ends the answer, unless it has it; returns what was added. */
+  addEnd (): Buffer | undefined {
+    if (this.readEvents().endsWith(DONE_EVENT.toString())) return undefined
+    this.append(DONE_EVENT)
     return DONE_EVENT
   }
 
@@ -69,6 +78,16 @@
     return Buffer.concat(this._chunks).toString()
   }
 
+  /** Returns the events after the one at `position`, as one text. */
+  readEventsAfter (position: number): string {
+    const events = this.readEvents().split(EVENT_END).filter(event => event !== '')
+    const first = events.findIndex(event => {
+      const id = POSITION_LINE.exec(event)
+      return id === null ? event.startsWith(DONE_LINE) : Number(id[1]) > position
+    })
+    return first === -1 ? '' : events.slice(first).map(event => event + EVENT_END).join('')
+  }
+
   /** Returns the answer as one JSON object, as for a call without streaming. */
   assemble (endpoint: CompletionEndpoint): string {
     const events = this._parse()
--- a/packages/gateway/src/attempts/upstreamAttempt.ts
+++ b/packages/gateway/src/attempts/upstreamAttempt.ts
@@ -47,6 +47,8 @@
   receiveEnd (): { ending: AttemptEnding, detail: string }
 }
 
+const TIMEOUT_CODES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'])
+
 /** Called once when an attempt has ended. */
 export type AttemptListener = (report: AttemptReport) => void
 
@@ -64,6 +66,7 @@
   private _dispatch: DispatchState = 'not-offered'
   private _status: number | undefined
   private _ended = false
+  private _connectionLost = false
   private _controller: HttpClient.DispatchController | undefined
 
   private constructor (id: string, upstream: UpstreamIdentity, receiver: AnswerReceiver, onEnded: AttemptListener) {
@@ -132,7 +135,8 @@
     this._end(ending, detail)
   }
 
-  onResponseError (_controller: HttpClient.DispatchController, error: Error): void {
+  onResponseError (_controller: HttpClient.DispatchController, error: Error & { code?: string }): void {
+    if (this._dispatch === 'offered' && !TIMEOUT_CODES.has(error.code ?? '')) this._connectionLost = true
     this._end('broken', error.message)
   }
 
@@ -145,6 +149,7 @@
       ending,
       status: this._status,
       answerStarted: this._receiver.answerStarted,
+      connectionLost: this._connectionLost,
       position: this._receiver.position,
       detail
     })
--- a/packages/gateway/src/callers/callReader.ts
+++ b/packages/gateway/src/callers/callReader.ts
@@ -6,9 +6,10 @@
 import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { digestPrefixBlocks, estimateTokens, renderChat } from '@plumstage/common'
+import { digestPrefixBlocks, estimateTokens } from '@plumstage/common'
 import type { ChatMessage, Clock } from '@plumstage/common'
 import type { Configuration, RouteRecord, WorkspaceRecord } from '@plumstage/records'
+import { COMPLETION_PATHS, renderPrompt } from '../attempts/inboundCall.js'
 import type { CompletionCall, InboundCall } from '../attempts/inboundCall.js'
 import type { CompletionEndpoint } from '../attempts/streamedAnswer.js'
 import { readBody } from './bodyReader.js'
@@ -17,7 +18,6 @@
 
 const BEARER_PREFIX = 'Bearer '
 const MAXIMUM_IDEMPOTENCY_KEY_LENGTH = 255
-const COMPLETION_PATHS: Readonly<Record<CompletionEndpoint, string>> = { chat: '/v1/chat/completions', text: '/v1/completions' }
 
 /** What the reader depends on. */
 export interface CallReaderOptions {
@@ -139,10 +139,6 @@
   return Array.isArray(value) && value.length > 0 && value.every(message => typeof message === 'object' && message !== null)
 }
 
-function renderPrompt (completion: CompletionCall): string {
-  return completion.endpoint === 'chat' ? renderChat(completion.body.messages as ChatMessage[]) : completion.body.prompt as string
-}
-
 /** Engines get only headers that do not change the form of their answer. */
 function selectCompletionHeaders (headers: Record<string, string>): Record<string, string> {
   const selected: Record<string, string> = {}
--- a/packages/gateway/src/callers/callerError.ts
+++ b/packages/gateway/src/callers/callerError.ts
@@ -11,7 +11,7 @@
   | 'invalid_body' | 'body_too_large' | 'invalid_token' | 'model_not_found' | 'route_not_found' | 'invalid_idempotency_key'
   | 'overloaded' | 'start_deadline_passed' | 'no_upstream' | 'service_removed' | 'upstream_failed' | 'answer_deadline_passed'
   | 'claims_unavailable' | 'idempotency_key_reused' | 'request_in_progress' | 'request_outcome_unknown' | 'answer_not_kept'
-  | 'request_quarantined' | 'configuration_missing' | 'request_not_found' | 'internal_error'
+  | 'request_quarantined' | 'configuration_missing' | 'request_not_found' | 'request_moved' | 'gateway_leaving' | 'internal_error'
 
 const STATUS_BY_CODE: Readonly<Record<CallerErrorCode, number>> = {
   invalid_body: 400,
@@ -34,6 +34,8 @@
   request_quarantined: 422,
   configuration_missing: 503,
   request_not_found: 404,
+  request_moved: 503,
+  gateway_leaving: 503,
   internal_error: 500
 }
 
--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -5,8 +5,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { Outcome } from '../attempts/dispatchBoundary.js'
-import { formatCallerError } from './callerError.js'
-import type { CallerError } from './callerError.js'
+import { CallerError, formatCallerError } from './callerError.js'
 
 export const REQUEST_ID_HEADER = 'x-request-id'
 export const OUTCOME_HEADER = 'plumstage-outcome'
@@ -42,6 +41,8 @@
   sendWhole (status: number, headers: ResponseHeaders, body: Buffer | string, outcome: Outcome): void
   /** Sends an error: as a response, or as the last event of a stream that has started. */
   sendError (error: CallerError): void
+  /** Tells the caller that its request goes on, and that it is picked up at `location`. */
+  sendMoved (location: string): void
   /** Cuts the connection: the only way to say that a started answer is not whole. */
   cut (): void
 }
@@ -124,6 +125,16 @@
     this.endStream(error.outcome)
   }
 
+  sendMoved (location: string): void {
+    if (!this.started) {
+      this._response.writeHead(303, { location, [REQUEST_ID_HEADER]: this.requestId, 'content-length': '0', connection: 'close' })
+      this._response.end()
+      return
+    }
+    const error = CallerError.create('request_moved', `This gateway is being taken away and another goes on with the request. GET ${location} with the header Last-Event-ID continues the answer.`, { outcome: 'unknown' })
+    this.sendError(error)
+  }
+
   cut (): void {
     this._response.destroy()
   }
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -32,6 +32,8 @@
   instrumentation: Instrumentation
   /** Takes a checked call into service. */
   accept (call: InboundCall, response: CallerResponse): void
+  /** Gives the answer of a request whose caller was away; false when nobody holds it. */
+  resume (requestId: string, workspace: string, response: CallerResponse, lastPosition: number): Promise<boolean>
   reader: CallReader
   requestIds: IdentitySequence
   configuration (): Configuration
@@ -67,6 +69,7 @@
     const routes = new Hono<{ Bindings: HttpBindings }>()
     routes.post('/v1/chat/completions', async context => await this._serve(context, async (id, incoming) => await reader.readCompletion(id, incoming, 'chat')))
     routes.post('/v1/completions', async context => await this._serve(context, async (id, incoming) => await reader.readCompletion(id, incoming, 'text')))
+    routes.get('/v1/requests/:id', async context => await this._resume(context))
     routes.get('/v1/models', context => this._listModels(context))
     routes.all('*', async context => await this._serve(context, async (id, incoming) => await reader.readPlain(id, incoming)))
     return routes
@@ -89,6 +92,17 @@
     return RESPONSE_ALREADY_SENT
   }
 
+  private async _resume (context: CallerContext): Promise<Response> {
+    const requestId = context.req.param('id') ?? ''
+    const response = HttpCallerResponse.create(requestId, context.env.outgoing as ServerResponse)
+    const workspace = this._options.reader.authenticate(context.env.incoming as IncomingMessage)
+    const lastPosition = Number(context.req.header('last-event-id') ?? 0)
+    if (workspace.isErr()) this._refuse(response, workspace.error)
+    else if (!Number.isSafeInteger(lastPosition) || lastPosition < 0) this._refuse(response, CallerError.create('invalid_body', 'The header Last-Event-ID is not the id of an event. Send that of the last event you have, or none.'))
+    else if (!await this._options.resume(requestId, workspace.value.name, response, lastPosition)) this._refuse(response, CallerError.create('request_not_found', 'No gateway holds this request for you. Send it again if it may run twice.', { outcome: 'unknown' }))
+    return RESPONSE_ALREADY_SENT
+  }
+
   private _refuse (response: CallerResponse, error: CallerError): void {
     this._options.instrumentation.emit('request-refused', { code: error.callerCode }, response.requestId)
     response.sendError(error)
--- a/packages/gateway/src/callers/failureErrors.ts
+++ b/packages/gateway/src/callers/failureErrors.ts
@@ -32,6 +32,9 @@
   'answer-deadline': { code: 'answer_deadline_passed', text: 'The answer was not whole in the time that the priority of the request allows.' },
   'caller-gone': { code: 'answer_deadline_passed', text: 'The caller closed its connection.' },
   'claim-refused': { code: 'claims_unavailable', text: 'The claim of the request was not granted.' },
+  quarantined: { code: 'request_quarantined', text: 'Two upstreams crashed while they ran this request, so it is kept from running again for half an hour. Change its content.' },
+  'gateway-leaving': { code: 'gateway_leaving', text: 'This gateway is being taken away and the request had not started.' },
+  'handed-over': { code: 'upstream_failed', text: 'The gateway was taken away, and no other took the request.' },
   'claim-expired': { code: 'start_deadline_passed', text: 'The claim of the request ended before the request could start.' }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,12 +53,13 @@
       deployment: settings.deployment,
       failureDomain: settings.failureDomain,
       peerAddress: settings.peerAdvertise ?? settings.peerListen,
-      peerSeeds: settings.peerSeed
+      peerSeeds: settings.peerSeed,
+      instanceAddress: settings.instanceAddress
     }, {
       ...platform,
       random: SeededRandom.create(Math.floor(Math.random() * RANDOM_SEED_LIMIT)),
       clients: PooledUpstreamClients.create(),
-      peerLink: ConnectPeerLink.create(this._peerIdentity)
+      peerLink: ConnectPeerLink.create(this._peerIdentity, platform.clock)
     })
   }
 
@@ -101,7 +102,7 @@
   }
 
   private async _listen (): Promise<void> {
-    const peers = createServer(connectNodeAdapter({ routes: router => registerPeerHandlers(router, this._core.peers, this._peerIdentity) }))
+    const peers = createServer(connectNodeAdapter({ routes: router => registerPeerHandlers(router, this._core.peers, this._core.handovers, this._peerIdentity) }))
     this._callers = await Listener.create(this._createCallerServer().createHttpServer(), this._settings.listen)
     this._operators = await Listener.create(this._createOperatorServer().createHttpServer(), this._settings.operatorListen)
     this._peerListener = await Listener.create(peers, this._settings.peerListen)
@@ -115,6 +116,7 @@
     return CallerServer.create({
       instrumentation,
       accept: (call, response) => this._core.accept(call, response),
+      resume: async (requestId, workspace, response, lastPosition) => await this._core.handovers.attach(this._core.context, requestId, workspace, response, lastPosition),
       reader: CallReader.create({ clock, maximumBodyBytes: this._settings.maximumBodyBytes, configuration }),
       requestIds: IdentitySequence.create('req', instrumentation.incarnation),
       configuration,
--- a/packages/gateway/src/gatewayCore.ts
+++ b/packages/gateway/src/gatewayCore.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { CallContext, IdentitySequence } from '@plumstage/common'
-import type { Clock, Instrumentation, SeededRandom } from '@plumstage/common'
+import type { Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import { KeySpace } from '@plumstage/platform'
 import type { Instance, InstanceList, KeyValueService } from '@plumstage/platform'
 import type { Configuration } from '@plumstage/records'
@@ -15,6 +15,7 @@
 import { RequestRegistry } from './attempts/requestRegistry.js'
 import { RequestTask } from './attempts/requestTask.js'
 import type { RequestServices } from './attempts/requestTask.js'
+import { StreamedAnswer } from './attempts/streamedAnswer.js'
 import type { CallerResponse } from './callers/callerResponse.js'
 import { KeyValueClaimRegistry } from './claims/claimRegistry.js'
 import { ConfigurationState } from './configuration/configurationState.js'
@@ -23,6 +24,8 @@
 import type { PeerLink } from './membership/peerLink.js'
 import { PeerTask } from './membership/peerTask.js'
 import type { GatewayStatus } from './operators/gatewayStatus.js'
+import { HandoverTask } from './recovery/handoverTask.js'
+import { QuarantineTable } from './recovery/quarantineTable.js'
 import { ReclaimTask } from './recovery/reclaimTask.js'
 import { PrefixIndex } from './routing/prefixIndex.js'
 import { ScoreRouter } from './routing/router.js'
@@ -33,6 +36,8 @@
 import { UpstreamTable } from './upstreams/upstreamTable.js'
 import type { UpstreamChange } from './upstreams/upstreamTable.js'
 
+const HANDOVER_MARGIN_MILLISECONDS = 1500
+
 /** Who a gateway is. */
 export interface GatewayIdentity {
   name: string
@@ -41,6 +46,8 @@
   /** Address of its peer listener; it may be set later. */
   peerAddress: string
   peerSeeds: readonly string[]
+  /** Address of this gateway in the instance list; undefined when it is not listed. */
+  instanceAddress?: string
 }
 
 /** What a gateway reaches. */
@@ -63,22 +70,26 @@
   readonly configuration: ConfigurationTask
   readonly peers: PeerTask
   readonly requests = RequestRegistry.create()
+  readonly handovers: HandoverTask
   private readonly _environment: GatewayEnvironment
+  private readonly _quarantine = QuarantineTable.create()
   private readonly _prefixIndex = PrefixIndex.create()
   private readonly _dispatch: DispatchTask
   private readonly _claims: KeyValueClaimRegistry
   private readonly _reclaims: ReclaimTask
   private readonly _requestServices: RequestServices
+  private readonly _instanceAddress: string | undefined
   private _stopping = false
 
   private constructor (identity: GatewayIdentity, environment: GatewayEnvironment) {
     const { clock, instrumentation, keyValueService, clients } = environment
     const keySpace = KeySpace.create(identity.deployment)
     this._environment = environment
+    this._instanceAddress = identity.instanceAddress
     this.context = CallContext.create(clock)
     this.router = ScoreRouter.create(identity.failureDomain, this._prefixIndex)
     this.configuration = ConfigurationTask.create(keyValueService, keySpace, clock, ConfigurationState.create(), instrumentation)
-    this._dispatch = DispatchTask.create(Dispatcher.create(this.table, this.router, this._prefixIndex, this.configuration.state.configuration), clock)
+    this._dispatch = DispatchTask.create(Dispatcher.create(identity.name, this.table, this.router, this._prefixIndex, this.configuration.state.configuration), clock)
     this._claims = KeyValueClaimRegistry.create(keyValueService, keySpace, clock, identity.name, IdentitySequence.create('claim', instrumentation.incarnation), instrumentation)
     this._reclaims = ReclaimTask.create(this.requests, clock, instrumentation)
     this.membership = MembershipTable.create({
@@ -97,10 +108,21 @@
       link: environment.peerLink,
       membership: this.membership,
       configuration: this.configuration,
+      quarantine: this._quarantine,
       listDepartures: () => this.table.listDepartures(),
+      onMembers: () => this._applyMembers(),
       onDepartures: departures => this._applyDepartures(departures)
     })
-    this._requestServices = { clock, instrumentation, dispatch: this._dispatch, clients, table: this.table, claims: this._claims }
+    this.handovers = HandoverTask.create({
+      clock,
+      instrumentation,
+      link: environment.peerLink,
+      membership: this.membership,
+      requests: this.requests,
+      configuration: () => this.configuration.state.configuration,
+      accept: (call, response, answer) => this.accept(call, response, answer)
+    })
+    this._requestServices = { clock, instrumentation, dispatch: this._dispatch, clients, table: this.table, claims: this._claims, quarantine: this._quarantine, tellPeers: async () => await this.peers.tellAll(this.context) }
   }
 
   static create (identity: GatewayIdentity, environment: GatewayEnvironment): GatewayCore {
@@ -133,6 +155,7 @@
       unreadableRecords: this.configuration.state.listUnreadable(),
       members: this.membership.listOthers(this._environment.clock.now()),
       upstreams: this.table.list(),
+      suspicions: this._quarantine.list(this._environment.clock.now()),
       requests: { inFlight: this.requests.size, waiting: this.waitingCount, running: this.runningCount }
     }
   }
@@ -149,10 +172,11 @@
   }
 
   /** Takes a checked call into service. */
-  accept (call: InboundCall, response: CallerResponse): void {
-    const task = RequestTask.create(this._requestServices, call, response, ended => this.requests.remove(ended))
+  accept (call: InboundCall, response: CallerResponse, answer: StreamedAnswer = StreamedAnswer.create()): RequestTask {
+    const task = RequestTask.create(this._requestServices, call, response, answer, ended => this.requests.remove(ended))
     this.requests.add(task)
     task.start()
+    return task
   }
 
   /** Says to operators, balancers and peers that this gateway is leaving. */
@@ -173,6 +197,7 @@
   async destroy (): Promise<void> {
     this.context.cancel('shutdown')
     this._dispatch.stop()
+    this._environment.peerLink.close()
     await this._environment.clients.close()
   }
 
@@ -183,11 +208,25 @@
     this.membership.setConfigurationRevision(configuration.revision)
   }
 
+  /** Prepares for the reclaim of this gateway's own instance: what can't end in time goes to peers. */
+  private async _prepareForReclaim (deadline: Timestamp): Promise<void> {
+    await this.announceStop()
+    await this.context.sleepUntil(deadline - HANDOVER_MARGIN_MILLISECONDS)
+    await this.handovers.handOverAll(this.context)
+  }
+
   private _applyInstances (instances: readonly Instance[]): void {
+    const own = instances.find(instance => instance.address === this._instanceAddress)
+    if (own?.state === 'leaving' && !this._stopping) void this._prepareForReclaim(own.deadline ?? this._environment.clock.now())
     this._actOn(this.table.applyInstances(instances, this._environment.clock.now()))
     this._dispatch.pump()
   }
 
+  private _applyMembers (): void {
+    const present = this.membership.listPresent(this._environment.clock.now()).map(known => known.member.name)
+    this._dispatch.applyGateways([this.membership.self.name, ...present])
+  }
+
   private _applyDepartures (departures: readonly UpstreamDeparture[]): void {
     const now = this._environment.clock.now()
     this._actOn(departures.flatMap(departure => this.table.applyDeparture(departure, now)))
--- a/packages/gateway/src/membership/peerConnectLink.ts
+++ b/packages/gateway/src/membership/peerConnectLink.ts
@@ -8,9 +8,13 @@
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { create } from '@bufbuild/protobuf'
 import { peer } from '@plumstage/protocol'
-import type { CallContext } from '@plumstage/common'
-import { fromDepartureMessage, fromMemberMessage, fromRecordMessage, toDepartureMessage, toMemberMessage, toRecordMessage } from './peerConversion.js'
+import type { CallContext, Clock } from '@plumstage/common'
+import type { HandoverTask } from '../recovery/handoverTask.js'
+import type { HandedRequest } from '../recovery/handedRequest.js'
+import { fromHandedMessage, fromRecordMessage, toHandedMessage, toRecordMessage } from './peerConversion.js'
+import { PeerConversation } from './peerConversation.js'
 import type { PeerConfiguration, PeerLink, PeerMessage } from './peerLink.js'
+import { PeerStreamDecoder, PeerStreamEncoder } from './peerStreamCodec.js'
 import type { PeerTask } from './peerTask.js'
 
 const EXCHANGE_TIMEOUT_MILLISECONDS = 1000
@@ -23,54 +27,94 @@
   token: string
 }
 
+interface PeerConnection {
+  client: Client<typeof peer.PeerService>
+  conversation: PeerConversation | undefined
+}
+
 /** Calls other gateways. */
 export class ConnectPeerLink implements PeerLink {
   private readonly _identity: PeerIdentity
-  private readonly _clients = new Map<string, Client<typeof peer.PeerService>>()
+  private readonly _clock: Clock
+  private readonly _connections = new Map<string, PeerConnection>()
 
-  private constructor (identity: PeerIdentity) {
+  private constructor (identity: PeerIdentity, clock: Clock) {
     this._identity = identity
+    this._clock = clock
   }
 
-  static create (identity: PeerIdentity): ConnectPeerLink {
-    return new ConnectPeerLink(identity)
+  static create (identity: PeerIdentity, clock: Clock): ConnectPeerLink {
+    return new ConnectPeerLink(identity, clock)
   }
 
   async exchange (context: CallContext, address: string, message: PeerMessage): Promise<PeerMessage> {
-    const response = await this._clientOf(address).exchange({ deployment: this._identity.deployment, ...toMessage(message) }, { signal: context.signal, timeoutMs: EXCHANGE_TIMEOUT_MILLISECONDS })
-    return fromMessage(response)
+    const connection = this._connect(address)
+    const conversation = connection.conversation ??= PeerConversation.create(connection.client, this._identity.deployment)
+    const call = context.createChild(this._clock.now() + EXCHANGE_TIMEOUT_MILLISECONDS)
+    try {
+      return await conversation.exchange(call, message)
+    } catch (error) {
+      conversation.close()
+      if (connection.conversation === conversation) connection.conversation = undefined
+      throw error
+    } finally {
+      call.finish()
+    }
   }
 
   async fetchConfiguration (context: CallContext, address: string, knownRevision: number): Promise<PeerConfiguration | undefined> {
-    const response = await this._clientOf(address).fetchConfiguration({ deployment: this._identity.deployment, knownRevision: BigInt(knownRevision) }, { signal: context.signal, timeoutMs: FETCH_TIMEOUT_MILLISECONDS })
+    const request = { deployment: this._identity.deployment, knownRevision: BigInt(knownRevision) }
+    const response = await this._connect(address).client.fetchConfiguration(request, { signal: context.signal, timeoutMs: FETCH_TIMEOUT_MILLISECONDS })
     if (response.records.length === 0) return undefined
     return { revision: Number(response.revision), records: response.records.map(fromRecordMessage) }
   }
 
+  async handOver (context: CallContext, address: string, requests: readonly HandedRequest[]): Promise<string[]> {
+    const response = await this._connect(address).client.handOver({ deployment: this._identity.deployment, requests: requests.map(toHandedMessage) }, { signal: context.signal })
+    return response.accepted
+  }
+
+  async takeRequest (context: CallContext, address: string, requestId: string, workspace: string): Promise<HandedRequest | undefined> {
+    const response = await this._connect(address).client.takeRequest({ deployment: this._identity.deployment, requestId, workspace }, { signal: context.signal })
+    return response.request && fromHandedMessage(response.request)
+  }
+
   forget (address: string): void {
-    this._clients.delete(address)
+    this._connections.get(address)?.conversation?.close()
+    this._connections.delete(address)
+  }
+
+  close (): void {
+    for (const address of [...this._connections.keys()]) this.forget(address)
   }
 
-  private _clientOf (address: string): Client<typeof peer.PeerService> {
-    let client = this._clients.get(address)
-    if (!client) {
+  private _connect (address: string): PeerConnection {
+    let connection = this._connections.get(address)
+    if (!connection) {
       const authenticate: Interceptor = next => async request => {
         request.header.set('authorization', `Bearer ${this._identity.token}`)
         return await next(request)
       }
-      client = createClient(peer.PeerService, createConnectTransport({ baseUrl: `http://${address}`, httpVersion: '2', interceptors: [authenticate] }))
-      this._clients.set(address, client)
+      const transport = createConnectTransport({ baseUrl: `http://${address}`, httpVersion: '2', interceptors: [authenticate] })
+      connection = { client: createClient(peer.PeerService, transport), conversation: undefined }
+      this._connections.set(address, connection)
     }
-    return client
+    return connection
   }
 }
 
 /** Adds the handlers for calls of other gateways. */
-export function registerPeerHandlers (router: ConnectRouter, task: PeerTask, identity: PeerIdentity): void {
+export function registerPeerHandlers (router: ConnectRouter, task: PeerTask, handovers: HandoverTask, identity: PeerIdentity): void {
   router.service(peer.PeerService, {
-    exchange: (request, context) => {
+    converse: (requests, context) => answerConversation(requests, context, task, identity),
+    handOver: (request, context) => {
       checkCaller(request.deployment, context, identity)
-      return create(peer.ExchangeResponseSchema, toMessage(task.answerExchange(fromMessage(request))))
+      return create(peer.HandOverResponseSchema, { accepted: handovers.receive(request.requests.map(fromHandedMessage)) })
+    },
+    takeRequest: (request, context) => {
+      checkCaller(request.deployment, context, identity)
+      const handed = handovers.giveUp(request.requestId, request.workspace)
+      return create(peer.TakeRequestResponseSchema, { request: handed && toHandedMessage(handed) })
     },
     fetchConfiguration: (request, context) => {
       checkCaller(request.deployment, context, identity)
@@ -80,15 +124,18 @@
   })
 }
 
+async function * answerConversation (requests: AsyncIterable<peer.ConverseRequest>, context: HandlerContext, task: PeerTask, identity: PeerIdentity): AsyncGenerator<peer.ConverseResponse> {
+  const decoder = PeerStreamDecoder.create()
+  const encoder = PeerStreamEncoder.create()
+  for await (const request of requests) {
+    checkCaller(request.deployment, context, identity)
+    if (!request.knowledge) continue
+    const answer = task.answerExchange(decoder.decode(request.knowledge))
+    yield create(peer.ConverseResponseSchema, { knowledge: encoder.encode(answer) })
+  }
+}
+
 function checkCaller (deployment: string, context: HandlerContext, identity: PeerIdentity): void {
   if (context.requestHeader.get('authorization') !== `Bearer ${identity.token}`) throw new ConnectError('The peer token is wrong. Give all gateways of the deployment the same --peer-token.', Code.Unauthenticated)
   if (deployment !== identity.deployment) throw new ConnectError(`This gateway belongs to deployment ${identity.deployment}. Correct --deployment or --peer-seed.`, Code.FailedPrecondition)
 }
-
-function toMessage (message: PeerMessage): { members: peer.Member[], departures: peer.UpstreamDeparture[] } {
-  return { members: message.members.map(toMemberMessage), departures: message.departures.map(toDepartureMessage) }
-}
-
-function fromMessage (message: { members: peer.Member[], departures: peer.UpstreamDeparture[] }): PeerMessage {
-  return { members: message.members.map(fromMemberMessage), departures: message.departures.map(fromDepartureMessage) }
-}
--- a/packages/gateway/src/membership/peerConversion.ts
+++ b/packages/gateway/src/membership/peerConversion.ts
@@ -6,6 +6,8 @@
 import { create } from '@bufbuild/protobuf'
 import { peer } from '@plumstage/protocol'
 import type { StoredRecord } from '../configuration/configurationState.js'
+import type { HandedRequest } from '../recovery/handedRequest.js'
+import type { CrashSuspicion } from '../recovery/quarantineTable.js'
 import type { UpstreamDeparture } from '../upstreams/upstream.js'
 import type { Member, MemberState } from './member.js'
 
@@ -63,3 +65,29 @@
 export function fromRecordMessage (message: peer.StoredRecord): StoredRecord {
   return { key: message.key, value: decoder.decode(message.value), revision: Number(message.revision) }
 }
+
+export function toSuspicionMessage (suspicion: CrashSuspicion): peer.CrashSuspicion {
+  return create(peer.CrashSuspicionSchema, { digest: suspicion.digest, crashes: [...suspicion.crashes], cleared: [...suspicion.cleared], deadline: BigInt(Math.round(suspicion.deadline)) })
+}
+
+export function fromSuspicionMessage (message: peer.CrashSuspicion): CrashSuspicion {
+  return { digest: message.digest, crashes: message.crashes, cleared: message.cleared, deadline: Number(message.deadline) }
+}
+
+export function toHandedMessage (request: HandedRequest): peer.HandedRequest {
+  return create(peer.HandedRequestSchema, { ...request, acceptedAt: BigInt(Math.round(request.acceptedAt)) })
+}
+
+export function fromHandedMessage (message: peer.HandedRequest): HandedRequest {
+  return {
+    requestId: message.requestId,
+    workspace: message.workspace,
+    route: message.route,
+    endpoint: message.endpoint === 'text' ? 'text' : 'chat',
+    body: Buffer.from(message.body),
+    acceptedAt: Number(message.acceptedAt),
+    position: message.position,
+    events: Buffer.from(message.events),
+    complete: message.complete
+  }
+}
--- a/packages/gateway/src/membership/peerLink.ts
+++ b/packages/gateway/src/membership/peerLink.ts
@@ -5,6 +5,8 @@
  */
 import type { CallContext } from '@plumstage/common'
 import type { StoredRecord } from '../configuration/configurationState.js'
+import type { HandedRequest } from '../recovery/handedRequest.js'
+import type { CrashSuspicion } from '../recovery/quarantineTable.js'
 import type { UpstreamDeparture } from '../upstreams/upstream.js'
 import type { Member } from './member.js'
 
@@ -13,6 +15,7 @@
   /** All members that the sender knows, itself first. */
   members: readonly Member[]
   departures: readonly UpstreamDeparture[]
+  suspicions: readonly CrashSuspicion[]
 }
 
 /** The configuration that a peer has in force. */
@@ -27,6 +30,11 @@
   exchange (context: CallContext, address: string, message: PeerMessage): Promise<PeerMessage>
   /** Returns the configuration of a peer, or undefined when it is not ahead of `knownRevision`. */
   fetchConfiguration (context: CallContext, address: string, knownRevision: number): Promise<PeerConfiguration | undefined>
+  /** Gives requests to a peer and returns the ids of those it took. */
+  handOver (context: CallContext, address: string, requests: readonly HandedRequest[]): Promise<string[]>
+  /** Takes a request that a peer holds; undefined when it does not. */
+  takeRequest (context: CallContext, address: string, requestId: string, workspace: string): Promise<HandedRequest | undefined>
   /** Drops the connections to a peer that has left. */
   forget (address: string): void
+  close (): void
 }
--- a/packages/gateway/src/membership/peerTask.ts
+++ b/packages/gateway/src/membership/peerTask.ts
@@ -6,12 +6,13 @@
 import { describeError, getLogger } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, SeededRandom } from '@plumstage/common'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
+import type { QuarantineTable } from '../recovery/quarantineTable.js'
 import type { UpstreamDeparture } from '../upstreams/upstream.js'
 import type { MembershipChange, MembershipTable } from './membershipTable.js'
 import type { PeerConfiguration, PeerLink, PeerMessage } from './peerLink.js'
 
-const ROUND_MILLISECONDS = 500
-const TARGETS_PER_ROUND = 3
+const ROUND_MILLISECONDS = 1000
+const TARGETS_PER_ROUND = 2
 
 /** What the peer task shares with the rest of the gateway. */
 export interface PeerServices {
@@ -21,7 +22,10 @@
   link: PeerLink
   membership: MembershipTable
   configuration: ConfigurationTask
+  quarantine: QuarantineTable
   listDepartures (): UpstreamDeparture[]
+  /** Called when gateways have joined or left. */
+  onMembers (): void
   onDepartures (departures: readonly UpstreamDeparture[]): void
 }
 
@@ -54,6 +58,12 @@
     await Promise.all(targets.map(async address => await this._exchange(context, address)))
   }
 
+  /** Tells every present peer at once, because of news that must not wait for the next round. */
+  async tellAll (context: CallContext): Promise<void> {
+    const present = this._services.membership.listPresent(this._services.clock.now())
+    await Promise.all(present.map(async known => await this._exchange(context, known.member.address)))
+  }
+
   answerExchange (message: PeerMessage): PeerMessage {
     this._merge(message)
     return this._describe()
@@ -87,15 +97,18 @@
   }
 
   private _describe (): PeerMessage {
-    return { members: this._services.membership.listToTell(), departures: this._services.listDepartures() }
+    const { membership, quarantine, clock } = this._services
+    return { members: membership.listToTell(), departures: this._services.listDepartures(), suspicions: quarantine.list(clock.now()) }
   }
 
   private _merge (message: PeerMessage): void {
     this._announce(this._services.membership.merge(message.members, this._services.clock.now()))
     if (message.departures.length > 0) this._services.onDepartures(message.departures)
+    this._services.quarantine.merge(message.suspicions, this._services.clock.now())
   }
 
   private _announce (changes: readonly MembershipChange[]): void {
+    if (changes.length > 0) this._services.onMembers()
     for (const change of changes) {
       this._services.instrumentation.emit(`member-${change.kind}`, { name: change.member.name, address: change.member.address })
       this._log.info(`Gateway ${change.member.name} at ${change.member.address} has ${change.kind}.`)
--- a/packages/gateway/src/operators/gatewayStatus.ts
+++ b/packages/gateway/src/operators/gatewayStatus.ts
@@ -7,6 +7,7 @@
 import type { ServiceHealth } from '../configuration/configurationTask.js'
 import type { KnownMember } from '../membership/membershipTable.js'
 import type { Member } from '../membership/member.js'
+import type { CrashSuspicion } from '../recovery/quarantineTable.js'
 import type { Upstream } from '../upstreams/upstream.js'
 
 /** State of one gateway. */
@@ -17,5 +18,6 @@
   unreadableRecords: UnreadableRecord[]
   members: KnownMember[]
   upstreams: Upstream[]
+  suspicions: CrashSuspicion[]
   requests: { inFlight: number, waiting: number, running: number }
 }
--- /dev/null
+++ b/packages/gateway/src/recovery/quarantineTable.ts
@@ -0,0 +1,104 @@
+/**
+ * Decides which requests are suspected of crashing upstreams, and which are quarantined for it. What gateways know of
+ * this only grows, so that it can be told and merged in any order.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+
+const CRASHES_FOR_QUARANTINE = 2
+const KEPT_MILLISECONDS = 30 * 60_000
+const MAXIMUM_SUSPICIONS = 1000
+
+/** What is known about one request content. */
+export interface CrashSuspicion {
+  /** Digest of service, path and body. */
+  digest: string
+  /** Identities of the upstream runs that crashed while they ran the request. */
+  crashes: readonly string[]
+  /** Those of the crashes of which it was found innocent, because it finished alone afterwards. */
+  cleared: readonly string[]
+  /** When this is forgotten. */
+  deadline: Timestamp
+}
+
+/** How a request is to be treated. */
+export type SuspicionState =
+  | 'clear'
+  /** It ran on one upstream that crashed: it runs alone. */
+  | 'suspect'
+  /** It ran on two: it is not run again. */
+  | 'quarantined'
+
+/** All suspicions that a gateway knows. */
+export class QuarantineTable {
+  private readonly _suspicions = new Map<string, CrashSuspicion>()
+
+  static create (): QuarantineTable {
+    return new QuarantineTable()
+  }
+
+  get empty (): boolean {
+    return this._suspicions.size === 0
+  }
+
+  list (now: Timestamp): CrashSuspicion[] {
+    this._forgetOld(now)
+    return [...this._suspicions.values()]
+  }
+
+  stateOf (digest: string, now: Timestamp): SuspicionState {
+    this._forgetOld(now)
+    const suspicion = this._suspicions.get(digest)
+    if (!suspicion) return 'clear'
+    const open = suspicion.crashes.filter(crash => !suspicion.cleared.includes(crash)).length
+    if (open === 0) return 'clear'
+    return open >= CRASHES_FOR_QUARANTINE ? 'quarantined' : 'suspect'
+  }
+
+  /** Notes that an upstream crashed while it ran the request. `crash` identifies the run of the upstream. */
+  recordCrash (digest: string, crash: string, now: Timestamp): SuspicionState {
+    this.merge([{ digest, crashes: [crash], cleared: [], deadline: now + KEPT_MILLISECONDS }], now)
+    return this.stateOf(digest, now)
+  }
+
+  /** Notes that the request has finished: no crash so far was its doing. */
+  recordFinished (digest: string, now: Timestamp): void {
+    const suspicion = this._suspicions.get(digest)
+    if (suspicion) this.merge([{ ...suspicion, cleared: suspicion.crashes }], now)
+  }
+
+  merge (suspicions: readonly CrashSuspicion[], now: Timestamp): void {
+    for (const offered of suspicions) {
+      if (offered.deadline <= now) continue
+      const known = this._suspicions.get(offered.digest)
+      this._suspicions.set(offered.digest, known ? join(known, offered) : offered)
+    }
+    this._trim()
+  }
+
+  private _forgetOld (now: Timestamp): void {
+    for (const [digest, suspicion] of this._suspicions) if (suspicion.deadline <= now) this._suspicions.delete(digest)
+  }
+
+  private _trim (): void {
+    for (const oldest of this._suspicions.keys()) {
+      if (this._suspicions.size <= MAXIMUM_SUSPICIONS) return
+      this._suspicions.delete(oldest)
+    }
+  }
+}
+
+function join (left: CrashSuspicion, right: CrashSuspicion): CrashSuspicion {
+  return {
+    digest: left.digest,
+    crashes: unite(left.crashes, right.crashes),
+    cleared: unite(left.cleared, right.cleared),
+    deadline: Math.max(left.deadline, right.deadline)
+  }
+}
+
+/** Sorted, so that equal knowledge is written the same by every gateway. */
+function unite (left: readonly string[], right: readonly string[]): string[] {
+  return [...new Set([...left, ...right])].sort()
+}
--- a/packages/load/src/bin/measureMain.ts
+++ b/packages/load/src/bin/measureMain.ts
@@ -6,6 +6,7 @@
  */
 import { Command } from 'commander'
 import { describeError } from '@plumstage/common'
+import { measureControlSlopes, summarizeSlopes } from '../measurements/controlSlopes.js'
 import { measureOverhead, writeOverheadReport } from '../measurements/overhead.js'
 import { summarizeOverhead } from '../measurements/overheadSummary.js'
 
@@ -24,6 +25,12 @@
     if (flags.output !== undefined) await writeOverheadReport(flags.output, rows)
   })
 
+program.command('slopes').description('what control costs a gateway against peers, upstreams and changes').option('--seconds <number>', 'length of each setting', '8')
+  .action(async (flags: { seconds: string }) => {
+    const points = await measureControlSlopes(Number(flags.seconds), line => process.stderr.write(line + '\n'))
+    process.stdout.write(summarizeSlopes(points) + '\n')
+  })
+
 program.parseAsync().catch((error: unknown) => {
   process.stderr.write(`measure: ${describeError(error)}\n`)
   process.exitCode = 1
--- /dev/null
+++ b/packages/load/src/measurements/controlSlopes.ts
@@ -0,0 +1,175 @@
+/**
+ * What control costs a gateway that serves no requests, against the number of peers, upstreams and changes.
+ *
+ * @module
+ */
+import { readFileSync } from 'node:fs'
+import { request } from 'undici'
+import { CallContext, SystemClock } from '@plumstage/common'
+import { EtcdKeyValueService, KeySpace } from '@plumstage/platform'
+import type { KeyValueService } from '@plumstage/platform'
+import { fitLine } from './linearFit.js'
+import type { LinearFit } from './linearFit.js'
+import { ProcessGroup } from './processGroup.js'
+import type { MeasuredProcess } from './processGroup.js'
+
+const TOKEN = 'token-of-the-measurement'
+const KEY_VALUE_PORT = 22001
+const CONTROL_PORT = 22002
+const FIRST_GATEWAY_PORT = 22100
+const PORTS_PER_GATEWAY = 3
+const SETTLE_MILLISECONDS = 4000
+const MEBIBYTE = 1024 * 1024
+const MILLISECONDS_PER_SECOND = 1000
+
+/** What varies. */
+export type SlopeVariable = 'peers' | 'upstreams' | 'changes a second'
+
+/** What was measured with one value of the variable: the mean over all gateways. */
+export interface SlopePoint {
+  variable: SlopeVariable
+  value: number
+  /** Processor time, in microseconds a second. */
+  processor: number
+  /** Bytes read and written on all sockets, a second. */
+  bytes: number
+  memoryMegabytes: number
+  /** Calls of all gateways to the key-value service, a second. */
+  keyValueCalls: number
+  /** Watches that wait at the key-value service. */
+  watches: number
+}
+
+/** A record in the form in which it is stored. */
+interface StoredDocument {
+  apiVersion: string
+  kind: 'Service' | 'Priority'
+  metadata: { name: string }
+  spec: object
+}
+
+interface Setting {
+  gateways: number
+  upstreams: number
+  changesPerSecond: number
+}
+
+const DEFAULT_SETTING: Setting = { gateways: 3, upstreams: 8, changesPerSecond: 0 }
+const PEER_COUNTS = [3, 6, 12, 24, 48]
+const UPSTREAM_COUNTS = [8, 80, 400, 800]
+const CHANGE_RATES = [0, 2, 5, 10]
+
+/** Measures all points; each setting runs by itself for `seconds`. */
+export async function measureControlSlopes (seconds: number, log: (line: string) => void): Promise<SlopePoint[]> {
+  const points: SlopePoint[] = []
+  const add = async (variable: SlopeVariable, value: number, setting: Partial<Setting>): Promise<void> => {
+    const point = await measureSetting(variable, value, { ...DEFAULT_SETTING, ...setting }, seconds)
+    log(formatPoint(point))
+    points.push(point)
+  }
+  for (const gateways of PEER_COUNTS) await add('peers', gateways - 1, { gateways })
+  for (const upstreams of UPSTREAM_COUNTS) await add('upstreams', upstreams, { upstreams })
+  for (const changesPerSecond of CHANGE_RATES) await add('changes a second', changesPerSecond, { changesPerSecond })
+  return points
+}
+
+/** Returns a Markdown table of the points and of the lines through them. */
+export function summarizeSlopes (points: readonly SlopePoint[]): string {
+  const lines = ['| variable | value | µs CPU/s | bytes/s | MB | key-value calls/s (all) | watches |', '|---|---|---|---|---|---|---|', ...points.map(formatPoint), '', '| variable | µs CPU/s for each | bytes/s for each | MB for each | base µs CPU/s | base bytes/s | base MB | largest residuals |', '|---|---|---|---|---|---|---|---|']
+  for (const variable of ['peers', 'upstreams', 'changes a second'] as const) lines.push(formatFits(variable, points.filter(point => point.variable === variable)))
+  return lines.join('\n')
+}
+
+async function measureSetting (variable: SlopeVariable, value: number, setting: Setting, seconds: number): Promise<SlopePoint> {
+  const group = ProcessGroup.create()
+  try {
+    await group.start('key-value', 'standins', ['key-value', '--listen', `127.0.0.1:${KEY_VALUE_PORT}`, '--control-listen', `127.0.0.1:${CONTROL_PORT}`])
+    const clock = SystemClock.create()
+    const service = EtcdKeyValueService.create([`http://127.0.0.1:${KEY_VALUE_PORT}`], clock)
+    const context = CallContext.create(clock)
+    await storeService(service, context, setting.upstreams)
+    const gateways = await startGateways(group, setting.gateways)
+    await pause(SETTLE_MILLISECONDS)
+    const changes = setting.changesPerSecond > 0 ? setInterval(() => void storeChange(service, context), MILLISECONDS_PER_SECOND / setting.changesPerSecond) : undefined
+    const point = await measureGateways(variable, value, gateways, seconds)
+    clearInterval(changes)
+    context.cancel('shutdown')
+    return point
+  } finally {
+    await group.stop()
+  }
+}
+
+async function startGateways (group: ProcessGroup, count: number): Promise<MeasuredProcess[]> {
+  const portOf = (index: number, offset: number): number => FIRST_GATEWAY_PORT + index * PORTS_PER_GATEWAY + offset
+  const gateways: MeasuredProcess[] = []
+  for (let index = 0; index < count; index++) {
+    const seeds = index === 0 ? [] : ['--peer-seed', `127.0.0.1:${portOf(0, 2)}`]
+    gateways.push(await group.start(`gateway-${index}`, 'gateway', [
+      '--name', `gateway-${index}`, '--listen', `127.0.0.1:${portOf(index, 0)}`, '--operator-listen', `127.0.0.1:${portOf(index, 1)}`, '--peer-listen', `127.0.0.1:${portOf(index, 2)}`,
+      '--operator-token', TOKEN, '--peer-token', TOKEN, '--key-value-service', `http://127.0.0.1:${KEY_VALUE_PORT}`, ...seeds
+    ]))
+  }
+  return gateways
+}
+
+async function measureGateways (variable: SlopeVariable, value: number, gateways: readonly MeasuredProcess[], seconds: number): Promise<SlopePoint> {
+  const processorBefore = sum(gateways, gateway => gateway.readProcessorTime())
+  const bytesBefore = sum(gateways, readTransferredBytes)
+  const callsBefore = await readKeyValueCounts()
+  await pause(seconds * MILLISECONDS_PER_SECOND)
+  const callsAfter = await readKeyValueCounts()
+  const perGatewaySecond = gateways.length * seconds
+  return {
+    variable,
+    value,
+    processor: (sum(gateways, gateway => gateway.readProcessorTime()) - processorBefore) / perGatewaySecond,
+    bytes: (sum(gateways, readTransferredBytes) - bytesBefore) / perGatewaySecond,
+    memoryMegabytes: sum(gateways, gateway => gateway.readMemory()) / gateways.length / MEBIBYTE,
+    keyValueCalls: (callsAfter.reads + callsAfter.writes - callsBefore.reads - callsBefore.writes) / seconds,
+    watches: callsAfter.watches
+  }
+}
+
+/** Bytes that a process has read and written; a gateway without events writes only to sockets. */
+function readTransferredBytes (process: MeasuredProcess): number {
+  const text = readFileSync(`/proc/${process.pid}/io`, 'utf8')
+  return Number(/rchar: (\d+)/.exec(text)?.[1]) + Number(/wchar: (\d+)/.exec(text)?.[1])
+}
+
+async function readKeyValueCounts (): Promise<{ reads: number, writes: number, watches: number }> {
+  const response = await request(`http://127.0.0.1:${CONTROL_PORT}/standin/counts`)
+  return await response.body.json() as { reads: number, writes: number, watches: number }
+}
+
+async function storeService (service: KeyValueService, context: CallContext, upstreams: number): Promise<void> {
+  const addresses = Array.from({ length: upstreams }, (_, index) => ({ address: `10.${index >> 8}.${index & 255}.1:9000`, failureDomain: `domain-${index % 3}`, instanceClass: 'standard' }))
+  await storeRecord(service, context, { apiVersion: 'plumstage/v1', kind: 'Service', metadata: { name: 'model' }, spec: { type: 'model-engine', models: ['model-a'], upstreams: addresses } })
+}
+
+async function storeChange (service: KeyValueService, context: CallContext): Promise<void> {
+  await storeRecord(service, context, { apiVersion: 'plumstage/v1', kind: 'Priority', metadata: { name: 'changing' }, spec: { rank: 1, startWithinMilliseconds: 1 + Math.floor(performance.now()) } })
+}
+
+async function storeRecord (service: KeyValueService, context: CallContext, record: StoredDocument): Promise<void> {
+  const key = KeySpace.create('default').recordKey(record.kind, record.metadata.name)
+  await service.transact(context, { conditions: [], onSuccess: [{ kind: 'put', key, value: JSON.stringify(record) }], onFailure: [] })
+}
+
+function formatPoint (point: SlopePoint): string {
+  return `| ${point.variable} | ${point.value} | ${point.processor.toFixed(0)} | ${point.bytes.toFixed(0)} | ${point.memoryMegabytes.toFixed(1)} | ${point.keyValueCalls.toFixed(1)} | ${point.watches} |`
+}
+
+function formatFits (variable: SlopeVariable, points: readonly SlopePoint[]): string {
+  const fits: LinearFit[] = (['processor', 'bytes', 'memoryMegabytes'] as const).map(figure => fitLine(points.map(point => ({ x: point.value, y: point[figure] }))))
+  const cells = [...fits.map(fit => fit.slope.toFixed(3)), ...fits.map(fit => fit.intercept.toFixed(1)), fits.map(fit => fit.largestResidual.toFixed(2)).join(', ')]
+  return `| ${variable} | ${cells.join(' | ')} |`
+}
+
+function sum (processes: readonly MeasuredProcess[], read: (process: MeasuredProcess) => number): number {
+  return processes.reduce((total, process) => total + read(process), 0)
+}
+
+async function pause (milliseconds: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+}
--- a/packages/records/src/configuration.ts
+++ b/packages/records/src/configuration.ts
@@ -17,6 +17,7 @@
   readonly services: ReadonlyMap<string, ServiceRecord>
   readonly priorities: ReadonlyMap<string, PriorityRecord>
   readonly workspaces: ReadonlyMap<string, WorkspaceRecord>
+  readonly routes: ReadonlyMap<string, RouteRecord>
   private readonly _workspaceByDigest = new Map<string, WorkspaceRecord>()
   private readonly _routeByModel = new Map<string, RouteRecord>()
   private readonly _pathRoutes: RouteRecord[]
@@ -28,6 +29,7 @@
     this.priorities = indexByName(records.filter(record => record.kind === 'Priority'))
     this.workspaces = indexByName(records.filter(record => record.kind === 'Workspace'))
     const routes = records.filter(record => record.kind === 'Route')
+    this.routes = indexByName(routes)
     for (const workspace of this.workspaces.values()) workspace.tokenDigests.forEach(digest => this._workspaceByDigest.set(digest, workspace))
     for (const route of routes) if (route.model !== undefined) this._routeByModel.set(route.model, route)
     for (const service of this.services.keys()) this._prioritiesByService.set(service, this._collectPriorities(service, routes))
--- a/scenarios/explore/randomScenario.ts
+++ b/scenarios/explore/randomScenario.ts
@@ -61,8 +61,8 @@
 
   private _drawAction (at: number): void {
     if (this._random.nextFraction() < 0.5) return this._drawCalls(at)
-    const announced = [this._drawReclaim, this._drawAddUpstream, this._drawStop, this._drawAddGateway, this._drawKeyValue, this._drawApply, this._drawCut, this._drawLag]
-    const unannounced = [this._drawKillUpstream, this._drawFault, this._drawKillGateway, this._drawPause, this._drawPause]
+    const announced = [this._drawReclaim, this._drawAddUpstream, this._drawStop, this._drawReclaimGateway, this._drawAddGateway, this._drawKeyValue, this._drawApply, this._drawCut, this._drawLag]
+    const unannounced = [this._drawCrash, this._drawKillUpstream, this._drawFault, this._drawKillGateway, this._drawPause, this._drawPause]
     const draw = this._random.pick(this._mix === 'all' ? [...announced, ...unannounced] : announced)!
     draw.call(this, at)
   }
@@ -107,6 +107,11 @@
     return gateway
   }
 
+  private _drawReclaimGateway (at: number): void {
+    const gateway = this._takeGateway()
+    if (gateway !== undefined) this._add(at, { do: 'reclaim-gateway', gateway, noticeMilliseconds: this._random.nextInteger(3000, 8000) })
+  }
+
   private _drawAddGateway (at: number): void {
     this._gatewayCount++
     this._add(at, { do: 'add-gateway' })
@@ -122,6 +127,14 @@
     this._add(at, { do: 'kill-upstream', upstream: this._random.nextInteger(1, this._engines + this._plainServices) })
   }
 
+  /** A request that crashes every engine that runs it, sent several times. */
+  private _drawCrash (at: number): void {
+    const content = `crash ${this._nextLabel++}`
+    for (let repeat = this._random.nextInteger(1, 4); repeat > 0; repeat--) this._add(at + this._random.nextInteger(0, 10_000), { do: 'send', label: content, kind: 'stream', count: 1, tokens: 10, content, same: true })
+    this._add(at, { do: 'add-upstream', kind: 'engine' })
+    this._add(at, { do: 'add-upstream', kind: 'engine' })
+  }
+
   private _drawFault (at: number): void {
     const upstream = this._random.nextInteger(1, this._engines + this._plainServices)
     const faults = this._random.pick([{ frozen: true }, { cutAfter: this._random.nextInteger(0, 20) }, { refuseWith: 503 }, { refuseWith: 500 }, { sendsLate: true }, { skipsTokens: true }, { foreignId: true }])!
--- a/scenarios/runner/scenarioRunner.ts
+++ b/scenarios/runner/scenarioRunner.ts
@@ -60,6 +60,7 @@
       case 'fault-upstream': return this._faultUpstream(this._upstream(action.upstream), action.faults)
       case 'lag-instance-list': world.instances.lagMilliseconds = action.milliseconds; return
       case 'stop-gateway': return world.stopGateway(this._gateway(action.gateway))
+      case 'reclaim-gateway': return world.reclaimGateway(this._gateway(action.gateway), action.noticeMilliseconds)
       case 'kill-gateway': return world.killGateway(this._gateway(action.gateway))
       case 'pause-gateway': world.evidence.unannouncedFailure = true; return this._gateway(action.gateway).process.pause()
       case 'resume-gateway': return this._gateway(action.gateway).process.resume()
--- a/scenarios/runner/scenarioSchema.ts
+++ b/scenarios/runner/scenarioSchema.ts
@@ -35,6 +35,7 @@
   z.strictObject({ at, do: z.literal('fault-upstream'), upstream: z.int(), faults: upstreamFaultsSchema }),
   z.strictObject({ at, do: z.literal('lag-instance-list'), milliseconds: z.int().min(0) }),
   z.strictObject({ at, do: z.literal('stop-gateway'), gateway: z.int() }),
+  z.strictObject({ at, do: z.literal('reclaim-gateway'), gateway: z.int(), noticeMilliseconds: z.int().default(3000) }),
   z.strictObject({ at, do: z.literal('kill-gateway'), gateway: z.int() }),
   z.strictObject({ at, do: z.literal('pause-gateway'), gateway: z.int() }),
   z.strictObject({ at, do: z.literal('resume-gateway'), gateway: z.int() }),
--- a/scenarios/world/callRecord.ts
+++ b/scenarios/world/callRecord.ts
@@ -30,6 +30,8 @@
   outcome?: Outcome
   errorCode?: string
   retryAfterSeconds?: number
+  /** Whether the caller was told that its request goes on elsewhere. */
+  moved?: boolean
   /** Whether the gateway accepted the call as a request. */
   accepted: boolean
 }
@@ -38,6 +40,7 @@
 export class RecordedResponse implements CallerResponse {
   readonly requestId: string
   started = false
+  private _ended = false
   private readonly _record: CallRecord
   private readonly _now: () => Timestamp
 
@@ -87,18 +90,23 @@
     this._end(error.outcome)
   }
 
+  sendMoved (): void {
+    this._record.moved = true
+  }
+
   cut (): void {
     this._record.endedAt = this._now()
   }
 
   private _start (status: number): void {
-    if (this.started) throw new Error(`the response to ${this.requestId} was started twice`)
+    if (this.started || this._ended) throw new Error(`the response to ${this.requestId} was started twice`)
     this.started = true
     this._record.status = status
   }
 
   private _end (outcome: Outcome): void {
-    if (this._record.endedAt !== undefined) throw new Error(`the response to ${this.requestId} was ended twice`)
+    if (this._ended) throw new Error(`the response to ${this.requestId} was ended twice`)
+    this._ended = true
     this._record.endedAt = this._now()
     this._record.outcome = outcome
   }
--- a/scenarios/world/virtualGateway.ts
+++ b/scenarios/world/virtualGateway.ts
@@ -7,14 +7,15 @@
 import type { IncomingMessage } from 'node:http'
 import { CallContext, IdentitySequence, Instrumentation, SeededRandom } from '@plumstage/common'
 import type { ActionEvent, VirtualClock } from '@plumstage/common'
-import { CallReader, GatewayCore } from '@plumstage/gateway'
-import type { PeerConfiguration, PeerLink, PeerMessage, UpstreamClients } from '@plumstage/gateway'
+import { CallReader, CallerError, GatewayCore } from '@plumstage/gateway'
+import type { HandedRequest, PeerConfiguration, PeerLink, PeerMessage, UpstreamClients } from '@plumstage/gateway'
 import type { InstanceList } from '@plumstage/platform'
 import type { CallRecord } from './callRecord.js'
 import { RecordedResponse } from './callRecord.js'
 import { ProcessClock } from './processClock.js'
 import type { VirtualKeyValueServer } from './virtualKeyValueService.js'
 
+const WORKSPACE = 'test'
 const MAXIMUM_BODY_BYTES = 1024 * 1024
 const PEER_TIMEOUT_MILLISECONDS = 1000
 const PEER_LATENCY_MILLISECONDS = 1
@@ -50,7 +51,7 @@
     const instrumentation = Instrumentation.create(name, incarnation, this.process)
     instrumentation.addListener(event => surroundings.record(event))
     this._requestIds = IdentitySequence.create('req', incarnation)
-    this.core = GatewayCore.create({ name, deployment: 'scenario', failureDomain: `domain-${(number - 1) % 3 + 1}`, peerAddress: this.peerAddress, peerSeeds: seeds }, {
+    this.core = GatewayCore.create({ name, deployment: 'scenario', failureDomain: `domain-${(number - 1) % 3 + 1}`, peerAddress: this.peerAddress, peerSeeds: seeds, instanceAddress: this.peerAddress }, {
       clock: this.process,
       random: SeededRandom.create(surroundings.seed + number),
       instrumentation,
@@ -89,8 +90,25 @@
     return await this._reach(context, address, target => target.core.peers.answerFetch(knownRevision))
   }
 
+  async handOver (context: CallContext, address: string, requests: readonly HandedRequest[]): Promise<string[]> {
+    return await this._reach(context, address, target => target.core.handovers.receive(requests))
+  }
+
+  async takeRequest (context: CallContext, address: string, requestId: string, workspace: string): Promise<HandedRequest | undefined> {
+    return await this._reach(context, address, target => target.core.handovers.giveUp(requestId, workspace))
+  }
+
+  /** Takes a caller who comes back for the rest of its answer. */
+  async resume (record: CallRecord, lastPosition: number): Promise<void> {
+    const response = RecordedResponse.create(record, () => this.process.now())
+    const found = await this.core.handovers.attach(this.core.context, record.requestId, WORKSPACE, response, lastPosition)
+    if (!found) this.process.deliver(() => response.sendError(CallerError.create('request_not_found', 'No gateway holds the request. Send it again.', { outcome: 'unknown' })))
+  }
+
   forget (): void {}
 
+  close (): void {}
+
   private async _reach<Answer> (context: CallContext, address: string, call: (target: VirtualGateway) => Answer): Promise<Answer> {
     const { clock } = this._surroundings
     const limited = context.createChild(clock.now() + PEER_TIMEOUT_MILLISECONDS)
@@ -100,7 +118,7 @@
         const target = this._surroundings.findGateway(address)
         if (!target || target.process.state === 'dead' || this._surroundings.isCut(this.name, target.name)) return
         target.process.deliver(() => {
-          const value = structuredClone(call(target))
+          const value = call(target)
           if (this._surroundings.isCut(target.name, this.name)) return
           clock.schedule(clock.now() + PEER_LATENCY_MILLISECONDS, () => resolve(value))
         })
--- a/scenarios/world/virtualWorld.ts
+++ b/scenarios/world/virtualWorld.ts
@@ -23,6 +23,7 @@
 const WORKSPACE_TOKEN = 'token-of-the-scenario'
 const WARM_UP_MILLISECONDS = 1500
 const DRAIN_DELAY_MILLISECONDS = 2000
+const POSITION_LINE = /^id: (\d+)$/gm
 const DOMAIN_COUNT = 3
 
 /** Size of the deployment. */
@@ -178,6 +179,29 @@
     gateway.process.deliver(() => void this._stopGracefully(gateway))
   }
 
+  /**
+   * Announces the reclaim of a gateway's own instance and carries it out at its deadline. Callers whose requests have
+   * moved come back through another gateway.
+   */
+  reclaimGateway (gateway: VirtualGateway, noticeMilliseconds: number): void {
+    const deadline = this.clock.now() + noticeMilliseconds
+    this.instances.put({ pool: 'gateways', address: gateway.peerAddress, failureDomain: 'domain-1', instanceClass: 'standard', incarnation: gateway.name, state: 'leaving', deadline })
+    this.clock.schedule(deadline, () => {
+      gateway.process.kill()
+      for (const call of this.evidence.calls) if (call.gateway === gateway.name && call.endedAt === undefined) this._comeBack(call)
+    })
+  }
+
+  /** A caller whose connection was lost asks another gateway for the rest of its answer. */
+  private _comeBack (call: CallRecord): void {
+    const running = this.gateways.filter(gateway => gateway.process.state === 'running' && !gateway.core.stopping)
+    const gateway = running[this._nextCall++ % running.length]
+    if (!gateway || call.requestId === '') return
+    call.gateway = gateway.name
+    const positions = [...call.text.matchAll(POSITION_LINE)].map(match => Number(match[1]))
+    gateway.process.deliver(() => void gateway.resume(call, positions.at(-1) ?? 0))
+  }
+
   killGateway (gateway: VirtualGateway): void {
     this.evidence.unannouncedFailure = true
     gateway.process.kill()
--- a/tests/membership/severalGateways.spec.ts
+++ b/tests/membership/severalGateways.spec.ts
@@ -39,8 +39,8 @@
 
   it('refuse a peer with another token', async () => {
     const { ConnectPeerLink } = await import('@plumstage/gateway')
-    const stranger = ConnectPeerLink.create({ deployment: 'test', token: IdentitySequence.create('wrong', 'token').next() })
-    await assert.rejects(stranger.exchange(CallContext.create(deployment.clock), deployment.gateways[0].peerAddress, { members: [], departures: [] }), /peer token is wrong/)
+    const stranger = ConnectPeerLink.create({ deployment: 'test', token: IdentitySequence.create('wrong', 'token').next() }, deployment.clock)
+    await assert.rejects(stranger.exchange(CallContext.create(deployment.clock), deployment.gateways[0].peerAddress, { members: [], departures: [], suspicions: [] }), /peer token is wrong/)
   })
 
   it('give their configuration to a gateway that starts without the key-value service', async () => {
