Give duties to lease holders; tell what a handed-over request may have run; chaos over real processes

Scenario dutyHolderPaused.

Cause: the new gateway knew only its own attempts. Change: a handed request says whether it may have run, and goes first instead of under its start deadline. Scenario handedOverUnderLoad: red without it.

--- a/packages/gateway/src/attempts/inboundCall.ts
+++ b/packages/gateway/src/attempts/inboundCall.ts
@@ -38,6 +38,8 @@
   promptTokens: number
   prefixBlocks: readonly string[]
   acceptedAt: Timestamp
+  /** What another gateway says that had accepted the call; undefined when this one did. */
+  handedOver?: { mayHaveRun: boolean }
 }
 
 /** Returns when the call must have started. */
@@ -81,6 +83,7 @@
     completion,
     promptTokens: estimateTokens(prompt),
     prefixBlocks: digestPrefixBlocks(prompt),
-    acceptedAt: handed.acceptedAt
+    acceptedAt: handed.acceptedAt,
+    handedOver: { mayHaveRun: handed.mayHaveRun }
   }
 }
--- a/packages/gateway/src/attempts/requestLifecycle.ts
+++ b/packages/gateway/src/attempts/requestLifecycle.ts
@@ -25,6 +25,8 @@
   hasIdempotencyKey: boolean
   abilities: UpstreamAbilities
   answerDeadline: Timestamp
+  /** Set when another gateway had accepted the request: it goes first, and it may have run there. */
+  handedOver?: { mayHaveRun: boolean }
 }
 
 /** Why a request ended without a whole answer. */
@@ -81,6 +83,7 @@
 
   private constructor (request: LifecycleRequest) {
     this._request = request
+    if (request.handedOver?.mayHaveRun) this._outcomes.push('unknown')
   }
 
   static create (request: LifecycleRequest): RequestLifecycle {
@@ -92,8 +95,9 @@
     return this._attemptCount
   }
 
-  get runningAttempt (): string | undefined {
-    return this._phase.kind === 'running' ? this._phase.attempt : undefined
+  /** Whether an upstream may have run any part of the request. */
+  get mayHaveRun (): boolean {
+    return this._outcomes.some(outcome => outcome !== 'not-run')
   }
 
   get runningUpstream (): UpstreamIdentity | undefined {
@@ -132,7 +136,7 @@
   }
 
   private _begin (now: Timestamp): LifecycleAction[] {
-    if (!this.needsClaim) return this._enqueue(false, now)
+    if (!this.needsClaim) return this._enqueue(this._request.handedOver !== undefined, now)
     this._phase = { kind: 'claiming' }
     return [{ kind: 'acquire-claim' }]
   }
--- a/packages/gateway/src/attempts/requestTask.ts
+++ b/packages/gateway/src/attempts/requestTask.ts
@@ -79,7 +79,8 @@
       idempotency: call.route.idempotency,
       hasIdempotencyKey: call.idempotencyKey !== undefined,
       abilities: call.service.abilities,
-      answerDeadline: answerDeadlineOf(call)
+      answerDeadline: answerDeadlineOf(call),
+      handedOver: call.handedOver
     })
     this._deadlineTimer = services.clock.schedule(answerDeadlineOf(call), () => this._tell({ kind: 'deadline-reached', dispatch: this._dispatch }))
   }
@@ -136,7 +137,7 @@
 
   describeHandover (complete: boolean): HandedRequest {
     const { requestId, workspace, route, completion, body, acceptedAt } = this.call
-    return { requestId, workspace: workspace.name, route: route.name, endpoint: completion!.endpoint, body, acceptedAt, position: this._answer.position, events: Buffer.from(this._answer.readEvents()), complete }
+    return { requestId, workspace: workspace.name, route: route.name, endpoint: completion!.endpoint, body, acceptedAt, position: this._answer.position, events: Buffer.from(this._answer.readEvents()), complete, mayHaveRun: this._lifecycle.mayHaveRun }
   }
 
   /** Tells the caller what became of its request after a hand-over. */
--- /dev/null
+++ b/packages/gateway/src/duties/dutyLease.ts
@@ -0,0 +1,76 @@
+/**
+ * Decides whether this gateway holds a duty: work that needs exactly one holder in the deployment.
+ *
+ * A holder that was paused may believe that it still holds the duty. So the deadline of the lease counts from before
+ * the call that renewed it, and the holder acts only until some time before that deadline.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+
+export const LEASE_SECONDS = 10
+
+const LEASE_MILLISECONDS = LEASE_SECONDS * 1000
+const RENEW_MILLISECONDS = 3000
+const RETRY_MILLISECONDS = 2000
+const PAUSE_MARGIN_MILLISECONDS = 2000
+
+/** A duty that is held. */
+export interface HeldDuty {
+  lease: bigint
+  /** Rises with every holder; engines that honour it refuse orders with a lower one. */
+  fencingNumber: number
+  /** When the lease lapses unless it is renewed. */
+  deadline: Timestamp
+}
+
+/** What the duty task is to do. */
+export type DutyAction =
+  | { kind: 'acquire' }
+  | { kind: 'renew', lease: bigint }
+
+/** State of one duty on one gateway. */
+export class DutyLease {
+  private _held: HeldDuty | undefined
+  private _nextCallAt: Timestamp = 0
+
+  static create (): DutyLease {
+    return new DutyLease()
+  }
+
+  /** Returns the duty if this gateway may act on it now. */
+  holdAt (now: Timestamp): HeldDuty | undefined {
+    return this._held && now < this._held.deadline - PAUSE_MARGIN_MILLISECONDS ? this._held : undefined
+  }
+
+  /** Returns when `tick` is to be called next. */
+  get nextCallAt (): Timestamp {
+    return this._nextCallAt
+  }
+
+  /** Returns what is to be done at this time, if anything. */
+  tick (now: Timestamp): DutyAction | undefined {
+    if (now < this._nextCallAt) return undefined
+    this._nextCallAt = now + RETRY_MILLISECONDS
+    if (this._held && now >= this._held.deadline) this._held = undefined
+    return this._held ? { kind: 'renew', lease: this._held.lease } : { kind: 'acquire' }
+  }
+
+  /** The duty was acquired by a call that was begun at `calledAt`. */
+  acquired (lease: bigint, fencingNumber: number, calledAt: Timestamp): void {
+    this._held = { lease, fencingNumber, deadline: calledAt + LEASE_MILLISECONDS }
+    this._nextCallAt = calledAt + RENEW_MILLISECONDS
+  }
+
+  /** The lease was renewed by a call that was begun at `calledAt`. */
+  renewed (lease: bigint, calledAt: Timestamp): void {
+    if (this._held?.lease !== lease) return
+    this._held.deadline = calledAt + LEASE_MILLISECONDS
+    this._nextCallAt = calledAt + RENEW_MILLISECONDS
+  }
+
+  /** The service says that the lease has lapsed. */
+  lapsed (lease: bigint): void {
+    if (this._held?.lease === lease) this._held = undefined
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/duties/dutyTask.ts
@@ -0,0 +1,79 @@
+/**
+ * Keeps the lease of one duty in the key-value service.
+ *
+ * @module
+ */
+import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
+import type { KeyValueService } from '@plumstage/platform'
+import { DutyLease, LEASE_SECONDS } from './dutyLease.js'
+import type { HeldDuty } from './dutyLease.js'
+
+const CALL_TIMEOUT_MILLISECONDS = 2000
+
+/** Owns the lease of one duty. */
+export class DutyTask {
+  private readonly _service: KeyValueService
+  private readonly _key: string
+  private readonly _holder: string
+  private readonly _clock: Clock
+  private readonly _instrumentation: Instrumentation
+  private readonly _lease = DutyLease.create()
+
+  private constructor (service: KeyValueService, key: string, holder: string, clock: Clock, instrumentation: Instrumentation) {
+    this._service = service
+    this._key = key
+    this._holder = holder
+    this._clock = clock
+    this._instrumentation = instrumentation
+  }
+
+  /** `key` is that of the duty in the key-value service; `holder` the name of this gateway. */
+  static create (service: KeyValueService, key: string, holder: string, clock: Clock, instrumentation: Instrumentation): DutyTask {
+    return new DutyTask(service, key, holder, clock, instrumentation)
+  }
+
+  /** Returns the duty if this gateway may act on it now. Ask before every order. */
+  hold (): HeldDuty | undefined {
+    return this._lease.holdAt(this._clock.now())
+  }
+
+  /** Acquires and renews until the context ends. */
+  async run (context: CallContext): Promise<void> {
+    while (!context.cancelled) {
+      const action = this._lease.tick(this._clock.now())
+      if (action) {
+        const call = context.createChild(this._clock.now() + CALL_TIMEOUT_MILLISECONDS)
+        if (action.kind === 'acquire') await this._acquire(call)
+        else await this._renew(call, action.lease)
+        call.finish()
+      }
+      await context.sleepUntil(this._lease.nextCallAt)
+    }
+  }
+
+  private async _acquire (context: CallContext): Promise<void> {
+    const calledAt = this._clock.now()
+    const current = await this._service.get(context, this._key)
+    if (current.isErr() || current.value !== undefined) return
+    const lease = await this._service.grantLease(context, LEASE_SECONDS)
+    if (lease.isErr()) return
+    const written = await this._service.transact(context, {
+      conditions: [{ kind: 'create-revision', key: this._key, revision: 0 }],
+      onSuccess: [{ kind: 'put', key: this._key, value: JSON.stringify({ holder: this._holder }), lease: lease.value.id }],
+      onFailure: []
+    })
+    // A write without an answer is given up: if it took effect, the key goes with its lease.
+    if (written.isErr() || !written.value.succeeded) return void await this._service.revokeLease(context, lease.value.id)
+    this._lease.acquired(lease.value.id, written.value.revision, calledAt)
+    this._instrumentation.emit('duty-acquired', { duty: this._key, fencingNumber: written.value.revision })
+  }
+
+  private async _renew (context: CallContext, lease: bigint): Promise<void> {
+    const calledAt = this._clock.now()
+    const renewed = await this._service.keepLeaseAlive(context, lease)
+    if (renewed.isErr()) return
+    if (renewed.value) return this._lease.renewed(lease, calledAt)
+    this._lease.lapsed(lease)
+    this._instrumentation.emit('duty-lapsed', { duty: this._key })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/duties/engineOrderTask.ts
@@ -0,0 +1,70 @@
+/**
+ * The duty of bringing engines into the condition that their Service record states.
+ *
+ * @module
+ */
+import { getLogger } from '@plumstage/common'
+import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
+import type { Configuration, ServiceRecord } from '@plumstage/records'
+import type { Upstream } from '../upstreams/upstream.js'
+import type { UpstreamTable } from '../upstreams/upstreamTable.js'
+import type { DutyTask } from './dutyTask.js'
+import type { EngineOrders } from './engineOrders.js'
+
+const ROUND_MILLISECONDS = 2000
+const CALL_TIMEOUT_MILLISECONDS = 1000
+
+/** What the task shares with the rest of the gateway. */
+export interface EngineOrderServices {
+  clock: Clock
+  instrumentation: Instrumentation
+  duty: DutyTask
+  orders: EngineOrders
+  table: UpstreamTable
+  configuration (): Configuration
+}
+
+/** Compares conditions and orders what differs, round by round, while this gateway holds the duty. */
+export class EngineOrderTask {
+  private readonly _services: EngineOrderServices
+  private readonly _log = getLogger('duties')
+
+  private constructor (services: EngineOrderServices) {
+    this._services = services
+  }
+
+  static create (services: EngineOrderServices): EngineOrderTask {
+    return new EngineOrderTask(services)
+  }
+
+  async run (context: CallContext): Promise<void> {
+    while (!context.cancelled) {
+      if (this._services.duty.hold()) await this._reconcileAll(context)
+      await context.sleepUntil(this._services.clock.now() + ROUND_MILLISECONDS)
+    }
+  }
+
+  private async _reconcileAll (context: CallContext): Promise<void> {
+    const work: Array<Promise<void>> = []
+    for (const service of this._services.configuration().services.values()) {
+      if (!service.orders) continue
+      const live = this._services.table.listOfService(service.name).filter(upstream => upstream.state === 'live')
+      work.push(...live.map(async upstream => await this._reconcile(context, service, upstream)))
+    }
+    await Promise.all(work)
+  }
+
+  private async _reconcile (context: CallContext, service: ServiceRecord, upstream: Upstream): Promise<void> {
+    const { clock, duty, orders, instrumentation } = this._services
+    const call = context.createChild(clock.now() + CALL_TIMEOUT_MILLISECONDS)
+    const condition = await orders.readCondition(call, upstream.address)
+    const wanted = this._services.configuration().services.get(service.name)?.orders
+    const held = duty.hold()
+    if (condition.isOk() && wanted && held && condition.value.adapter !== wanted.adapter) {
+      instrumentation.emit('order-sent', { upstream: upstream.address, adapter: wanted.adapter, fencingNumber: held.fencingNumber })
+      const result = await orders.order(call, upstream.address, wanted, held.fencingNumber)
+      if (result.isErr()) this._log.warn(result.error.message)
+    }
+    call.finish()
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { CallerServer } from './callers/callerServer.js'
 import { GatewayCore } from './gatewayCore.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import { HttpEngineOrders } from './duties/engineOrders.js'
 import { Listener } from './listener.js'
 import { ConnectPeerLink, registerPeerHandlers } from './membership/peerConnectLink.js'
 import type { PeerIdentity } from './membership/peerConnectLink.js'
@@ -59,6 +60,7 @@
       ...platform,
       random: SeededRandom.create(Math.floor(Math.random() * RANDOM_SEED_LIMIT)),
       clients: PooledUpstreamClients.create(),
+      engineOrders: HttpEngineOrders.create(),
       peerLink: ConnectPeerLink.create(this._peerIdentity, platform.clock)
     })
   }
--- a/packages/gateway/src/gatewayCore.ts
+++ b/packages/gateway/src/gatewayCore.ts
@@ -24,6 +24,9 @@
 import type { PeerLink } from './membership/peerLink.js'
 import { PeerTask } from './membership/peerTask.js'
 import type { GatewayStatus } from './operators/gatewayStatus.js'
+import { DutyTask } from './duties/dutyTask.js'
+import { EngineOrderTask } from './duties/engineOrderTask.js'
+import type { EngineOrders } from './duties/engineOrders.js'
 import { HandoverTask } from './recovery/handoverTask.js'
 import { QuarantineTable } from './recovery/quarantineTable.js'
 import { ReclaimTask } from './recovery/reclaimTask.js'
@@ -59,6 +62,7 @@
   instanceList?: InstanceList
   clients: UpstreamClients
   peerLink: PeerLink
+  engineOrders: EngineOrders
 }
 
 /** The working parts of a gateway. */
@@ -77,6 +81,7 @@
   private readonly _dispatch: DispatchTask
   private readonly _claims: KeyValueClaimRegistry
   private readonly _reclaims: ReclaimTask
+  private readonly _orderDuty: DutyTask
   private readonly _requestServices: RequestServices
   private readonly _instanceAddress: string | undefined
   private _stopping = false
@@ -91,6 +96,7 @@
     this.configuration = ConfigurationTask.create(keyValueService, keySpace, clock, ConfigurationState.create(), instrumentation)
     this._dispatch = DispatchTask.create(Dispatcher.create(identity.name, this.table, this.router, this._prefixIndex, this.configuration.state.configuration), clock)
     this._claims = KeyValueClaimRegistry.create(keyValueService, keySpace, clock, identity.name, IdentitySequence.create('claim', instrumentation.incarnation), instrumentation)
+    this._orderDuty = DutyTask.create(keyValueService, keySpace.dutyKey('engine-orders'), identity.name, clock, instrumentation)
     this._reclaims = ReclaimTask.create(this.requests, clock, instrumentation)
     this.membership = MembershipTable.create({
       name: identity.name,
@@ -167,10 +173,18 @@
     void this.configuration.run(this.context)
     void this.peers.run(this.context)
     if (instanceList) void InstanceListTask.create(instanceList, clock, instances => this._applyInstances(instances)).run(this.context)
+    this._runDuties()
     const { name, failureDomain } = this.membership.self
     instrumentation.emit('gateway-started', { name, failureDomain })
   }
 
+  private _runDuties (): void {
+    const { clock, instrumentation, engineOrders } = this._environment
+    const configuration = (): Configuration => this.configuration.state.configuration
+    void this._orderDuty.run(this.context)
+    void EngineOrderTask.create({ clock, instrumentation, duty: this._orderDuty, orders: engineOrders, table: this.table, configuration }).run(this.context)
+  }
+
   /** Takes a checked call into service. */
   accept (call: InboundCall, response: CallerResponse, answer: StreamedAnswer = StreamedAnswer.create()): RequestTask {
     const task = RequestTask.create(this._requestServices, call, response, answer, ended => this.requests.remove(ended))
--- a/packages/gateway/src/membership/peerConversion.ts
+++ b/packages/gateway/src/membership/peerConversion.ts
@@ -88,6 +88,7 @@
     acceptedAt: Number(message.acceptedAt),
     position: message.position,
     events: Buffer.from(message.events),
-    complete: message.complete
+    complete: message.complete,
+    mayHaveRun: message.mayHaveRun
   }
 }
--- a/packages/gateway/src/recovery/handedRequest.ts
+++ b/packages/gateway/src/recovery/handedRequest.ts
@@ -19,6 +19,8 @@
   position: number
   /** The events up to that token. */
   events: Buffer
+  /** Whether an upstream may have run it already. */
+  mayHaveRun: boolean
   /** Whether the answer is whole and only has to be picked up. */
   complete: boolean
 }
--- a/packages/records/src/model.ts
+++ b/packages/records/src/model.ts
@@ -55,6 +55,8 @@
   weights: ScoreWeights
   /** Price of one instance hour by instance class; classes that are not listed cost nothing. */
   prices: Readonly<Record<string, number>>
+  /** What the engines are to have loaded; undefined when they are not ordered to. */
+  orders?: { adapter: string }
   /** Addresses of upstreams that get no new work. */
   drainedUpstreams: readonly string[]
 }
--- a/packages/records/src/schemaV1.ts
+++ b/packages/records/src/schemaV1.ts
@@ -51,6 +51,7 @@
   prefillTokensPerSecond: positiveInteger.default(DEFAULT_PREFILL_TOKENS_PER_SECOND),
   weights: weightsSchema.prefault({}),
   prices: z.record(z.string(), z.number().min(0)).default({}),
+  orders: z.strictObject({ adapter: z.string().min(1) }).optional(),
   drainedUpstreams: z.array(addressSchema).default([])
 }).refine(spec => spec.upstreams.length > 0 || spec.pool !== undefined, 'names no upstreams; list them under upstreams or name a pool of the instance list')
   .refine(spec => spec.type === 'plain' || spec.models.length > 0, 'names no models; list the models that the engines answer to under models')
--- a/packages/standins/src/bin/standinsMain.ts
+++ b/packages/standins/src/bin/standinsMain.ts
@@ -15,6 +15,7 @@
 import { InstanceListStandin } from '../instances/instanceListStandin.js'
 import { keyValueFaultsSchema } from '../keyValue/keyValueFaults.js'
 import { KeyValueStandin } from '../keyValue/keyValueStandin.js'
+import { RunLog } from '../runLog.js'
 import { PlainServiceStandin } from '../plain/plainServiceStandin.js'
 
 const clock = SystemClock.create()
@@ -33,6 +34,11 @@
   stepMilliseconds: string
   maximumRunning: string
   prefillTokensPerSecond: string
+  runLog?: string
+}
+
+interface PlainCommandOptions extends ListenOptions {
+  runLog?: string
 }
 
 function parseListen (text: string): ListenAddress {
@@ -64,13 +70,18 @@
     models: options.model.split(','),
     stepMilliseconds: Number(options.stepMilliseconds),
     maximumRunning: Number(options.maximumRunning),
-    prefillTokensPerSecond: Number(options.prefillTokensPerSecond)
+    prefillTokensPerSecond: Number(options.prefillTokensPerSecond),
+    runLog: createRunLog(options.runLog)
   }, () => process.exit(1))
   log.info(`The engine listens on ${engine.address}.`)
 }
 
-async function runPlain (options: ListenOptions): Promise<void> {
-  const service = await PlainServiceStandin.create(clock, parseListen(options.listen))
+function createRunLog (file: string | undefined): RunLog | undefined {
+  return file === undefined ? undefined : RunLog.create(file)
+}
+
+async function runPlain (options: PlainCommandOptions): Promise<void> {
+  const service = await PlainServiceStandin.create(clock, parseListen(options.listen), createRunLog(options.runLog))
   log.info(`The plain service listens on ${service.address}.`)
 }
 
@@ -88,8 +99,9 @@
   .option(LISTEN_OPTION, LISTEN_HELP, '127.0.0.1:9000').option('--model <names>', 'model names, separated by commas', DEFAULT_ENGINE_OPTIONS.models.join(','))
   .option('--step-milliseconds <number>', 'time between two tokens', String(DEFAULT_ENGINE_OPTIONS.stepMilliseconds))
   .option('--maximum-running <number>', 'sequences at the same time', String(DEFAULT_ENGINE_OPTIONS.maximumRunning))
-  .option('--prefill-tokens-per-second <number>', 'prompt tokens a second', String(DEFAULT_ENGINE_OPTIONS.prefillTokensPerSecond)).action(runEngine)
-program.command('plain').description('plain service that answers every call').option(LISTEN_OPTION, LISTEN_HELP, '127.0.0.1:9100').action(runPlain)
+  .option('--prefill-tokens-per-second <number>', 'prompt tokens a second', String(DEFAULT_ENGINE_OPTIONS.prefillTokensPerSecond))
+  .option('--run-log <file>', 'record every run in this file').action(runEngine)
+program.command('plain').description('plain service that answers every call').option(LISTEN_OPTION, LISTEN_HELP, '127.0.0.1:9100').option('--run-log <file>', 'record every run in this file').action(runPlain)
 program.command('instance-list').description('instance list with reclaim notices').option(LISTEN_OPTION, LISTEN_HELP, '127.0.0.1:7000').action(runInstanceList)
 
 setLogLevel('info')
--- a/packages/standins/src/engine/engineSequence.ts
+++ b/packages/standins/src/engine/engineSequence.ts
@@ -17,6 +17,8 @@
   stream: boolean
   priority: number
   prompt: string
+  /** The text of the first message, or the prompt. */
+  content: string
   promptTokens: number
   /** Position after which the answer goes on; 0 for a new answer. */
   startPosition: number
--- a/packages/standins/src/engine/engineStandin.ts
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -23,6 +23,7 @@
 import type { EngineRequest } from './engineSequence.js'
 import { engineFaultsSchema } from './engineFaults.js'
 import type { EngineFaultSettings } from './engineFaults.js'
+import type { RunLog } from '../runLog.js'
 import { PrefixCache } from './prefixCache.js'
 import { TokenSource } from './tokenSource.js'
 
@@ -38,6 +39,10 @@
   maximumRunning: number
   prefillTokensPerSecond: number
   cacheBlocks: number
+  /** Whether orders with a fencing number lower than the last one are refused. */
+  honoursFencing: boolean
+  /** Where runs are recorded beyond the life of the process. */
+  runLog?: RunLog
 }
 
 export const DEFAULT_ENGINE_OPTIONS: EngineOptions = {
@@ -45,7 +50,8 @@
   stepMilliseconds: 10,
   maximumRunning: 16,
   prefillTokensPerSecond: 8000,
-  cacheBlocks: 2048
+  cacheBlocks: 2048,
+  honoursFencing: true
 }
 
 const completionSchema = z.object({
@@ -58,6 +64,8 @@
   continue_from: z.object({ position: z.int().min(0), text: z.string() }).optional()
 })
 
+const orderSchema = z.object({ adapter: z.string(), fencingNumber: z.number() })
+
 type EngineContext = Context<{ Bindings: HttpBindings }>
 
 /** A running engine stand-in. */
@@ -65,6 +73,8 @@
   readonly counts: EngineCounts = { started: 0, generatedTokens: 0, prefilledTokens: 0, recomputedTokens: 0, cancelled: 0 }
   /** Request ids in the order in which their sequences were started. */
   readonly startedRequests: string[] = []
+  /** The last order that was taken. */
+  orders = { adapter: '', fencingNumber: 0 }
   faults: EngineFaultSettings = engineFaultsSchema.parse({})
   private readonly _clock: Clock
   private readonly _options: EngineOptions
@@ -109,6 +119,8 @@
     routes.post('/v1/chat/completions', async context => await this._complete(context, 'chat'))
     routes.post('/v1/completions', async context => await this._complete(context, 'text'))
     routes.get('/v1/models', context => context.json({ object: 'list', data: this._options.models.map(id => ({ id, object: 'model' })) }))
+    routes.get('/orders', context => context.json({ adapter: this.orders.adapter }))
+    routes.post('/orders', async context => this._takeOrder(context, orderSchema.parse(await context.req.json())))
     routes.get('/load', context => context.json({ running: this._scheduler.runningCount, waiting: this._scheduler.waitingCount, maximumRunning: this._options.maximumRunning }))
     routes.get('/cache-events', context => context.json({ events: this._cache.eventsAfter(Number(context.req.query('after') ?? 0)) }))
     routes.get('/standin/counts', context => context.json({ ...this.counts, startedRequests: this.startedRequests }))
@@ -119,6 +131,12 @@
     return routes
   }
 
+  private _takeOrder (context: EngineContext, order: z.infer<typeof orderSchema>): Response {
+    if (this._options.honoursFencing && order.fencingNumber < this.orders.fencingNumber) return refuse(context, 409, 'old_fencing_number', 'an order with a higher fencing number was taken')
+    this.orders = order
+    return context.json({})
+  }
+
   private async _complete (context: EngineContext, endpoint: CompletionEndpoint): Promise<Response> {
     const parsed = completionSchema.safeParse(await context.req.json().catch(() => undefined))
     if (!parsed.success) return refuse(context, 400, 'invalid_request_error', 'the body is not a completion request')
@@ -144,6 +162,7 @@
       stream: body.stream,
       priority: body.priority,
       prompt,
+      content: String(body.messages?.[0]?.content ?? body.prompt ?? ''),
       promptTokens: estimateTokens(prompt),
       startPosition: position,
       answerTokens: body.max_tokens
@@ -153,6 +172,7 @@
   private _start (response: ServerResponse, request: EngineRequest, source: TokenSource): void {
     this.counts.started++
     this.startedRequests.push(request.requestId)
+    this._options.runLog?.append({ upstream: this.address, content: request.content, requestId: request.requestId, startedAt: this._clock.now(), position: request.startPosition })
     if (this.faults.frozen) return
     const cachedTokens = this._cache.use(digestPrefixBlocks(request.prompt))
     const sequence = EngineSequence.create(request, source, response, this, cachedTokens)
--- a/packages/standins/src/plain/plainServiceStandin.ts
+++ b/packages/standins/src/plain/plainServiceStandin.ts
@@ -13,6 +13,7 @@
 import type { Clock } from '@plumstage/common'
 import { HttpListener } from '../http/httpListener.js'
 import type { ListenAddress } from '../http/httpListener.js'
+import type { RunLog } from '../runLog.js'
 
 export const plainServiceFaultsSchema = z.strictObject({
   /** Holds every answer back for this long after the call has run. */
@@ -35,14 +36,16 @@
   readonly runs = new Map<string, number>()
   faults: PlainServiceFaultSettings = plainServiceFaultsSchema.parse({})
   private readonly _clock: Clock
+  private readonly _runLog: RunLog | undefined
   private _listener: HttpListener | undefined
 
-  private constructor (clock: Clock) {
+  private constructor (clock: Clock, runLog: RunLog | undefined) {
     this._clock = clock
+    this._runLog = runLog
   }
 
-  static async create (clock: Clock, listen: ListenAddress): Promise<PlainServiceStandin> {
-    const service = new PlainServiceStandin(clock)
+  static async create (clock: Clock, listen: ListenAddress, runLog?: RunLog): Promise<PlainServiceStandin> {
+    const service = new PlainServiceStandin(clock, runLog)
     const server = createAdaptorServer({ fetch: service._createRoutes().fetch }) as Server
     service._listener = await HttpListener.create(server, listen)
     return service
@@ -80,10 +83,11 @@
     const call = `${context.req.method} ${path} ${body}`
     const run = (this.runs.get(call) ?? 0) + 1
     this.runs.set(call, run)
+    this._runLog?.append({ upstream: this.address, content: body, requestId: context.req.header('x-request-id') ?? '', startedAt: this._clock.now(), position: 0 })
     if (this.faults.delayMilliseconds > 0) await this._delay()
     if (this.faults.cutAfterRun) return this._cut(context)
     if (this.faults.halfAnswer) return this._answerHalf(context)
-    return context.json({ path, method: context.req.method, run, body })
+    return context.json({ path, method: context.req.method, run, content: body })
   }
 
   private async _delay (): Promise<void> {
--- a/scenarios/checker/promiseChecker.ts
+++ b/scenarios/checker/promiseChecker.ts
@@ -127,7 +127,7 @@
 
 function checkLeaving (evidence: Evidence): Violation[] {
   return evidence.reclaims.flatMap(reclaim => evidence.runs
-    .filter(run => run.upstream === reclaim.address && run.startedAt > reclaim.announcedAt + LEAVING_WORK_MILLISECONDS)
+    .filter(run => run.upstream === reclaim.address && run.startedAt > reclaim.announcedAt + LEAVING_WORK_MILLISECONDS && run.startedAt < (reclaim.endedAt ?? Infinity))
     .map(run => ({ promise: 'leaving-gets-no-work' as const, requestId: run.requestId, detail: `${reclaim.address} got work ${run.startedAt - reclaim.announcedAt} ms after its notice` })))
 }
 
--- a/scenarios/runner/expectations.ts
+++ b/scenarios/runner/expectations.ts
@@ -34,6 +34,11 @@
       return count >= expectation.atLeast ? undefined : `${expectation.kind} happened ${count} times, not ${expectation.atLeast}`
     }
     case 'in-force-within': return checkInForce(world, expectation.milliseconds)
+    case 'adapter': {
+      const wrong = world.upstreams.filter(upstream => upstream.alive && upstream.kind === 'engine' && upstream.orders.adapter !== expectation.is)
+      return wrong.length === 0 ? undefined : `${wrong.map(upstream => `${upstream.address} has ${upstream.orders.adapter}`).join(', ')}`
+    }
+    case 'orders-only-from-holders': return findStaleOrder(world)
     case 'same-answer': {
       const texts = new Set(expectation.labels.flatMap(label => callsOf(world, label)).map(call => call.text))
       return texts.size === 1 ? undefined : `${expectation.labels.join(', ')}: there are ${texts.size} different answers`
@@ -46,6 +51,17 @@
   }
 }
 
+/** An order must not be sent with a lower fencing number than one that was handed out before. */
+function findStaleOrder (world: VirtualWorld): string | undefined {
+  let highest = 0
+  for (const event of world.evidence.events) {
+    const fencingNumber = Number(event.attributes?.fencingNumber)
+    if (event.kind === 'duty-acquired') highest = Math.max(highest, fencingNumber)
+    if (event.kind === 'order-sent' && fencingNumber < highest) return `${event.process} sent an order with fencing number ${fencingNumber} after ${highest} was handed out`
+  }
+  return undefined
+}
+
 function callsOf (world: VirtualWorld, label: string): CallRecord[] {
   const calls = world.evidence.calls.filter(call => call.label === label)
   if (calls.length === 0) throw new Error(`no call has the label ${label}`)
--- a/scenarios/runner/scenarioRunner.ts
+++ b/scenarios/runner/scenarioRunner.ts
@@ -58,6 +58,8 @@
       case 'kill-upstream': return this._killUpstream(this._upstream(action.upstream))
       case 'add-upstream': return void world.addUpstream(action.kind)
       case 'fault-upstream': return this._faultUpstream(this._upstream(action.upstream), action.faults)
+      case 'fencing': this._upstream(action.upstream).honoursFencing = action.honoured; return
+      case 'pause-duty-holder': return this._pauseDutyHolder(action.milliseconds)
       case 'lag-instance-list': world.instances.lagMilliseconds = action.milliseconds; return
       case 'stop-gateway': return world.stopGateway(this._gateway(action.gateway))
       case 'reclaim-gateway': return world.reclaimGateway(this._gateway(action.gateway), action.noticeMilliseconds)
@@ -77,6 +79,16 @@
     for (const upstream of chosen) if (upstream.alive) this._world.reclaimUpstream(upstream, action.noticeMilliseconds)
   }
 
+  /** Pauses the gateway that acquired the duty last. */
+  private _pauseDutyHolder (milliseconds: number): void {
+    const acquired = this._world.evidence.events.findLast(event => event.kind === 'duty-acquired')
+    const holder = this._world.gateways.find(gateway => gateway.name === acquired?.process)
+    if (!holder) throw new Error('no gateway holds the duty')
+    this._world.evidence.unannouncedFailure = true
+    holder.process.pause()
+    this._world.clock.schedule(this._world.clock.now() + milliseconds, () => holder.process.resume())
+  }
+
   private _killUpstream (upstream: VirtualUpstream): void {
     this._world.evidence.unannouncedFailure = true
     upstream.kill()
--- a/scenarios/runner/scenarioSchema.ts
+++ b/scenarios/runner/scenarioSchema.ts
@@ -33,6 +33,8 @@
   z.strictObject({ at, do: z.literal('kill-upstream'), upstream: z.int() }),
   z.strictObject({ at, do: z.literal('add-upstream'), kind: z.enum(['engine', 'plain']) }),
   z.strictObject({ at, do: z.literal('fault-upstream'), upstream: z.int(), faults: upstreamFaultsSchema }),
+  z.strictObject({ at, do: z.literal('fencing'), upstream: z.int(), honoured: z.boolean() }),
+  z.strictObject({ at, do: z.literal('pause-duty-holder'), milliseconds: z.int() }),
   z.strictObject({ at, do: z.literal('lag-instance-list'), milliseconds: z.int().min(0) }),
   z.strictObject({ at, do: z.literal('stop-gateway'), gateway: z.int() }),
   z.strictObject({ at, do: z.literal('reclaim-gateway'), gateway: z.int(), noticeMilliseconds: z.int().default(3000) }),
@@ -57,6 +59,8 @@
   z.strictObject({ expect: z.literal('retry-after'), label: z.string() }),
   z.strictObject({ expect: z.literal('event'), kind: z.string(), atLeast: z.int().default(1) }),
   z.strictObject({ expect: z.literal('in-force-within'), milliseconds: z.int() }),
+  z.strictObject({ expect: z.literal('adapter'), is: z.string() }),
+  z.strictObject({ expect: z.literal('orders-only-from-holders') }),
   z.strictObject({ expect: z.literal('same-answer'), labels: z.array(z.string()) }),
   z.strictObject({ expect: z.literal('members'), gateway: z.int(), present: z.int() })
 ])
--- a/scenarios/world/virtualGateway.ts
+++ b/scenarios/world/virtualGateway.ts
@@ -8,7 +8,7 @@
 import { CallContext, IdentitySequence, Instrumentation, SeededRandom } from '@plumstage/common'
 import type { ActionEvent, VirtualClock } from '@plumstage/common'
 import { CallReader, CallerError, GatewayCore } from '@plumstage/gateway'
-import type { HandedRequest, PeerConfiguration, PeerLink, PeerMessage, UpstreamClients } from '@plumstage/gateway'
+import type { EngineOrders, HandedRequest, PeerConfiguration, PeerLink, PeerMessage, UpstreamClients } from '@plumstage/gateway'
 import type { InstanceList } from '@plumstage/platform'
 import type { CallRecord } from './callRecord.js'
 import { RecordedResponse } from './callRecord.js'
@@ -27,6 +27,7 @@
   keyValue: VirtualKeyValueServer
   instanceList (process: ProcessClock): InstanceList
   clients (process: ProcessClock): UpstreamClients
+  engineOrders (process: ProcessClock): EngineOrders
   findGateway (peerAddress: string): VirtualGateway | undefined
   isCut (from: string, to: string): boolean
   record (event: ActionEvent): void
@@ -58,6 +59,7 @@
       keyValueService: surroundings.keyValue.connect(this.process),
       instanceList: surroundings.instanceList(this.process),
       clients: surroundings.clients(this.process),
+      engineOrders: surroundings.engineOrders(this.process),
       peerLink: this
     })
     this._reader = CallReader.create({ clock: this.process, maximumBodyBytes: MAXIMUM_BODY_BYTES, configuration: () => this.core.configuration.state.configuration })
--- a/scenarios/world/virtualKeyValueService.ts
+++ b/scenarios/world/virtualKeyValueService.ts
@@ -65,7 +65,13 @@
     return { succeeded, revision, entries }
   }
 
+  read (key: string): KeyValueEntry | undefined {
+    this.store.expireLeases(this.clock.now())
+    return this.store.read({ key }).map(toEntry)[0]
+  }
+
   list (prefix: string): KeyValueSnapshot {
+    this.store.expireLeases(this.clock.now())
     return { revision: this.store.revision, entries: this.store.read({ key: prefix, rangeEnd: prefix + PREFIX_END }).map(toEntry) }
   }
 
@@ -99,7 +105,7 @@
   }
 
   async get (context: CallContext, key: string): Promise<Result<KeyValueEntry | undefined, KeyValueError>> {
-    return await this._call(context, 'read', () => this._server.store.read({ key }).map(toEntry)[0])
+    return await this._call(context, 'read', () => this._server.read(key))
   }
 
   async list (context: CallContext, prefix: string): Promise<Result<KeyValueSnapshot, KeyValueError>> {
--- a/scenarios/world/virtualUpstream.ts
+++ b/scenarios/world/virtualUpstream.ts
@@ -5,8 +5,9 @@
  */
 import type { Dispatcher as HttpClient } from 'undici'
 import { renderChat } from '@plumstage/common'
-import type { Timestamp, VirtualClock } from '@plumstage/common'
+import type { VirtualClock } from '@plumstage/common'
 import { CompletionFormat, TokenSource } from '@plumstage/standins'
+import type { UpstreamRun } from '@plumstage/standins'
 
 const CONNECT_MILLISECONDS = 1
 const TOKEN_MILLISECONDS = 20
@@ -15,17 +16,6 @@
 /** What a simulated upstream serves. */
 export type UpstreamKind = 'engine' | 'plain'
 
-/** One run of one call on one upstream. */
-export interface UpstreamRun {
-  upstream: string
-  /** What the call asked for: the chat's text, or the body of a plain call. */
-  content: string
-  requestId: string
-  startedAt: Timestamp
-  /** Position after which the run continued an answer. */
-  position: number
-}
-
 /** What an upstream does wrong. */
 export interface UpstreamFaults {
   frozen?: boolean
@@ -60,6 +50,9 @@
   readonly failureDomain: string
   readonly incarnation: string
   faults: UpstreamFaults = {}
+  /** The last order that was taken. */
+  orders = { adapter: '', fencingNumber: 0 }
+  honoursFencing = true
   alive = true
   private readonly _clock: VirtualClock
   private readonly _runs: UpstreamRun[]
@@ -85,6 +78,13 @@
     for (const connection of [...this._connections]) this._fail(connection, 'other side closed')
   }
 
+  /** Takes an order; false when it is refused. */
+  takeOrder (adapter: string, fencingNumber: number): boolean {
+    if (this.honoursFencing && fencingNumber < this.orders.fencingNumber) return false
+    this.orders = { adapter, fencingNumber }
+    return true
+  }
+
   /** Takes a call, as the HTTP library would dispatch it. `deliver` reaches the calling process. */
   dispatch (options: HttpClient.DispatchOptions, handler: HttpClient.DispatchHandler, deliver: (callback: () => void) => void): void {
     const connection: Connection = { handler: relayTo(handler, deliver), aborted: false, ended: false }
--- a/scenarios/world/virtualWorld.ts
+++ b/scenarios/world/virtualWorld.ts
@@ -5,23 +5,25 @@
  * @module
  */
 import { createHash } from 'node:crypto'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import { VirtualClock, setLogLevel } from '@plumstage/common'
 import type { ActionEvent, Timestamp } from '@plumstage/common'
-import type { UpstreamClients } from '@plumstage/gateway'
+import type { EngineOrders, UpstreamClients } from '@plumstage/gateway'
 import { KeySpace } from '@plumstage/platform'
 import { readRecordFile } from '@plumstage/records'
 import { InstanceListState } from '@plumstage/standins'
+import type { UpstreamRun } from '@plumstage/standins'
 import type { CallKind, CallRecord } from './callRecord.js'
 import type { ProcessClock } from './processClock.js'
 import { VirtualGateway } from './virtualGateway.js'
 import { VirtualKeyValueServer } from './virtualKeyValueService.js'
 import { VirtualUpstream } from './virtualUpstream.js'
-import type { UpstreamKind, UpstreamRun } from './virtualUpstream.js'
+import type { UpstreamKind } from './virtualUpstream.js'
 
 const START: Timestamp = 1_700_000_000_000
 const WORKSPACE_TOKEN = 'token-of-the-scenario'
 const WARM_UP_MILLISECONDS = 1500
+const ORDER_MILLISECONDS = 5
 const DRAIN_DELAY_MILLISECONDS = 2000
 const POSITION_LINE = /^id: (\d+)$/gm
 const DOMAIN_COUNT = 3
@@ -67,6 +69,8 @@
   incarnation: string
   announcedAt: Timestamp
   deadline: Timestamp
+  /** When the address was given to another upstream; undefined when it was not. */
+  endedAt?: Timestamp
 }
 
 /** Everything that happened, for the checker. */
@@ -140,6 +144,7 @@
       keyValue: this.keyValue,
       instanceList: process => ({ list: async () => await process.receive(Promise.resolve(ok([...this.instances.visible]))) }),
       clients: process => this._createClients(process),
+      engineOrders: process => this._createEngineOrders(process),
       findGateway: address => this.gateways.find(candidate => candidate.peerAddress === address),
       isCut: (from, to) => this._cuts.has(`${from} ${to}`),
       record: event => this.evidence.events.push(event)
@@ -196,7 +201,10 @@
   private _comeBack (call: CallRecord): void {
     const running = this.gateways.filter(gateway => gateway.process.state === 'running' && !gateway.core.stopping)
     const gateway = running[this._nextCall++ % running.length]
-    if (!gateway || call.requestId === '') return
+    if (!gateway || call.requestId === '') {
+      call.endedAt = this.clock.now()
+      return
+    }
     call.gateway = gateway.name
     const positions = [...call.text.matchAll(POSITION_LINE)].map(match => Number(match[1]))
     gateway.process.deliver(() => void gateway.resume(call, positions.at(-1) ?? 0))
@@ -245,6 +253,21 @@
     gateway.process.deliver(() => void gateway.receive(record, headers, formatBody(record)))
   }
 
+  /** Orders take some time on their way, also when their sender is paused meanwhile. */
+  private _createEngineOrders (process: ProcessClock): EngineOrders {
+    const reach = async <Value> (address: string, action: (upstream: VirtualUpstream) => Value): Promise<Value> => await process.receive(new Promise<Value>((resolve, reject) => {
+      this.clock.schedule(this.clock.now() + ORDER_MILLISECONDS, () => {
+        const upstream = this.upstreams.find(candidate => candidate.address === address)
+        if (upstream?.alive) resolve(action(upstream))
+        else reject(new Error('the engine is gone'))
+      })
+    }))
+    return {
+      readCondition: async (_context, address) => await reach(address, upstream => ok({ adapter: upstream.orders.adapter })).catch(error => err(error)),
+      order: async (_context, address, condition, fencingNumber) => await reach(address, upstream => upstream.takeOrder(condition.adapter, fencingNumber) ? ok(undefined) : err(new Error('old fencing number'))).catch(error => err(error))
+    }
+  }
+
   private _createClients (process: ProcessClock): UpstreamClients {
     const dispatch = (address: string): UpstreamClients['clientOf'] extends (...parameters: never[]) => infer Client ? Client : never => ({
       dispatch: (options: never, handler: never) => {
--- a/tests/promises/mechanisms.spec.ts
+++ b/tests/promises/mechanisms.spec.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { ConfigurationState, Dispatcher, EventScanner, FairQueue, GatewayCore, KeyValueClaimRegistry, MembershipTable, RequestLifecycle, UpstreamAttempt, UpstreamTable } from '@plumstage/gateway'
+import { ConfigurationState, Dispatcher, DutyLease, HandoverTask, QuarantineTable, EventScanner, FairQueue, GatewayCore, KeyValueClaimRegistry, MembershipTable, RequestLifecycle, UpstreamAttempt, UpstreamTable } from '@plumstage/gateway'
 import { readScenario } from '../../scenarios/runner/scenarioFiles.js'
 import { runScenario } from '../../scenarios/runner/scenarioRunner.js'
 
@@ -28,6 +28,26 @@
   return 'expected'
 }
 
+const holdRequest = (HandoverTask.prototype as any)._hold
+
+/** Takes a request over as if it were new. */
+function holdWithoutHistory (this: any, handed: any): boolean {
+  const accept = this._services.accept
+  this._services.accept = (call: any, response: any, answer: any) => accept({ ...call, handedOver: undefined }, response, answer)
+  try {
+    return holdRequest.call(this, handed)
+  } finally {
+    this._services.accept = accept
+  }
+}
+
+/** Goes on believing in a lease until the service says otherwise. */
+function tickWithoutDeadline (this: any, now: number): object | undefined {
+  if (now < this._nextCallAt) return undefined
+  this._nextCallAt = now + 2000
+  return this._held ? { kind: 'renew', lease: this._held.lease } : { kind: 'acquire' }
+}
+
 const SWITCHED_OFF: readonly SwitchedOff[] = [
   { mechanism: 'noticing reclaims', scenario: 'laggingInstanceList', finds: 'leaving-gets-no-work', replacements: [{ owner: UpstreamTable, method: 'applyDeparture', replacement: () => [] }] },
   { mechanism: 'retrying what may be repeated', scenario: 'upstreamDies', finds: 'streams: outcomes', replacements: [{ owner: RequestLifecycle, method: '_mayTryAgain', replacement: () => false }] },
@@ -48,6 +68,9 @@
   },
   { mechanism: 'refusing an older configuration', scenario: 'storeRestored', finds: 'configuration-', replacements: [{ owner: ConfigurationState, method: '_findReversion', replacement: () => undefined }] },
   { mechanism: 'rejoining after being called dead', scenario: 'pausedMember', finds: 'gateway-1 knows', replacements: [{ owner: MembershipTable, method: '_answerAboutSelf', replacement: () => [] }] },
+  { mechanism: 'telling a peer what may have run', scenario: 'handedOverUnderLoad', finds: 'not-run-is-true', replacements: [{ owner: HandoverTask, method: '_hold', replacement: holdWithoutHistory }] },
+  { mechanism: 'quarantine', scenario: 'crashingRequest', finds: 'crash everything ran', replacements: [{ owner: QuarantineTable, method: 'stateOf', replacement: () => 'clear' }] },
+  { mechanism: 'the deadline of a duty', scenario: 'dutyHolderPaused', finds: 'gateway-', replacements: [{ owner: DutyLease, method: 'holdAt', replacement: function () { return this._held } }, { owner: DutyLease, method: 'tick', replacement: tickWithoutDeadline }, { owner: DutyLease, method: 'lapsed', replacement: () => {} }] },
   { mechanism: 'finishing requests before a stop', scenario: 'plannedStop', finds: 'planned-stop-cuts-nothing', replacements: [{ owner: GatewayCore, method: 'finishRequests', replacement: async () => {} }] }
 ]
 
