Say in the stream how a broken stream ended

Cause, found by the first hand-over over sockets: whether a response is an event stream was read from Node's header store, which does not hold headers given to writeHead; so every stream that ended with an error was cut instead of ending with an error event and its outcome. Change: the response knows by itself.

--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -51,7 +51,7 @@
 export class HttpCallerResponse implements CallerResponse {
   readonly requestId: string
   private readonly _response: ServerResponse
-  private _streaming = false
+  private _streamKind: 'none' | 'events' | 'bytes' = 'none'
 
   private constructor (requestId: string, response: ServerResponse) {
     this.requestId = requestId
@@ -75,13 +75,13 @@
   }
 
   startEventStream (): void {
-    this._streaming = true
+    this._streamKind = 'events'
     this._response.writeHead(200, { 'content-type': EVENT_STREAM_TYPE, 'cache-control': 'no-store', [REQUEST_ID_HEADER]: this.requestId, trailer: OUTCOME_HEADER })
     this._response.flushHeaders()
   }
 
   startBytes (status: number, headers: ResponseHeaders): void {
-    this._streaming = true
+    this._streamKind = 'bytes'
     const { 'content-length': _length, ...others } = headers
     this._response.writeHead(status, { ...others, [REQUEST_ID_HEADER]: this.requestId, trailer: OUTCOME_HEADER })
     this._response.flushHeaders()
@@ -120,8 +120,8 @@
       this.sendWhole(error.status, headers, body, error.outcome)
       return
     }
-    if (this._streaming && this._isEventStream) this.write(Buffer.from(`data: ${body}\n\n`))
-    else if (this._streaming) return this.cut()
+    if (this._streamKind !== 'events') return this.cut()
+    this.write(Buffer.from(`data: ${body}\n\n`))
     this.endStream(error.outcome)
   }
 
@@ -138,10 +138,6 @@
   cut (): void {
     this._response.destroy()
   }
-
-  private get _isEventStream (): boolean {
-    return this._response.getHeader('content-type') === EVENT_STREAM_TYPE
-  }
 }
 
 /** Frames bytes as one chunk of a chunked body, so that they go out in one write instead of four. */
--- a/tests/support/deployment.ts
+++ b/tests/support/deployment.ts
@@ -32,6 +32,11 @@
   discovered?: boolean
 }
 
+/** The address under which the instance list knows a gateway. */
+export function instanceAddressOf (gatewayNumber: number): string {
+  return `10.9.0.${gatewayNumber}:8080`
+}
+
 /** A running deployment. */
 export class Deployment {
   readonly clock = SystemClock.create()
@@ -66,7 +71,7 @@
     const settings = readGatewaySettings({
       arguments: [
         '--name', `gateway-${number}`, '--deployment', 'test', '--failure-domain', 'domain-1', '--listen', '127.0.0.1:0', '--operator-listen', '127.0.0.1:0', '--peer-listen', '127.0.0.1:0',
-        '--operator-token', OPERATOR_TOKEN, '--peer-token', PEER_TOKEN, '--key-value-service', this.keyValue.url, '--instance-list', this.instanceList.url, '--drain-delay-milliseconds', '100',
+        '--operator-token', OPERATOR_TOKEN, '--peer-token', PEER_TOKEN, '--key-value-service', this.keyValue.url, '--instance-list', this.instanceList.url, '--drain-delay-milliseconds', '100', '--instance-address', instanceAddressOf(number),
         ...this.gateways.flatMap(gateway => ['--peer-seed', gateway.peerAddress])
       ],
       environment: {}
