Fetch computed state from a leaving engine where that pays; keep no answer that was passed on

Moved requests can tell their next engine where their state is, if fetching is quicker than computing again and done before the source is gone.

Cause of a fault found while moving the delivery of answers out of the request task: an answer too large to be held was kept with its claim as an empty event stream, which a resend would have been given. Change: nothing is kept of it, and the resend is told so. Test in tests/membership.

--- a/packages/gateway/src/attempts/requestTask.ts
+++ b/packages/gateway/src/attempts/requestTask.ts
@@ -10,29 +10,28 @@
 import { CallerError } from '../callers/callerError.js'
 import type { CallerResponse } from '../callers/callerResponse.js'
 import { createFailureError } from '../callers/failureErrors.js'
-import { selectAnswerHeaders } from '../callers/headerPolicy.js'
 import type { ClaimRegistry, HeldClaim } from '../claims/claimRegistry.js'
-import type { KeptAnswer } from '../claims/claimRecord.js'
 import type { HandedRequest } from '../recovery/handedRequest.js'
 import type { QuarantineTable, SuspicionState } from '../recovery/quarantineTable.js'
 import type { ReclaimedRequest } from '../recovery/reclaimPlanner.js'
-import type { UpstreamIdentity } from '../upstreams/upstream.js'
+import { paysToTransfer } from '../recovery/cacheTransfer.js'
+import type { Upstream, UpstreamIdentity } from '../upstreams/upstream.js'
 import type { UpstreamClients } from '../upstreams/upstreamClients.js'
 import type { UpstreamTable } from '../upstreams/upstreamTable.js'
-import { checkCompletion, describeCrash, digestCall } from './callChecks.js'
+import { AnswerDelivery } from './answerDelivery.js'
+import { describeCrash, digestCall } from './callChecks.js'
 import type { AttemptReport, DispatchState } from './dispatchBoundary.js'
 import { answerDeadlineOf, startDeadlineOf } from './inboundCall.js'
 import type { InboundCall } from './inboundCall.js'
 import { CLAIM_PAUSE_MARGIN_MILLISECONDS, RequestLifecycle } from './requestLifecycle.js'
 import type { LifecycleAction, LifecycleMessage } from './requestLifecycle.js'
 import { StreamReceiver } from './streamReceiver.js'
-import type { StreamDestination } from './streamReceiver.js'
 import type { StreamedAnswer } from './streamedAnswer.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
-import type { AnswerHeaders, AnswerReceiver } from './upstreamAttempt.js'
+import type { AnswerReceiver } from './upstreamAttempt.js'
 import { buildUpstreamCall, isResumable } from './upstreamCallBuilder.js'
+import type { CacheSource } from './upstreamCallBuilder.js'
 import { WholeReceiver } from './wholeReceiver.js'
-import type { WholeAnswer, WholeDestination } from './wholeReceiver.js'
 
 /** What all request tasks of a gateway share. */
 export interface RequestServices {
@@ -52,7 +51,7 @@
 type StartAction = Extract<LifecycleAction, { kind: 'start-attempt' }>
 
 /** One request in flight. */
-export class RequestTask implements DispatchClient, StreamDestination, WholeDestination {
+export class RequestTask implements DispatchClient {
   readonly call: InboundCall
   private readonly _services: RequestServices
   private readonly _response: CallerResponse
@@ -62,11 +61,12 @@
   private readonly _deadlineTimer: Timer
   private _attempt: UpstreamAttempt | undefined
   private _claim: HeldClaim | undefined
-  private _wholeAnswer: WholeAnswer | undefined
+  private readonly _delivery: AnswerDelivery
   private _answeredFromClaim = false
   private _handedOver = false
   private _firstBytesAt: Timestamp = 0
   private _callDigest: string | undefined
+  private _leftUpstream: Upstream | undefined
 
   private constructor (services: RequestServices, call: InboundCall, response: CallerResponse, answer: StreamedAnswer, onFinished: (task: RequestTask) => void) {
     this._services = services
@@ -74,6 +74,7 @@
     this.call = call
     this._response = response
     this._onFinished = onFinished
+    this._delivery = AnswerDelivery.create(call, response, answer, () => this._noteFirstBytes())
     this._lifecycle = RequestLifecycle.create({
       requestId: call.requestId,
       idempotency: call.route.idempotency,
@@ -110,8 +111,8 @@
     const call = this.call
     this._services.instrumentation.emit('request-accepted', { workspace: call.workspace.name, route: call.route.name, priority: call.priority.name, promptTokens: call.promptTokens }, call.requestId)
     this._response.onCallerGone(() => this._tell({ kind: 'caller-gone', dispatch: this._dispatch }))
-    if (this._isAnswerWhole) {
-      this._addEnd()
+    if (this._delivery.isAnswerWhole) {
+      this._delivery.addEnd()
       return this._finish({ kind: 'finish', outcome: 'complete' })
     }
     this._tell(this._suspicion === 'quarantined' ? { kind: 'quarantined' } : { kind: 'begin' })
@@ -149,8 +150,9 @@
   }
 
   /** Moves the request to another upstream, if it still runs on this one and may be repeated. */
-  moveFrom (upstream: UpstreamIdentity): void {
+  moveFrom (upstream: Upstream): void {
     if (this.upstream?.address !== upstream.address || this.upstream.incarnation !== upstream.incarnation) return
+    this._leftUpstream = upstream
     this._tell({ kind: 'move' })
   }
 
@@ -162,34 +164,6 @@
     this._tell({ kind: 'refused', reason, retryAfterSeconds })
   }
 
-  deliver (bytes: Buffer): boolean {
-    if (this._firstBytesAt === 0) this._noteFirstBytes()
-    if (this.call.completion && !this.call.completion.stream) return true
-    if (!this._response.started) this._response.startEventStream()
-    return this._response.write(bytes)
-  }
-
-  onceDrained (callback: () => void): void {
-    this._response.onceDrained(callback)
-  }
-
-  deliverError (status: number, contentType: string, body: Buffer): void {
-    this._wholeAnswer = { status, headers: { 'content-type': contentType }, body }
-  }
-
-  deliverWhole (answer: WholeAnswer): void {
-    this._wholeAnswer = answer
-  }
-
-  startLarge (status: number, headers: AnswerHeaders): void {
-    this._response.startBytes(status, selectAnswerHeaders(headers))
-  }
-
-  check (answer: WholeAnswer): string | undefined {
-    if (!this.call.completion || answer.status >= 400) return undefined
-    return checkCompletion(answer.body, this._expectedAnswerId)
-  }
-
   private _noteFirstBytes (): void {
     this._firstBytesAt = this._services.clock.now()
     this._services.instrumentation.emit('first-bytes', undefined, this.call.requestId, this._attempt?.id)
@@ -199,11 +173,6 @@
     return this._attempt?.dispatch ?? 'not-offered'
   }
 
-  private get _expectedAnswerId (): string | undefined {
-    if (!this.call.completion || !this.call.service.abilities.echoesRequestId) return undefined
-    return `${this.call.completion.endpoint === 'chat' ? 'chatcmpl' : 'cmpl'}-${this.call.requestId}`
-  }
-
   private _tell (message: LifecycleMessage): void {
     for (const action of this._lifecycle.handle(message, this._services.clock.now())) this._carryOut(action)
   }
@@ -284,15 +253,25 @@
     this._attempt = attempt
     this._services.instrumentation.emit('attempt-started', { upstream: action.upstream.address, position: this._answer.position }, call.requestId, attempt.id)
     const reuse = call.route.idempotency === 'non-idempotent' ? 'fresh' : 'reuse'
-    attempt.start(this._services.clients.clientOf(action.upstream, reuse), buildUpstreamCall(call, this._answer, this._services.clock.now()))
+    attempt.start(this._services.clients.clientOf(action.upstream, reuse), buildUpstreamCall(call, this._answer, this._takeCacheSource(), this._services.clock.now()))
+  }
+
+  /** Returns the engine that the request has just left, if fetching its state from there pays. */
+  private _takeCacheSource (): CacheSource | undefined {
+    const left = this._leftUpstream
+    this._leftUpstream = undefined
+    if (left?.leavingDeadline === undefined) return undefined
+    const { abilities, prefillTokensPerSecond } = this.call.service
+    const question = { tokens: this.call.promptTokens + this._answer.position, transferTokensPerSecond: abilities.cacheTransferTokensPerSecond, prefillTokensPerSecond, sourceDeadline: left.leavingDeadline }
+    return paysToTransfer(question, this._services.clock.now()) ? { address: left.address, request_id: this.call.requestId } : undefined
   }
 
   private _createReceiver (action: StartAction): AnswerReceiver {
     const { abilities } = this.call.service
-    const common = { serverErrorsAreFinal: action.serverErrorsAreFinal, notRunStatuses: abilities.notRunStatuses, destination: this }
+    const common = { serverErrorsAreFinal: action.serverErrorsAreFinal, notRunStatuses: abilities.notRunStatuses, destination: this._delivery }
     const streamed = this.call.completion !== undefined && (this.call.completion.stream || isResumable(this.call))
     if (!streamed) return WholeReceiver.create(common)
-    return StreamReceiver.create({ ...common, answer: this._answer, numbered: abilities.resume, answerId: this._expectedAnswerId })
+    return StreamReceiver.create({ ...common, answer: this._answer, numbered: abilities.resume, answerId: this._delivery.expectedAnswerId })
   }
 
   private _endAttempt (attempt: UpstreamAttempt, report: AttemptReport): void {
@@ -309,21 +288,11 @@
 
   /** An upstream lost after the last token but before the end marker has given the whole answer. */
   private _completeIfFinished (report: AttemptReport): AttemptReport {
-    if (report.ending === 'complete' || !this._isAnswerWhole) return report
-    this._addEnd()
+    if (report.ending === 'complete' || !this._delivery.isAnswerWhole) return report
+    this._delivery.addEnd()
     return { ...report, ending: 'complete' }
   }
 
-  private _addEnd (): void {
-    const end = this._answer.addEnd()
-    if (end) this.deliver(end)
-  }
-
-  /** Whether the engine has ended the answer, although its end marker may be missing. */
-  private get _isAnswerWhole (): boolean {
-    return this._answer.position > 0 && this.call.service.abilities.resume && this._answer.readText().finishReason !== undefined
-  }
-
   /** A retry because of an announced reclaim is free; any other is taken from the budget. */
   private _mayRetry (attempt: UpstreamAttempt): boolean {
     return this._isLeaving(attempt.upstream) || this._services.dispatch.tryTakeRetry(this.call.service.name)
@@ -371,22 +340,14 @@
   }
 
   private _answerCaller (action: FinishAction): void {
-    if (action.outcome !== 'complete') return this._response.sendError(createFailureError(action))
-    if (this._wholeAnswer) return this._response.sendWhole(this._wholeAnswer.status, selectAnswerHeaders(this._wholeAnswer.headers), this._wholeAnswer.body, 'complete')
-    if (this.call.completion && !this.call.completion.stream) return this._response.sendWhole(200, { 'content-type': 'application/json' }, this._answer.assemble(this.call.completion.endpoint), 'complete')
-    this._response.endStream('complete')
+    if (action.outcome === 'complete') this._delivery.finish()
+    else this._response.sendError(createFailureError(action))
   }
 
   private _settleClaim (action: FinishAction): void {
     if (!this._claim) return
     if (action.outcome === 'not-run') this._services.claims.release(this._claim)
     else if (action.outcome === 'unknown') this._services.claims.markUnknown(this._claim)
-    else this._services.claims.complete(this._claim, this._keptAnswer)
-  }
-
-  private get _keptAnswer (): KeptAnswer {
-    if (this._wholeAnswer) return { status: this._wholeAnswer.status, contentType: String(this._wholeAnswer.headers['content-type'] ?? ''), body: this._wholeAnswer.body }
-    if (this.call.completion?.stream === false) return { status: 200, contentType: 'application/json', body: Buffer.from(this._answer.assemble(this.call.completion.endpoint)) }
-    return { status: 200, contentType: 'text/event-stream', body: Buffer.from(this._answer.readEvents()) }
+    else this._services.claims.complete(this._claim, this._delivery.keptAnswer)
   }
 }
--- a/packages/gateway/src/attempts/upstreamCallBuilder.ts
+++ b/packages/gateway/src/attempts/upstreamCallBuilder.ts
@@ -15,16 +15,22 @@
 const JSON_TYPE = 'application/json'
 
 /** Fields of a completion request that only the gateway sets. */
-const GATEWAY_FIELDS = ['priority', 'continue_from']
+const GATEWAY_FIELDS = ['priority', 'continue_from', 'cache_from']
+
+/** The engine from which the next one may fetch the state that it has computed for the request. */
+export interface CacheSource {
+  address: string
+  request_id: string
+}
 
 /** Whether the engines of a call's service answer it as a stream that another engine can continue. */
 export function isResumable (call: InboundCall): boolean {
   return call.completion !== undefined && call.service.abilities.resume
 }
 
-/** Builds the call of the next attempt, which continues `answer`. */
-export function buildUpstreamCall (call: InboundCall, answer: StreamedAnswer, now: Timestamp): UpstreamCall {
-  const body = call.completion ? buildCompletionBody(call, answer) : call.body
+/** Builds the call of the next attempt, which continues `answer`; `cacheSource` is left out where fetching does not pay. */
+export function buildUpstreamCall (call: InboundCall, answer: StreamedAnswer, cacheSource: CacheSource | undefined, now: Timestamp): UpstreamCall {
+  const body = call.completion ? buildCompletionBody(call, answer, cacheSource) : call.body
   const headers: Record<string, string> = { ...call.headers, [REQUEST_ID_HEADER]: call.requestId }
   if (call.completion) headers['content-type'] = JSON_TYPE
   return {
@@ -37,13 +43,13 @@
   }
 }
 
-function buildCompletionBody (call: InboundCall, answer: StreamedAnswer): Buffer {
+function buildCompletionBody (call: InboundCall, answer: StreamedAnswer, cacheSource: CacheSource | undefined): Buffer {
   const { body, stream } = call.completion!
   const streamUpstream = stream || isResumable(call)
   const unchanged = answer.position === 0 && streamUpstream === stream && !GATEWAY_FIELDS.some(field => field in body)
   if (unchanged) return insertPriority(call.body, call.priority.rank)
   const continuation = answer.position === 0 ? undefined : { position: answer.position, text: answer.readText().text }
-  return Buffer.from(JSON.stringify({ ...body, stream: streamUpstream, priority: call.priority.rank, continue_from: continuation }))
+  return Buffer.from(JSON.stringify({ ...body, stream: streamUpstream, priority: call.priority.rank, continue_from: continuation, cache_from: continuation && cacheSource }))
 }
 
 /** Adds the priority to a JSON object without writing all of it again. */
--- a/packages/gateway/src/claims/claimRecord.ts
+++ b/packages/gateway/src/claims/claimRecord.ts
@@ -49,7 +49,7 @@
 }
 
 /** Adds an answer to a claim, without its body when that is too large to be kept. */
-export function completeClaim (record: ClaimRecord, answer: KeptAnswer): ClaimRecord {
-  if (answer.body.length > MAXIMUM_KEPT_BYTES) return { ...record, state: 'complete' }
+export function completeClaim (record: ClaimRecord, answer: KeptAnswer | undefined): ClaimRecord {
+  if (!answer || answer.body.length > MAXIMUM_KEPT_BYTES) return { ...record, state: 'complete' }
   return { ...record, state: 'complete', answer: { status: answer.status, contentType: answer.contentType, bodyBase64: answer.body.toString('base64') } }
 }
--- a/packages/gateway/src/claims/claimRegistry.ts
+++ b/packages/gateway/src/claims/claimRegistry.ts
@@ -47,8 +47,8 @@
 /** Where claims are made. */
 export interface ClaimRegistry {
   acquire (request: ClaimRequest): Promise<ClaimAcquisition>
-  /** Stores the answer of a claimed request, in the background. */
-  complete (claim: HeldClaim, answer: KeptAnswer): void
+  /** Stores the answer of a claimed request, if it is at hand, in the background. */
+  complete (claim: HeldClaim, answer: KeptAnswer | undefined): void
   /** Notes that the outcome of a claimed request is not known, in the background. */
   markUnknown (claim: HeldClaim): void
   /** Gives a claim back whose request has not run, in the background. */
@@ -90,7 +90,7 @@
     }
   }
 
-  complete (claim: HeldClaim, answer: KeptAnswer): void {
+  complete (claim: HeldClaim, answer: KeptAnswer | undefined): void {
     this._inBackground(this._update(claim, completeClaim(claim.record, answer)))
   }
 
--- a/packages/records/src/model.ts
+++ b/packages/records/src/model.ts
@@ -35,6 +35,8 @@
   /** Statuses that say that the call was refused before it ran. */
   notRunStatuses: readonly number[]
   fencing: FencingSupport
+  /** Tokens of a prompt's computed state that an engine fetches from another in a second; 0 when it can't. */
+  cacheTransferTokensPerSecond: number
 }
 
 export interface ServiceRecord {
--- a/packages/records/src/schemaV1.ts
+++ b/packages/records/src/schemaV1.ts
@@ -33,7 +33,8 @@
   echoesRequestId: z.boolean().default(false),
   resume: z.boolean().default(false),
   notRunStatuses: z.array(z.int().min(400).max(599)).default([]),
-  fencing: z.enum(['honoured', 'ignored']).default('ignored')
+  fencing: z.enum(['honoured', 'ignored']).default('ignored'),
+  cacheTransferTokensPerSecond: z.int().min(0).default(0)
 })
 
 export const weightsSchema = z.strictObject({
--- a/packages/standins/src/engine/engineCounts.ts
+++ b/packages/standins/src/engine/engineCounts.ts
@@ -12,6 +12,8 @@
   prefilledTokens: number
   /** Prompt tokens computed although another engine had computed them for the same request. */
   recomputedTokens: number
+  /** Tokens of state that were fetched from other engines. */
+  importedTokens: number
   /** Sequences that were cancelled by their caller. */
   cancelled: number
 }
--- a/packages/standins/src/engine/engineSequence.ts
+++ b/packages/standins/src/engine/engineSequence.ts
@@ -47,7 +47,7 @@
 
   private constructor (request: EngineRequest, source: TokenSource, response: ServerResponse, owner: SequenceOwner, cachedTokens: number) {
     this.priority = request.priority
-    this.prefillTokens = Math.max(0, request.promptTokens - cachedTokens) + request.startPosition
+    this.prefillTokens = Math.max(0, request.promptTokens + request.startPosition - cachedTokens)
     this._request = request
     this._source = source
     this._response = response
@@ -62,6 +62,10 @@
     return new EngineSequence(request, source, response, owner, cachedTokens)
   }
 
+  get position (): number {
+    return this._position
+  }
+
   get ended (): boolean {
     return this._ended
   }
--- a/packages/standins/src/engine/engineStandin.ts
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -30,6 +30,7 @@
 const DEFAULT_ANSWER_TOKENS = 32
 const MAXIMUM_ANSWER_TOKENS = 100_000
 const MILLISECONDS_PER_SECOND = 1000
+const KEPT_STATE_MILLISECONDS = 10_000
 
 /** Size and speed of an engine stand-in. */
 export interface EngineOptions {
@@ -41,6 +42,8 @@
   cacheBlocks: number
   /** Whether orders with a fencing number lower than the last one are refused. */
   honoursFencing: boolean
+  /** Tokens of state that it fetches from another engine in a second. */
+  cacheTransferTokensPerSecond: number
   /** Where runs are recorded beyond the life of the process. */
   runLog?: RunLog
 }
@@ -51,7 +54,8 @@
   maximumRunning: 16,
   prefillTokensPerSecond: 8000,
   cacheBlocks: 2048,
-  honoursFencing: true
+  honoursFencing: true,
+  cacheTransferTokensPerSecond: 100_000
 }
 
 const completionSchema = z.object({
@@ -61,6 +65,7 @@
   stream: z.boolean().default(false),
   max_tokens: z.int().min(1).max(MAXIMUM_ANSWER_TOKENS).default(DEFAULT_ANSWER_TOKENS),
   priority: z.int().default(0),
+  cache_from: z.object({ address: z.string(), request_id: z.string() }).optional(),
   continue_from: z.object({ position: z.int().min(0), text: z.string() }).optional()
 })
 
@@ -70,7 +75,7 @@
 
 /** A running engine stand-in. */
 export class EngineStandin {
-  readonly counts: EngineCounts = { started: 0, generatedTokens: 0, prefilledTokens: 0, recomputedTokens: 0, cancelled: 0 }
+  readonly counts: EngineCounts = { started: 0, generatedTokens: 0, prefilledTokens: 0, recomputedTokens: 0, importedTokens: 0, cancelled: 0 }
   /** Request ids in the order in which their sequences were started. */
   readonly startedRequests: string[] = []
   /** The last order that was taken. */
@@ -81,6 +86,8 @@
   private readonly _scheduler: BatchScheduler
   private readonly _cache: PrefixCache
   private readonly _onCrash: () => void
+  /** Tokens of state by request, for some time after its end. */
+  private readonly _computedTokens = new Map<string, number>()
   private _listener: HttpListener | undefined
   private _stepTimer: NodeJS.Timeout | undefined
 
@@ -119,6 +126,7 @@
     routes.post('/v1/chat/completions', async context => await this._complete(context, 'chat'))
     routes.post('/v1/completions', async context => await this._complete(context, 'text'))
     routes.get('/v1/models', context => context.json({ object: 'list', data: this._options.models.map(id => ({ id, object: 'model' })) }))
+    routes.get('/kv-cache/:id', context => this._exportCache(context))
     routes.get('/orders', context => context.json({ adapter: this.orders.adapter }))
     routes.post('/orders', async context => this._takeOrder(context, orderSchema.parse(await context.req.json())))
     routes.get('/load', context => context.json({ running: this._scheduler.runningCount, waiting: this._scheduler.waitingCount, maximumRunning: this._options.maximumRunning }))
@@ -131,6 +139,23 @@
     return routes
   }
 
+  /** Tells how many tokens of state it has for a request that runs or has just ended. */
+  private _exportCache (context: EngineContext): Response {
+    const tokens = this._computedTokens.get(context.req.param('id') ?? '')
+    return tokens === undefined ? refuse(context, 404, 'no_cache', 'the engine has no state of this request') : context.json({ tokens })
+  }
+
+  /** Fetches state from another engine. Returns the tokens that need not be computed. */
+  private async _importCache (source: { address: string, request_id: string } | undefined): Promise<number> {
+    if (!source) return 0
+    const response = await fetch(`http://${source.address}/kv-cache/${source.request_id}`).catch(() => undefined)
+    if (response?.status !== 200) return 0
+    const { tokens } = await response.json() as { tokens: number }
+    this.counts.importedTokens += tokens
+    await new Promise(resolve => setTimeout(resolve, tokens / this._options.cacheTransferTokensPerSecond * MILLISECONDS_PER_SECOND))
+    return tokens
+  }
+
   private _takeOrder (context: EngineContext, order: z.infer<typeof orderSchema>): Response {
     if (this._options.honoursFencing && order.fencingNumber < this.orders.fencingNumber) return refuse(context, 409, 'old_fencing_number', 'an order with a higher fencing number was taken')
     this.orders = order
@@ -148,7 +173,8 @@
     if (this.faults.crashOnText !== '' && prompt.includes(this.faults.crashOnText)) return this._crash(context)
     const source = TokenSource.create(prompt)
     if (body.continue_from && body.continue_from.text !== source.textUpTo(body.continue_from.position)) return refuse(context, 409, 'wrong_continuation', 'the text to continue is not the start of the answer')
-    this._start(context.env.outgoing as ServerResponse<IncomingMessage>, this._createRequest(context, endpoint, body, prompt), source)
+    const importedTokens = await this._importCache(body.cache_from)
+    this._start(context.env.outgoing as ServerResponse<IncomingMessage>, this._createRequest(context, endpoint, body, prompt), source, importedTokens)
     return RESPONSE_ALREADY_SENT
   }
 
@@ -169,14 +195,15 @@
     }
   }
 
-  private _start (response: ServerResponse, request: EngineRequest, source: TokenSource): void {
+  private _start (response: ServerResponse, request: EngineRequest, source: TokenSource, importedTokens: number): void {
     this.counts.started++
     this.startedRequests.push(request.requestId)
     this._options.runLog?.append({ upstream: this.address, content: request.content, requestId: request.requestId, startedAt: this._clock.now(), position: request.startPosition })
     if (this.faults.frozen) return
-    const cachedTokens = this._cache.use(digestPrefixBlocks(request.prompt))
+    const cachedTokens = Math.max(importedTokens, this._cache.use(digestPrefixBlocks(request.prompt)))
     const sequence = EngineSequence.create(request, source, response, this, cachedTokens)
     response.once('close', () => {
+      this._keepState(request.requestId, request.promptTokens + sequence.position)
       if (sequence.ended) return
       this.counts.cancelled++
       this._scheduler.remove(sequence)
@@ -185,6 +212,11 @@
     this._stepTimer ??= setInterval(() => this._step(), this._options.stepMilliseconds)
   }
 
+  private _keepState (requestId: string, tokens: number): void {
+    this._computedTokens.set(requestId, tokens)
+    setTimeout(() => this._computedTokens.delete(requestId), KEPT_STATE_MILLISECONDS).unref()
+  }
+
   private _step (): void {
     this._scheduler.step()
     if (!this._scheduler.idle) return
--- a/scenarios/world/virtualUpstream.ts
+++ b/scenarios/world/virtualUpstream.ts
@@ -56,9 +56,11 @@
   alive = true
   private readonly _clock: VirtualClock
   private readonly _runs: UpstreamRun[]
+  private readonly _onCrash: () => void
   private readonly _connections = new Set<Connection>()
 
-  private constructor (clock: VirtualClock, kind: UpstreamKind, address: string, failureDomain: string, incarnation: string, runs: UpstreamRun[]) {
+  private constructor (clock: VirtualClock, kind: UpstreamKind, address: string, failureDomain: string, incarnation: string, runs: UpstreamRun[], onCrash: () => void) {
+    this._onCrash = onCrash
     this._clock = clock
     this.kind = kind
     this.address = address
@@ -67,9 +69,9 @@
     this._runs = runs
   }
 
-  /** Runs are added to `runs`, which all upstreams share. */
-  static create (clock: VirtualClock, kind: UpstreamKind, address: string, failureDomain: string, incarnation: string, runs: UpstreamRun[]): VirtualUpstream {
-    return new VirtualUpstream(clock, kind, address, failureDomain, incarnation, runs)
+  /** Runs are added to `runs`, which all upstreams share; `onCrash` is called when a request crashes the upstream. */
+  static create (clock: VirtualClock, kind: UpstreamKind, address: string, failureDomain: string, incarnation: string, runs: UpstreamRun[], onCrash: () => void): VirtualUpstream {
+    return new VirtualUpstream(clock, kind, address, failureDomain, incarnation, runs, onCrash)
   }
 
   /** Ends the upstream and cuts its connections. */
@@ -118,12 +120,17 @@
     if (body.continue_from && body.continue_from.text !== source.textUpTo(position)) return this._answerWhole(connection, 409, '{"error":{"code":"wrong_continuation"}}')
     this._note(content, requestId, position)
     if (this.faults.frozen) return
-    if (content.startsWith('crash')) return this.kill()
+    if (content.startsWith('crash')) return this._crash()
     const format = CompletionFormat.create('chat', `chatcmpl-${this.faults.foreignId ? 'foreign' : requestId}`, 'model-a', this._clock.now())
     this._startStream(connection)
     this._generate(connection, format, source, position, position, body.max_tokens)
   }
 
+  private _crash (): void {
+    this._onCrash()
+    this.kill()
+  }
+
   private _startStream (connection: Connection): void {
     connection.handler.onResponseStart?.(createController(connection), 200, { 'content-type': 'text/event-stream' })
   }
--- a/scenarios/world/virtualWorld.ts
+++ b/scenarios/world/virtualWorld.ts
@@ -155,7 +155,7 @@
 
   addUpstream (kind: UpstreamKind, failureDomain = `domain-${(this._nextUpstream - 1) % DOMAIN_COUNT + 1}`): VirtualUpstream {
     const number = this._nextUpstream++
-    const upstream = VirtualUpstream.create(this.clock, kind, `10.2.0.${number}:9000`, failureDomain, `instance-${number}`, this.evidence.runs)
+    const upstream = VirtualUpstream.create(this.clock, kind, `10.2.0.${number}:9000`, failureDomain, `instance-${number}`, this.evidence.runs, () => { this.evidence.unannouncedFailure = true })
     this.upstreams.push(upstream)
     this.instances.put({ pool: kind, address: upstream.address, failureDomain, instanceClass: 'standard', incarnation: upstream.incarnation, state: 'live' })
     return upstream
--- a/tests/membership/severalGateways.spec.ts
+++ b/tests/membership/severalGateways.spec.ts
@@ -37,6 +37,18 @@
     assert.equal(deployment.plainServices[0].countRuns('POST', '/plain/booking', 'slot 10'), 0)
   })
 
+  it('say that a large answer was not kept, and do not run its request again', async () => {
+    const body = 'x'.repeat(300 * 1024)
+    const call = { method: 'POST', body, headers: { 'idempotency-key': 'large' } }
+    const first = await deployment.call('/plain/large', call, deployment.gateways[0])
+    assert.equal((await first.json() as any).content.length, body.length)
+    await deployment.waitForEvent(event => event.kind === 'claim-complete' && event.request === first.headers.get('x-request-id'))
+    const again = await deployment.call('/plain/large', call, deployment.gateways[1])
+    assert.equal((await again.json() as any).error.code, 'answer_not_kept')
+    assert.equal(again.headers.get('plumstage-outcome'), 'complete')
+    assert.equal(deployment.plainServices[0].countRuns('POST', '/plain/large', body), 1)
+  })
+
   it('refuse a peer with another token', async () => {
     const { ConnectPeerLink } = await import('@plumstage/gateway')
     const stranger = ConnectPeerLink.create({ deployment: 'test', token: IdentitySequence.create('wrong', 'token').next() }, deployment.clock)
