--- a/packages/gateway/src/attempts/streamedAnswer.ts
+++ b/packages/gateway/src/attempts/streamedAnswer.ts
@@ -6,6 +6,7 @@
  */
 import { createParser } from 'eventsource-parser'
 
+const FIRST_BUFFER_BYTES = 4096
 const DONE_DATA = '[DONE]'
 const DONE_LINE = 'data: [DONE]'
 const EVENT_END = '\n\n'
@@ -35,7 +36,8 @@
 export class StreamedAnswer {
   /** Position of the last token that was delivered. */
   position = 0
-  private readonly _chunks: Buffer[] = []
+  /** Holds the events in its first bytes. Chunks are copied, because each one kept would hold a buffer of the socket. */
+  private _buffer = Buffer.alloc(0)
   private _byteLength = 0
 
   /** Creates an answer that goes on from the given events, of which the last is at `position`. */
@@ -51,8 +53,10 @@
   }
 
   append (bytes: Buffer): void {
-    this._chunks.push(bytes)
-    this._byteLength += bytes.length
+    const needed = this._byteLength + bytes.length
+    if (needed > this._buffer.length) this._grow(needed)
+    bytes.copy(this._buffer, this._byteLength)
+    this._byteLength = needed
   }
 
   /** Returns the text of the answer so far. */
@@ -75,7 +79,7 @@
 
   /** Returns all events delivered so far as one text. */
   readEvents (): string {
-    return Buffer.concat(this._chunks).toString()
+    return this._buffer.toString('utf8', 0, this._byteLength)
   }
 
   /** Returns the events after the one at `position`, as one text. */
@@ -104,6 +108,12 @@
     })
   }
 
+  private _grow (needed: number): void {
+    const grown = Buffer.allocUnsafeSlow(Math.max(FIRST_BUFFER_BYTES, needed, this._buffer.length * 2))
+    this._buffer.copy(grown, 0, 0, this._byteLength)
+    this._buffer = grown
+  }
+
   private _parse (): CompletionEvent[] {
     const events: CompletionEvent[] = []
     const parser = createParser({
--- a/packages/gateway/src/membership/membershipTable.ts
+++ b/packages/gateway/src/membership/membershipTable.ts
@@ -138,7 +138,7 @@
 function describeChange (before: Member | undefined, after: Member): MembershipChange[] {
   const wasPresent = before !== undefined && before.state !== 'dead'
   if (after.state === 'dead') return wasPresent ? [{ kind: 'died', member: after }] : []
-  if (!wasPresent) return [{ kind: 'joined', member: after }]
+  if (!wasPresent || after.incarnation !== before.incarnation) return [{ kind: 'joined', member: after }]
   if (before.state === 'alive' && after.state === 'leaving') return [{ kind: 'left', member: after }]
   return []
 }
