Remove parts that nothing calls

Found on reading the whole change: folding of load reports, dropped prefix blocks and an attempt's status were written for readers that do not exist yet, and the table's comment said that load reports are folded in. They are not read; README and docs/CAPACITY.md say so.

--- a/packages/gateway/src/attempts/upstreamAttempt.ts
+++ b/packages/gateway/src/attempts/upstreamAttempt.ts
@@ -84,10 +84,6 @@
     return this._dispatch
   }
 
-  get status (): number | undefined {
-    return this._status
-  }
-
   start (client: HttpClient, call: UpstreamCall): void {
     client.dispatch({
       method: call.method as HttpClient.HttpMethod,
--- a/packages/gateway/src/routing/prefixIndex.ts
+++ b/packages/gateway/src/routing/prefixIndex.ts
@@ -27,11 +27,6 @@
     this._trim(held)
   }
 
-  /** Notes that an upstream says it has dropped a block. */
-  recordRemoved (upstreamKey: string, block: string): void {
-    this._blocksByUpstream.get(upstreamKey)?.delete(block)
-  }
-
   forgetUpstream (upstreamKey: string): void {
     this._blocksByUpstream.delete(upstreamKey)
   }
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -25,12 +25,6 @@
   deadline: Timestamp
 }
 
-/** Load as the upstream itself reported it. */
-export interface LoadReport {
-  running: number
-  waiting: number
-}
-
 /** State of one upstream. */
 export interface Upstream extends UpstreamIdentity {
   failureDomain: string
@@ -42,7 +36,7 @@
   drained: boolean
   /** Attempts of this gateway that run on it now. */
   inFlight: number
-  /** Load of the last report, corrected by what this gateway sent and ended since. */
+  /** Requests that it is taken to run: those of this gateway, as long as upstreams' own reports are not read. */
   estimatedLoad: number
   consecutiveFailures: number
   /** Until when it gets no new work because calls to it failed. */
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -1,6 +1,6 @@
 /**
  * Folds all knowledge about upstreams into one table: records, the lagging instance list, departures told by peers,
- * load reports, and what this gateway's own connections saw.
+ * and what this gateway's own connections saw.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import type { Instance } from '@plumstage/platform'
 import type { Configuration, ServiceRecord } from '@plumstage/records'
 import { STATIC_INCARNATION, keyOfUpstream } from './upstream.js'
-import type { LoadReport, Upstream, UpstreamDeparture, UpstreamIdentity } from './upstream.js'
+import type { Upstream, UpstreamDeparture, UpstreamIdentity } from './upstream.js'
 
 const FAILURES_BEFORE_EJECTION = 3
 const FIRST_EJECTION_MILLISECONDS = 1000
@@ -84,11 +84,6 @@
     return [{ kind: 'leaving', upstream }]
   }
 
-  applyLoadReport (identity: UpstreamIdentity, report: LoadReport): void {
-    const upstream = this.find(identity)
-    if (upstream) upstream.estimatedLoad = Math.max(upstream.inFlight, report.running + report.waiting)
-  }
-
   recordAttemptStarted (identity: UpstreamIdentity): void {
     const upstream = this.find(identity)
     if (!upstream) return
