--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,12 +1,12 @@
 /** Which folders may import which. The packages' own dependencies say which packages may import which. */
-const FOLDERS_OF_DECISIONS = '^packages/gateway/src/(admission/(dispatcher\\.|fairQueue|isolation|retryBudget|serviceRate)|routing/|attempts/(dispatchBoundary|requestLifecycle|eventScanner|streamedAnswer)|claims/(claimPolicy|claimRecord)|upstreams/(upstream|upstreamTable)\\.|membership/(member|membershipTable)|configuration/configurationState|recovery/(.*(Planner|Table)|isolationShare|cacheTransfer)|duties/dutyLease)'
+const FOLDERS_OF_DECISIONS = '^packages/gateway/src/(admission/(dispatcher\\.|fairQueue|isolation|retryBudget|serviceRate)|routing/|attempts/(dispatchBoundary|requestLifecycle|eventScanner|streamedAnswer)|claims/(claimPolicy|claimRecord)|upstreams/(upstream|upstreamTable)\\.|membership/(member|membershipTable)|configuration/configurationState|recovery/(.*(Planner|Table)|isolationShare|cacheTransfer))|^packages/coordination/src/duties/dutyLease|^packages/serving/src/(admission|routing|upstreams|quotas|fleet|attempts/(attemptPolicy|eventSplitter)|usage/usageLedger|deployment/deploymentView|peers/peerTable)'
 
 module.exports = {
   forbidden: [
     { name: 'no-cycles', severity: 'error', from: { pathNot: '/dist/' }, to: { circular: true, dependencyTypesNot: ['type-only'] } },
     { name: 'common-stands-alone', severity: 'error', from: { path: '^packages/common' }, to: { path: '^packages/(?!common)' } },
-    { name: 'records-know-no-platform', severity: 'error', from: { path: '^packages/records' }, to: { path: '^packages/(platform|gateway|operator|standins|load|timeline)' } },
-    { name: 'platform-knows-no-users', severity: 'error', from: { path: '^packages/platform' }, to: { path: '^packages/(gateway|operator|standins|load|timeline)' } },
+    { name: 'records-know-no-coordination', severity: 'error', from: { path: '^packages/records' }, to: { path: '^packages/(coordination|gateway|operator|standins|load|timeline)' } },
+    { name: 'coordination-knows-no-users', severity: 'error', from: { path: '^packages/coordination' }, to: { path: '^packages/(gateway|operator|standins|load|timeline)' } },
     { name: 'standins-only-in-embedded-default', severity: 'error', from: { path: '^packages/gateway/src', pathNot: '^packages/gateway/src/embedded' }, to: { path: '^packages/standins' } },
     { name: 'embedded-default-only-from-the-binary', severity: 'error', from: { path: '^packages/gateway/src', pathNot: '^packages/gateway/src/(bin|embedded)' }, to: { path: '^packages/gateway/src/embedded' } },
     { name: 'operator-does-not-know-the-gateway', severity: 'error', from: { path: '^packages/operator' }, to: { path: '^packages/(gateway|standins|load)' } },
--- /dev/null
+++ b/packages/common/src/boundedEventLog.ts
@@ -0,0 +1,48 @@
+/**
+ * Writes events as JSON lines without ever waiting for the reader.
+ *
+ * @module
+ */
+import { SonicBoom } from 'sonic-boom'
+import { formatEvent } from './eventLog.js'
+import type { ActionEvent } from './instrumentation.js'
+
+const STANDARD_OUTPUT = 1
+const FLUSH_BYTES = 8 * 1024
+const MAXIMUM_PENDING_BYTES = 1024 * 1024
+const FLUSH_MILLISECONDS = 250
+
+/** Appends events to standard output or a file; what the reader does not take in time is dropped and counted. */
+export class BoundedEventLog {
+  private readonly _output: SonicBoom
+  private readonly _timer: NodeJS.Timeout
+  private _droppedLines = 0
+
+  private constructor (output: SonicBoom) {
+    this._output = output
+    this._output.on('drop', () => { this._droppedLines++ })
+    this._output.on('error', () => { this._droppedLines++ })
+    this._timer = setInterval(() => this._output.flush(), FLUSH_MILLISECONDS)
+    this._timer.unref()
+  }
+
+  /** Opens the log; `target` is a path, or `-` for standard output. */
+  static create (target: string): BoundedEventLog {
+    const destination = target === '-' ? { fd: STANDARD_OUTPUT } : { dest: target }
+    return new BoundedEventLog(new SonicBoom({ ...destination, sync: false, minLength: FLUSH_BYTES, maxLength: MAXIMUM_PENDING_BYTES }))
+  }
+
+  /** Lines that were dropped since the start. */
+  get droppedLines (): number {
+    return this._droppedLines
+  }
+
+  append (event: ActionEvent): void {
+    this._output.write(formatEvent(event) + '\n')
+  }
+
+  close (): void {
+    clearInterval(this._timer)
+    this._output.flushSync()
+  }
+}
--- a/packages/common/src/eventLog.ts
+++ b/packages/common/src/eventLog.ts
@@ -64,8 +64,8 @@
   }
 }
 
-/** Writes the fields whose values need no escaping by hand, which takes a fraction of the time of a general writer. */
-function formatEvent (event: ActionEvent): string {
+/** Formats an event as one JSON line. Writes the fields whose values need no escaping by hand, which takes a fraction of the time of a general writer. */
+export function formatEvent (event: ActionEvent): string {
   let line = `{"process":"${event.process}","incarnation":"${event.incarnation}","sequence":${event.sequence},"time":${event.time},"kind":"${event.kind}"`
   if (event.request !== undefined) line += `,"request":"${event.request}"`
   if (event.attempt !== undefined) line += `,"attempt":"${event.attempt}"`
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './boundedEventLog.js'
 export * from './callContext.js'
 export * from './clock.js'
 export * from './errors.js'
@@ -14,3 +15,4 @@
 export * from './promptBlocks.js'
 export * from './random.js'
 export * from './settings.js'
+export * from './steadyClock.js'
--- a/packages/gateway/src/duties/dutyLease.ts
+++ b/packages/coordination/src/duties/dutyLease.ts
@@ -8,12 +8,18 @@
  */
 import type { Timestamp } from '@plumstage/common'
 
-export const LEASE_SECONDS = 10
+/** How long a duty is leased, and when it is renewed. */
+export interface DutyTimes {
+  leaseMilliseconds: number
+  /** Time from one renewal to the next. */
+  renewMilliseconds: number
+  /** Time between attempts to acquire or renew that failed. */
+  retryMilliseconds: number
+  /** The holder acts only until this long before its lease lapses. */
+  pauseMarginMilliseconds: number
+}
 
-const LEASE_MILLISECONDS = LEASE_SECONDS * 1000
-const RENEW_MILLISECONDS = 3000
-const RETRY_MILLISECONDS = 2000
-const PAUSE_MARGIN_MILLISECONDS = 2000
+export const DEFAULT_DUTY_TIMES: DutyTimes = { leaseMilliseconds: 10_000, renewMilliseconds: 3000, retryMilliseconds: 2000, pauseMarginMilliseconds: 2000 }
 
 /** A duty that is held. */
 export interface HeldDuty {
@@ -31,16 +37,21 @@
 
 /** State of one duty on one gateway. */
 export class DutyLease {
+  readonly times: DutyTimes
   private _held: HeldDuty | undefined
   private _nextCallAt: Timestamp = 0
 
-  static create (): DutyLease {
-    return new DutyLease()
+  private constructor (times: DutyTimes) {
+    this.times = times
+  }
+
+  static create (times: DutyTimes = DEFAULT_DUTY_TIMES): DutyLease {
+    return new DutyLease(times)
   }
 
   /** Returns the duty if this gateway may act on it now. */
   holdAt (now: Timestamp): HeldDuty | undefined {
-    return this._held && now < this._held.deadline - PAUSE_MARGIN_MILLISECONDS ? this._held : undefined
+    return this._held && now < this._held.deadline - this.times.pauseMarginMilliseconds ? this._held : undefined
   }
 
   /** Returns when `tick` is to be called next. */
@@ -51,22 +62,22 @@
   /** Returns what is to be done at this time, if anything. */
   tick (now: Timestamp): DutyAction | undefined {
     if (now < this._nextCallAt) return undefined
-    this._nextCallAt = now + RETRY_MILLISECONDS
+    this._nextCallAt = now + this.times.retryMilliseconds
     if (this._held && now >= this._held.deadline) this._held = undefined
     return this._held ? { kind: 'renew', lease: this._held.lease } : { kind: 'acquire' }
   }
 
   /** The duty was acquired by a call that was begun at `calledAt`. */
   acquired (lease: bigint, fencingNumber: number, calledAt: Timestamp): void {
-    this._held = { lease, fencingNumber, deadline: calledAt + LEASE_MILLISECONDS }
-    this._nextCallAt = calledAt + RENEW_MILLISECONDS
+    this._held = { lease, fencingNumber, deadline: calledAt + this.times.leaseMilliseconds }
+    this._nextCallAt = calledAt + this.times.renewMilliseconds
   }
 
   /** The lease was renewed by a call that was begun at `calledAt`. */
   renewed (lease: bigint, calledAt: Timestamp): void {
     if (this._held?.lease !== lease) return
-    this._held.deadline = calledAt + LEASE_MILLISECONDS
-    this._nextCallAt = calledAt + RENEW_MILLISECONDS
+    this._held.deadline = calledAt + this.times.leaseMilliseconds
+    this._nextCallAt = calledAt + this.times.renewMilliseconds
   }
 
   /** The service says that the lease has lapsed. */
--- a/packages/gateway/src/duties/dutyTask.ts
+++ b/packages/coordination/src/duties/dutyTask.ts
@@ -4,11 +4,12 @@
  * @module
  */
 import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
-import type { KeyValueService } from '@plumstage/platform'
-import { DutyLease, LEASE_SECONDS } from './dutyLease.js'
-import type { HeldDuty } from './dutyLease.js'
+import type { KeyValueService } from '../keyValue/keyValueService.js'
+import { DutyLease } from './dutyLease.js'
+import type { DutyTimes, HeldDuty } from './dutyLease.js'
 
 const CALL_TIMEOUT_MILLISECONDS = 2000
+const MILLISECONDS_PER_SECOND = 1000
 
 /** Owns the lease of one duty. */
 export class DutyTask {
@@ -18,9 +19,10 @@
   private readonly _clock: Clock
   private readonly _instrumentation: Instrumentation
   private readonly _isCandidate: () => boolean
-  private readonly _lease = DutyLease.create()
+  private readonly _lease: DutyLease
 
-  private constructor (service: KeyValueService, key: string, holder: string, isCandidate: () => boolean, clock: Clock, instrumentation: Instrumentation) {
+  private constructor (service: KeyValueService, key: string, holder: string, isCandidate: () => boolean, clock: Clock, instrumentation: Instrumentation, times?: DutyTimes) {
+    this._lease = DutyLease.create(times)
     this._isCandidate = isCandidate
     this._service = service
     this._key = key
@@ -33,8 +35,8 @@
    * `key` is that of the duty in the key-value service; `holder` the name of this gateway. Only candidates ask for the
    * duty, so that the calls to the service do not grow with the number of gateways.
    */
-  static create (service: KeyValueService, key: string, holder: string, isCandidate: () => boolean, clock: Clock, instrumentation: Instrumentation): DutyTask {
-    return new DutyTask(service, key, holder, isCandidate, clock, instrumentation)
+  static create (service: KeyValueService, key: string, holder: string, isCandidate: () => boolean, clock: Clock, instrumentation: Instrumentation, times?: DutyTimes): DutyTask {
+    return new DutyTask(service, key, holder, isCandidate, clock, instrumentation, times)
   }
 
   /** Returns the duty if this gateway may act on it now. Ask before every order. */
@@ -42,6 +44,12 @@
     return this._lease.holdAt(this._clock.now())
   }
 
+  /** Gives the duty up, because the platform has seen a later holder. */
+  abandon (): void {
+    const held = this.hold()
+    if (held) this._lease.lapsed(held.lease)
+  }
+
   /** Acquires and renews until the context ends. */
   async run (context: CallContext): Promise<void> {
     while (!context.cancelled) {
@@ -60,7 +68,7 @@
     const calledAt = this._clock.now()
     const current = await this._service.get(context, this._key)
     if (current.isErr() || current.value !== undefined) return
-    const lease = await this._service.grantLease(context, LEASE_SECONDS)
+    const lease = await this._service.grantLease(context, this._lease.times.leaseMilliseconds / MILLISECONDS_PER_SECOND)
     if (lease.isErr()) return
     const written = await this._service.transact(context, {
       conditions: [{ kind: 'create-revision', key: this._key, revision: 0 }],
--- a/packages/platform/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export * from './duties/dutyLease.js'
+export * from './duties/dutyTask.js'
 export * from './instances/instanceList.js'
 export * from './keyValue/etcdKeyValueService.js'
 export * from './keyValue/keySpace.js'
--- /dev/null
+++ b/packages/entry/src/settingsWatch.ts
@@ -0,0 +1,58 @@
+/**
+ * Notices changes of the settings file.
+ *
+ * @module
+ */
+import { getLogger } from '@plumstage/common'
+import type { Clock, Instrumentation } from '@plumstage/common'
+import { readSettingsFile } from '@plumstage/platform'
+import type { ServingSettings } from '@plumstage/serving'
+
+const POLL_MILLISECONDS = 5000
+
+/** Reads the settings file again on SIGHUP and every few seconds. */
+export class SettingsWatch {
+  private readonly _path: string
+  private readonly _clock: Clock
+  private readonly _instrumentation: Instrumentation
+  private readonly _log = getLogger('settings')
+  private _current = ''
+
+  private constructor (path: string, clock: Clock, instrumentation: Instrumentation) {
+    this._path = path
+    this._clock = clock
+    this._instrumentation = instrumentation
+  }
+
+  static create (path: string, clock: Clock, instrumentation: Instrumentation): SettingsWatch {
+    return new SettingsWatch(path, clock, instrumentation)
+  }
+
+  start (): void {
+    this._current = JSON.stringify(readSettingsFile(this._path).unwrapOr(undefined))
+    process.on('SIGHUP', () => this._read())
+    this._poll()
+  }
+
+  private _poll (): void {
+    this._clock.schedule(this._clock.now() + POLL_MILLISECONDS, () => {
+      this._read()
+      this._poll()
+    })
+  }
+
+  /** Settings that are in use stay in use when the file can't be read or is wrong. */
+  private _read (): void {
+    const settings = readSettingsFile(this._path)
+    if (settings.isErr()) return this._log.warn(`The settings in use are kept. ${settings.error.message}`)
+    this._compare(settings.value)
+  }
+
+  private _compare (settings: ServingSettings): void {
+    const text = JSON.stringify(settings)
+    if (text === this._current) return
+    this._current = text
+    this._instrumentation.emit('settings-changed', { path: this._path })
+    this._log.info('The settings file has changed. Its addresses are used from the next start.')
+  }
+}
--- a/packages/gateway/src/bin/gatewayMain.ts
+++ b/packages/gateway/src/bin/gatewayMain.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { EventLog, Instrumentation, SystemClock, createProcessIncarnation, describeError, getLogger, setLogLevel } from '@plumstage/common'
-import { EtcdKeyValueService, HttpInstanceList } from '@plumstage/platform'
+import { EtcdKeyValueService, HttpInstanceList } from '@plumstage/coordination'
 import { EmbeddedPlatform } from '../embedded/embeddedPlatform.js'
 import { Gateway } from '../gateway.js'
 import { readGatewaySettings } from '../gatewaySettings.js'
--- a/packages/gateway/src/claims/claimRegistry.ts
+++ b/packages/gateway/src/claims/claimRegistry.ts
@@ -5,7 +5,7 @@
  */
 import { CallContext } from '@plumstage/common'
 import type { Clock, IdentitySequence, Instrumentation, Timestamp } from '@plumstage/common'
-import type { KeySpace, KeyValueLease, KeyValueService } from '@plumstage/platform'
+import type { KeySpace, KeyValueLease, KeyValueService } from '@plumstage/coordination'
 import { CallerError } from '../callers/callerError.js'
 import { decideOnClaim } from './claimPolicy.js'
 import { completeClaim, formatClaim, parseClaim } from './claimRecord.js'
--- a/packages/gateway/src/configuration/configurationTask.ts
+++ b/packages/gateway/src/configuration/configurationTask.ts
@@ -6,7 +6,7 @@
  */
 import { CallContext, getLogger } from '@plumstage/common'
 import type { Clock, Instrumentation } from '@plumstage/common'
-import type { KeySpace, KeyValueService, KeyValueWatchBatch } from '@plumstage/platform'
+import type { KeySpace, KeyValueService, KeyValueWatchBatch } from '@plumstage/coordination'
 import type { Configuration } from '@plumstage/records'
 import type { AdoptionOutcome, ConfigurationSource, ConfigurationState, StoredRecord, StoredState } from './configurationState.js'
 
--- a/packages/gateway/src/duties/engineOrderTask.ts
+++ b/packages/gateway/src/duties/engineOrderTask.ts
@@ -8,7 +8,7 @@
 import type { Configuration, ServiceRecord } from '@plumstage/records'
 import type { Upstream } from '../upstreams/upstream.js'
 import type { UpstreamTable } from '../upstreams/upstreamTable.js'
-import type { DutyTask } from './dutyTask.js'
+import type { DutyTask } from '@plumstage/coordination'
 import type { EngineOrders } from './engineOrders.js'
 
 const ROUND_MILLISECONDS = 2000
--- a/packages/gateway/src/embedded/embeddedPlatform.ts
+++ b/packages/gateway/src/embedded/embeddedPlatform.ts
@@ -7,8 +7,8 @@
 import { randomBytes } from 'node:crypto'
 import { CallContext } from '@plumstage/common'
 import type { Clock } from '@plumstage/common'
-import { EtcdKeyValueService, KeySpace } from '@plumstage/platform'
-import type { KeyValueOperation, KeyValueService } from '@plumstage/platform'
+import { EtcdKeyValueService, KeySpace } from '@plumstage/coordination'
+import type { KeyValueOperation, KeyValueService } from '@plumstage/coordination'
 import { digestToken, readRecordFile } from '@plumstage/records'
 import { EngineStandin, KeyValueStandin, PlainServiceStandin } from '@plumstage/standins'
 
--- a/packages/gateway/src/membership/peerConversion.ts
+++ b/packages/gateway/src/membership/peerConversion.ts
@@ -7,7 +7,7 @@
 import { peer } from '@plumstage/protocol'
 import type { StoredRecord } from '../configuration/configurationState.js'
 import type { HandedRequest } from '../recovery/handedRequest.js'
-import type { CrashSuspicion } from '../recovery/quarantineTable.js'
+import type { CrashSuspicion } from '@plumstage/serving'
 import type { UpstreamDeparture } from '../upstreams/upstream.js'
 import type { Member, MemberState } from './member.js'
 
--- a/packages/gateway/src/membership/peerLink.ts
+++ b/packages/gateway/src/membership/peerLink.ts
@@ -6,7 +6,7 @@
 import type { CallContext } from '@plumstage/common'
 import type { StoredRecord } from '../configuration/configurationState.js'
 import type { HandedRequest } from '../recovery/handedRequest.js'
-import type { CrashSuspicion } from '../recovery/quarantineTable.js'
+import type { CrashSuspicion } from '@plumstage/serving'
 import type { UpstreamDeparture } from '../upstreams/upstream.js'
 import type { Member } from './member.js'
 
--- a/packages/gateway/src/membership/peerTask.ts
+++ b/packages/gateway/src/membership/peerTask.ts
@@ -6,7 +6,7 @@
 import { describeError, getLogger } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, SeededRandom } from '@plumstage/common'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
-import type { QuarantineTable } from '../recovery/quarantineTable.js'
+import type { QuarantineTable } from '@plumstage/serving'
 import type { UpstreamDeparture } from '../upstreams/upstream.js'
 import type { MembershipChange, MembershipTable } from './membershipTable.js'
 import type { PeerConfiguration, PeerLink, PeerMessage } from './peerLink.js'
--- a/packages/gateway/src/operators/gatewayStatus.ts
+++ b/packages/gateway/src/operators/gatewayStatus.ts
@@ -7,7 +7,7 @@
 import type { ServiceHealth } from '../configuration/configurationTask.js'
 import type { KnownMember } from '../membership/membershipTable.js'
 import type { Member } from '../membership/member.js'
-import type { CrashSuspicion } from '../recovery/quarantineTable.js'
+import type { CrashSuspicion } from '@plumstage/serving'
 import type { Upstream } from '../upstreams/upstream.js'
 
 /** State of one gateway. */
--- a/packages/gateway/src/upstreams/instanceListTask.ts
+++ b/packages/gateway/src/upstreams/instanceListTask.ts
@@ -5,7 +5,7 @@
  */
 import { CallContext, getLogger } from '@plumstage/common'
 import type { Clock } from '@plumstage/common'
-import type { Instance, InstanceList } from '@plumstage/platform'
+import type { Instance, InstanceList } from '@plumstage/coordination'
 
 const POLL_MILLISECONDS = 500
 const CALL_TIMEOUT_MILLISECONDS = 2000
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
-import type { Instance } from '@plumstage/platform'
+import type { Instance } from '@plumstage/coordination'
 import type { Configuration, ServiceRecord } from '@plumstage/records'
 import { STATIC_INCARNATION, keyOfUpstream } from './upstream.js'
 import type { Upstream, UpstreamDeparture, UpstreamIdentity } from './upstream.js'
--- a/packages/operator/src/bin/plumstageMain.ts
+++ b/packages/operator/src/bin/plumstageMain.ts
@@ -7,7 +7,7 @@
 import { Command, CommanderError, Option } from 'commander'
 import { ok } from 'neverthrow'
 import { SystemClock, describeError, environmentVariableOf } from '@plumstage/common'
-import { EtcdKeyValueService } from '@plumstage/platform'
+import { EtcdKeyValueService } from '@plumstage/coordination'
 import * as commands from '../commands/operatorCommands.js'
 import type { ApplyOptions, CommandResult, CommandServices } from '../commands/operatorCommands.js'
 import { GatewayClient } from '../gatewayClient.js'
--- a/packages/operator/src/changePlan.ts
+++ b/packages/operator/src/changePlan.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { KeyValueEntry } from '@plumstage/platform'
+import type { KeyValueEntry } from '@plumstage/coordination'
 import { formatTombstone, isTombstone } from '@plumstage/records'
 import type { RecordDeclaration } from '@plumstage/records'
 
--- a/packages/records/src/configuration.ts
+++ b/packages/records/src/configuration.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { hash } from 'node:crypto'
-import type { ConfigurationRecord, PriorityRecord, RouteRecord, ServiceRecord, WorkspaceRecord } from './model.js'
+import type { CallerLimits, ConfigurationRecord, PriorityRecord, RouteRecord, ServiceRecord, WorkspaceRecord } from './model.js'
 
 /** Returns the digest under which a bearer token is stored. */
 export function digestToken (token: string): string {
@@ -18,13 +18,17 @@
   readonly priorities: ReadonlyMap<string, PriorityRecord>
   readonly workspaces: ReadonlyMap<string, WorkspaceRecord>
   readonly routes: ReadonlyMap<string, RouteRecord>
+  /** Limits for callers; undefined when the configuration does not state them. */
+  readonly callerLimits: CallerLimits | undefined
   private readonly _workspaceByDigest = new Map<string, WorkspaceRecord>()
   private readonly _routeByModel = new Map<string, RouteRecord>()
   private readonly _pathRoutes: RouteRecord[]
+  private readonly _pathRoutesByHost = new Map<string, RouteRecord[]>()
   private readonly _prioritiesByService = new Map<string, PriorityRecord[]>()
 
-  private constructor (revision: number, records: readonly ConfigurationRecord[]) {
+  private constructor (revision: number, records: readonly ConfigurationRecord[], callerLimits?: CallerLimits) {
     this.revision = revision
+    this.callerLimits = callerLimits
     this.services = indexByName(records.filter(record => record.kind === 'Service'))
     this.priorities = indexByName(records.filter(record => record.kind === 'Priority'))
     this.workspaces = indexByName(records.filter(record => record.kind === 'Workspace'))
@@ -34,10 +38,11 @@
     for (const route of routes) if (route.model !== undefined) this._routeByModel.set(route.model, route)
     for (const service of this.services.keys()) this._prioritiesByService.set(service, this._collectPriorities(service, routes))
     this._pathRoutes = routes.filter(route => route.pathPrefix !== undefined).sort(compareSpecificity)
+    for (const route of this._pathRoutes) if (route.host !== undefined) this._addToHost(route.host, route)
   }
 
-  static create (revision: number, records: readonly ConfigurationRecord[]): Configuration {
-    return new Configuration(revision, records)
+  static create (revision: number, records: readonly ConfigurationRecord[], callerLimits?: CallerLimits): Configuration {
+    return new Configuration(revision, records, callerLimits)
   }
 
   findWorkspaceByToken (token: string): WorkspaceRecord | undefined {
@@ -53,6 +58,11 @@
     return this._pathRoutes.find(route => path.startsWith(route.pathPrefix ?? '/') && (route.methods.length === 0 || route.methods.includes(method)))
   }
 
+  /** Returns the route of a host with the longest prefix that begins the path. */
+  findRouteByHost (host: string, path: string): RouteRecord | undefined {
+    return this._pathRoutesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix ?? '/'))
+  }
+
   /** Returns the priority classes whose requests reach a service. */
   listPrioritiesOfService (service: string): PriorityRecord[] {
     return this._prioritiesByService.get(service) ?? []
@@ -62,6 +72,12 @@
     return [...this._routeByModel.keys()].sort()
   }
 
+  private _addToHost (host: string, route: RouteRecord): void {
+    const routes = this._pathRoutesByHost.get(host)
+    if (routes) routes.push(route)
+    else this._pathRoutesByHost.set(host, [route])
+  }
+
   private _collectPriorities (service: string, routes: readonly RouteRecord[]): PriorityRecord[] {
     const names = new Set(routes.filter(route => route.service === service).map(route => route.priority))
     return [...names].map(name => this.priorities.get(name)).filter((priority): priority is PriorityRecord => priority !== undefined)
--- a/packages/records/src/model.ts
+++ b/packages/records/src/model.ts
@@ -15,6 +15,50 @@
 /** What kind of back end a service is. */
 export type ServiceType = 'model-engine' | 'plain'
 
+/** What the quota of a workspace counts. */
+export type QuotaUnit = 'requests' | 'tokens'
+
+/** How much a workspace may use across all gateways. */
+export interface WorkspaceQuota {
+  unit: QuotaUnit
+  /** Units refilled in a second. */
+  unitsPerSecond: number
+  /** Units that may be used at once after a pause. */
+  burstUnits: number
+  /** Units that a request counts whose size is not stated. */
+  defaultUnits: number
+}
+
+/** One of the services that share the calls of a route. */
+export interface ServiceShare {
+  service: string
+  weight: number
+}
+
+/** Bounds within which instances of a service are ordered from the platform. */
+export interface ScalingBounds {
+  /** Fewest upstreams in a failure domain. */
+  minimum: number
+  /** Most upstreams in a failure domain, reclaimable ones included. */
+  maximum: number
+  /** Seconds from an order until the new upstream serves. */
+  bootSeconds: number
+  /** Price of a reclaimable upstream as a fraction of another's; undefined when there are none. */
+  reclaimablePriceFraction?: number
+  /** Price of an upstream for each second, by failure domain. */
+  priceByDomain: Readonly<Record<string, number>>
+}
+
+/** What the model engines of a service offer. */
+export interface EngineTraits {
+  /** Requests that an engine computes at the same time. */
+  batchSize: number
+  /** Tokens that fit into an engine's memory. */
+  memoryTokens: number
+  /** Calls for cache events that an engine keeps waiting. */
+  waitingEventCalls: number
+}
+
 /** Whether the engines of a service refuse orders with an old fencing number. */
 export type FencingSupport = 'honoured' | 'ignored'
 
@@ -61,6 +105,10 @@
   orders?: { adapter: string }
   /** Addresses of upstreams that get no new work. */
   drainedUpstreams: readonly string[]
+  /** Connections that one upstream accepts from all gateways together; undefined when it is not limited. */
+  maximumConnections?: number
+  scaling?: ScalingBounds
+  engine?: EngineTraits
 }
 
 /** How much each part of the routing score counts against a second of waiting. */
@@ -78,6 +126,9 @@
   tokenDigests: readonly string[]
   /** Share of the capacity within a priority class, relative to the other workspaces. */
   weight: number
+  quota?: WorkspaceQuota
+  /** Rank of all calls of the workspace, in place of that of their route's priority class. */
+  rank?: number
 }
 
 export interface RouteRecord {
@@ -92,6 +143,36 @@
   pathPrefix?: string
   /** HTTP methods for calls of plain services; empty means all. */
   methods: readonly string[]
+  /** Host of the calls; undefined for all hosts. */
+  host?: string
+  /** Services that share the calls by weight, in place of `service`. */
+  split?: readonly ServiceShare[]
+  /** Whether calls need no bearer token. */
+  anonymous?: boolean
+  /** Most upstreams to which one call may be sent. */
+  maximumAttempts?: number
+  /** Longest time that a call may take, in milliseconds. */
+  timeoutMilliseconds?: number
+  /** Time within which an answer, or the first event of a stream, is on time, in milliseconds. */
+  objectiveMilliseconds?: number
+  /** Present when answers are event streams. */
+  stream?: StreamTraits
+}
+
+/** How the event streams of a route behave. */
+export interface StreamTraits {
+  /** Whether another upstream may continue a stream after an event that the caller has. */
+  resumable: boolean
+  /** Longest pause between events that is on time, in milliseconds. */
+  longestPauseMilliseconds: number
+}
+
+/** Bounds on what callers may send, and on how long they may take. */
+export interface CallerLimits {
+  maximumHeaderBytes: number
+  maximumBodyBytes: number
+  headerTimeoutMilliseconds: number
+  idleTimeoutMilliseconds: number
 }
 
 export interface PriorityRecord {
--- /dev/null
+++ b/packages/serving/src/attempts/answerRelay.ts
@@ -0,0 +1,124 @@
+/**
+ * Brings the answer of one request to its caller, whichever attempts it comes from.
+ *
+ * @module
+ */
+import type { RouteRecord } from '@plumstage/records'
+import type { CallerExchange } from '../callers/callerExchange.js'
+import { EventSplitter } from './eventSplitter.js'
+import type { AnswerHeaders, UpstreamProtocol } from './upstreamProtocol.js'
+import { CONTINUE, PAUSE } from './upstreamAttempt.js'
+import type { PartVerdict } from './upstreamAttempt.js'
+
+const EVENT_STREAM_TYPE = 'text/event-stream'
+const FIRST_REDIRECT_STATUS = 300
+/** Answers up to this length are held until they are whole, so that a broken one can be asked for again. */
+const HELD_BYTES = 256 * 1024
+
+type AnswerForm = 'none' | 'events' | 'whole' | 'passed-on'
+
+/** The answer of one request on its way to the caller. */
+export class AnswerRelay {
+  private readonly _exchange: CallerExchange
+  private readonly _protocol: UpstreamProtocol
+  private readonly _route: RouteRecord
+  private readonly _onFirstEvent: () => void
+  private _form: AnswerForm = 'none'
+  private _status = 0
+  private _headers: string[] = []
+  private _held: Buffer[] = []
+  private _heldBytes = 0
+  private _splitter: EventSplitter
+  private _eventCount = 0
+
+  private constructor (exchange: CallerExchange, protocol: UpstreamProtocol, route: RouteRecord, lastEventId: number | undefined, onFirstEvent: () => void) {
+    this._exchange = exchange
+    this._protocol = protocol
+    this._route = route
+    this._splitter = EventSplitter.create(lastEventId)
+    this._onFirstEvent = onFirstEvent
+  }
+
+  /** `lastEventId` is the id of the last event that the caller had before this request. */
+  static create (exchange: CallerExchange, protocol: UpstreamProtocol, route: RouteRecord, lastEventId: number | undefined, onFirstEvent: () => void): AnswerRelay {
+    return new AnswerRelay(exchange, protocol, route, lastEventId, onFirstEvent)
+  }
+
+  /** Whether bytes have gone to the caller. */
+  get started (): boolean {
+    return this._exchange.started
+  }
+
+  /** Id of the last event that the caller has; undefined when it has none. */
+  get lastEventId (): number | undefined {
+    return this._splitter.lastId
+  }
+
+  get eventCount (): number {
+    return this._eventCount
+  }
+
+  get status (): number {
+    return this._status
+  }
+
+  /** Prepares for the answer of another attempt, which continues after the last whole event. */
+  beginAttempt (): void {
+    this._splitter = EventSplitter.create(this._splitter.lastId)
+    this._held = []
+    this._heldBytes = 0
+    if (!this.started) this._form = 'none'
+  }
+
+  receiveHead (status: number, headers: AnswerHeaders): PartVerdict {
+    const isStream = this._route.stream !== undefined && status < FIRST_REDIRECT_STATUS && String(headers['content-type'] ?? EVENT_STREAM_TYPE).startsWith(EVENT_STREAM_TYPE)
+    if (this.started) return isStream && this._form === 'events' ? CONTINUE : { kind: 'fail', failure: 'broken', detail: `the upstream continued a stream with status ${status}` }
+    this._status = status
+    this._headers = this._protocol.selectAnswerHeaders(headers)
+    this._form = isStream ? 'events' : 'whole'
+    return CONTINUE
+  }
+
+  receiveBytes (chunk: Buffer, resume: () => void): PartVerdict {
+    if (this._form === 'events') return this._receiveEvents(chunk, resume)
+    if (this._form === 'passed-on') return this._pass(chunk, resume)
+    this._held.push(chunk)
+    this._heldBytes += chunk.length
+    if (this._heldBytes <= HELD_BYTES) return CONTINUE
+    this._form = 'passed-on'
+    this._exchange.start(this._status, this._headers)
+    return this._pass(Buffer.concat(this._held), resume)
+  }
+
+  receiveEnd (): PartVerdict {
+    if (this._form === 'events' && this._splitter.endsInsideEvent) return { kind: 'fail', failure: 'broken', detail: 'the stream ended inside an event' }
+    return CONTINUE
+  }
+
+  /** Ends the response: the answer has been received whole. */
+  finish (): void {
+    if (this._form === 'whole') return this._exchange.sendWhole(this._status, this._headers, Buffer.concat(this._held))
+    if (!this.started) this._exchange.start(this._status, this._headers)
+    this._exchange.end()
+  }
+
+  private _receiveEvents (chunk: Buffer, resume: () => void): PartVerdict {
+    const { bytes, count, problem } = this._splitter.split(chunk)
+    if (count > 0) {
+      if (this._eventCount === 0) this._onFirstEvent()
+      this._eventCount += count
+      if (!this.started) this._exchange.start(this._status, this._headers)
+    }
+    if (problem !== undefined) {
+      if (count > 0) this._exchange.write(bytes)
+      return { kind: 'fail', failure: 'broken', detail: problem }
+    }
+    return count > 0 ? this._pass(bytes, resume) : CONTINUE
+  }
+
+  private _pass (bytes: Buffer, resume: () => void): PartVerdict {
+    if (this._exchange.write(bytes)) return CONTINUE
+    this._exchange.onceDrained(resume)
+    return PAUSE
+  }
+}
--- /dev/null
+++ b/packages/serving/src/attempts/eventSplitter.ts
@@ -0,0 +1,102 @@
+/**
+ * Splits a server-sent event stream into whole events and checks that their ids only rise.
+ *
+ * @module
+ */
+
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+const DIGIT_ZERO = 0x30
+const DIGIT_NINE = 0x39
+const RADIX = 10
+const ID_FIELD = Buffer.from('id:')
+const SPACE = 0x20
+const MAXIMUM_EVENT_BYTES = 1024 * 1024
+const NOTHING = Buffer.alloc(0)
+
+/** What some bytes of a stream hold. */
+export interface SplitEvents {
+  /** Whole events, as they came. */
+  bytes: Buffer
+  /** Number of whole events in `bytes`. */
+  count: number
+  /** Why the stream can't be used any further. */
+  problem?: string
+}
+
+/** Splits the stream of one attempt. */
+export class EventSplitter {
+  private _tail: Buffer = NOTHING
+  private _lastId: number | undefined
+
+  private constructor (lastId: number | undefined) {
+    this._lastId = lastId
+  }
+
+  /** `lastId` is the id of the last event that the caller has; events up to it are dropped. */
+  static create (lastId?: number): EventSplitter {
+    return new EventSplitter(lastId)
+  }
+
+  /** Id of the last whole event; undefined before the first with an id. */
+  get lastId (): number | undefined {
+    return this._lastId
+  }
+
+  /** Whether the stream ended inside an event. */
+  get endsInsideEvent (): boolean {
+    return this._tail.length > 0
+  }
+
+  split (chunk: Buffer): SplitEvents {
+    const bytes = this._tail.length === 0 ? chunk : Buffer.concat([this._tail, chunk])
+    const events: Buffer[] = []
+    let start = 0
+    for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
+      const event = bytes.subarray(start, end)
+      start = end
+      const id = readId(event)
+      if (id !== undefined && this._lastId !== undefined && id <= this._lastId) continue
+      if (id !== undefined && this._lastId !== undefined && id > this._lastId + 1) return { bytes: Buffer.concat(events), count: events.length, problem: `event ${id} follows event ${this._lastId}` }
+      if (id !== undefined) this._lastId = id
+      events.push(event)
+    }
+    this._tail = bytes.subarray(start)
+    const problem = this._tail.length > MAXIMUM_EVENT_BYTES ? 'an event is larger than 1 MiB' : undefined
+    return { bytes: join(events), count: events.length, problem }
+  }
+}
+
+function join (events: readonly Buffer[]): Buffer {
+  if (events.length === 0) return NOTHING
+  return events.length === 1 ? events[0] : Buffer.concat(events)
+}
+
+/** Returns the index after the empty line that ends an event; 0 when there is none yet. */
+function findEventEnd (bytes: Buffer, start: number): number {
+  for (let index = bytes.indexOf(LINE_FEED, start); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
+    const next = bytes[index + 1]
+    if (next === LINE_FEED) return index + 2
+    if (next === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) return index + 3
+  }
+  return 0
+}
+
+/** Returns the value of the id field; undefined when there is none or it is not a number. */
+function readId (event: Buffer): number | undefined {
+  let start = 0
+  while (start < event.length) {
+    if (event.subarray(start, start + ID_FIELD.length).equals(ID_FIELD)) return readNumber(event, start + ID_FIELD.length)
+    const lineEnd = event.indexOf(LINE_FEED, start)
+    if (lineEnd < 0) return undefined
+    start = lineEnd + 1
+  }
+  return undefined
+}
+
+function readNumber (event: Buffer, start: number): number | undefined {
+  let index = event[start] === SPACE ? start + 1 : start
+  let value: number | undefined
+  for (; event[index] >= DIGIT_ZERO && event[index] <= DIGIT_NINE; index++) value = (value ?? 0) * RADIX + event[index] - DIGIT_ZERO
+  return value
+}
--- /dev/null
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -0,0 +1,309 @@
+/**
+ * Carries one request from its acceptance to its answer, over one or more attempts.
+ *
+ * @module
+ */
+import type { Clock, Instrumentation, Timer, Timestamp } from '@plumstage/common'
+import type { RouteRecord, ServiceRecord } from '@plumstage/records'
+import type { CallerExchange } from '../callers/callerExchange.js'
+import type { CallerHead } from '../callers/callerProtocol.js'
+import { createRejection } from '../callers/rejection.js'
+import type { Rejection } from '../callers/rejection.js'
+import { estimateReadTokens, sharedPartsOf } from '../routing/generationRouter.js'
+import type { ServingState } from '../servingState.js'
+import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
+import type { Upstream } from '../upstreams/upstreamTable.js'
+import { AnswerRelay } from './answerRelay.js'
+import { decideAfterFailure, mayRetryServerError } from './attemptPolicy.js'
+import type { AttemptFailure, RequestProgress } from './attemptPolicy.js'
+import type { RunningRequests } from './runningRequests.js'
+import { UpstreamAttempt } from './upstreamAttempt.js'
+import type { AttemptOutcome, AttemptReceiver, PartVerdict } from './upstreamAttempt.js'
+import type { AnswerHeaders, UpstreamProtocol } from './upstreamProtocol.js'
+
+const FIRST_SERVER_ERROR_STATUS = 500
+const FIRST_REDIRECT_STATUS = 300
+const RETRY_AFTER_NO_UPSTREAM_MILLISECONDS = 800
+const RETRY_AFTER_TIMEOUT_MILLISECONDS = 500
+const LONGEST_URGENCY = 9
+const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
+
+/** What requests work with. */
+export interface RequestServices {
+  clock: Clock
+  /** Time of day in milliseconds since the epoch, for usage windows. */
+  timeOfDay: () => Timestamp
+  instrumentation: Instrumentation
+  state: ServingState
+  protocol: UpstreamProtocol
+  connections: UpstreamConnections
+  running: RunningRequests
+}
+
+/** A request that a gateway has accepted. */
+export interface AcceptedRequest {
+  head: CallerHead
+  route: RouteRecord
+  service: ServiceRecord
+  workspace?: string
+  /** Order among requests; 0 goes first. */
+  rank: number
+  /** Units that its workspace's quota was charged. */
+  quotaUnits: number
+  body: Buffer
+  /** Digest of what the caller asks, the same when it asks again. */
+  digest: string
+  acceptedAt: Timestamp
+  deadline: Timestamp
+}
+
+/** A request in flight. */
+export class RequestTask implements AttemptReceiver {
+  private readonly _services: RequestServices
+  private readonly _request: AcceptedRequest
+  private readonly _exchange: CallerExchange
+  private readonly _relay: AnswerRelay
+  private readonly _progress: RequestProgress
+  private readonly _failed = new Set<Upstream>()
+  private _attempt: UpstreamAttempt | undefined
+  private _upstream: Upstream | undefined
+  private _waitingTokens = 0
+  private _retryTaken = false
+  private _usageRecorded = false
+  private _deadlineTimer: Timer | undefined
+  private _done = false
+
+  private constructor (services: RequestServices, request: AcceptedRequest, exchange: CallerExchange) {
+    this._services = services
+    this._request = request
+    this._exchange = exchange
+    this._relay = AnswerRelay.create(exchange, services.protocol, request.route, request.head.lastEventId, () => this._recordFirstEvent())
+    this._progress = { route: request.route, attempts: 0, mayHaveRun: false, started: false }
+  }
+
+  static create (services: RequestServices, request: AcceptedRequest, exchange: CallerExchange): RequestTask {
+    return new RequestTask(services, request, exchange)
+  }
+
+  run (): void {
+    const { clock, state } = this._services
+    const { service, deadline } = this._request
+    state.recordRequest(service.name, clock.now())
+    this._deadlineTimer = clock.schedule(deadline, () => this._expire())
+    this._exchange.onGone(() => this._leave())
+    this._start()
+  }
+
+  /** Continues a stream elsewhere, because its upstream is about to be taken away. */
+  moveAway (): void {
+    if (this._done || !this._attempt || this._request.route.stream?.resumable !== true) return
+    this._attempt.abandon()
+    this.onEnded({ kind: 'failed', failure: 'broken', detail: 'the upstream is being taken away', connectionLost: false })
+  }
+
+  receiveHead (status: number, headers: AnswerHeaders): PartVerdict {
+    const head = this._services.protocol.readHead(status, headers)
+    const isOwn = head.requestId === this._request.head.requestId
+    if (head.requestId !== undefined && !isOwn) return fail('broken', `the answer belongs to request ${head.requestId}`)
+    if (head.otherInstance) return fail('other-instance', 'another instance has the address')
+    if (head.notRun) return fail('not-run', `the upstream refused the request with status ${status}`)
+    if (status < FIRST_REDIRECT_STATUS && !(isOwn && head.signed)) return fail('broken', 'the answer is not signed for this request')
+    if (!head.signed) return fail('broken', `status ${status} does not come from the upstream's service`)
+    if (status >= FIRST_SERVER_ERROR_STATUS && this._takesRetryOfServerError()) return fail('server-error', `the upstream answered with status ${status}`)
+    if (!this._request.route.stream) this._recordUsage()
+    return this._relay.receiveHead(status, headers)
+  }
+
+  receiveBytes (chunk: Buffer): PartVerdict {
+    const attempt = this._attempt
+    return this._relay.receiveBytes(chunk, () => attempt?.resume())
+  }
+
+  receiveEnd (): PartVerdict {
+    return this._relay.receiveEnd()
+  }
+
+  onEnded (outcome: AttemptOutcome): void {
+    if (this._done) return
+    const upstream = this._release()
+    this._emitAttempt(outcome, upstream)
+    if (outcome.kind === 'complete') return this._finish(upstream)
+    this._recordFailure(outcome.failure, outcome.connectionLost, upstream)
+    const verdict = decideAfterFailure(outcome.failure, this._progress, () => this._tryTakeRetry(outcome.failure))
+    if (verdict.kind === 'retry') return this._start()
+    if (verdict.kind === 'reject') return this._reject(verdict.rejection)
+    this._end('cut')
+    this._exchange.cut()
+  }
+
+  private _start (): void {
+    const upstream = this._choose()
+    if (!upstream) return this._giveUpWithoutUpstream()
+    this._upstream = upstream
+    this._retryTaken = false
+    this._relay.beginAttempt()
+    this._hold(upstream)
+    this._attempt = UpstreamAttempt.create(this)
+    const { head, body, workspace, rank, deadline } = this._request
+    const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
+    this._attempt.start(this._services.connections.clientOf(upstream), {
+      method: head.method,
+      path: head.target,
+      headers: this._services.protocol.encodeHeaders({
+        head,
+        workspace,
+        upstreamId: upstream.listed.id,
+        remainingMilliseconds,
+        urgency: Math.min(LONGEST_URGENCY, rank * 2),
+        resumeAfter: this._relay.lastEventId
+      }),
+      body: body.length > 0 ? body : undefined
+    })
+  }
+
+  private _choose (): Upstream | undefined {
+    const { clock, state } = this._services
+    const { service, head, route } = this._request
+    const now = clock.now()
+    const available = state.upstreams.listAvailable(service.name, now)
+    const untried = available.filter(upstream => !this._failed.has(upstream))
+    const objectiveMilliseconds = route.objectiveMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS
+    return state.routerOf(service).choose({ generation: head.generation, objectiveMilliseconds }, untried.length > 0 ? untried : available, now)
+  }
+
+  /** Counts the work that the attempt brings to its upstream. */
+  private _hold (upstream: Upstream): void {
+    const { state, clock, running } = this._services
+    const { generation } = this._request.head
+    const now = clock.now()
+    running.add(upstream, this)
+    upstream.own.requests++
+    if (!generation) return
+    const shared = sharedPartsOf(generation)
+    this._waitingTokens = estimateReadTokens(generation, state.sharedParts.countCachedTokens(upstream.listed.id, shared, now))
+    upstream.own.waitingTokens += this._waitingTokens
+    state.sharedParts.recordSent(upstream.listed.id, shared, now)
+    state.demand.record(this._request.service.name, this._waitingTokens, generation.expectedOutputTokens ?? generation.maximumOutputTokens, now)
+  }
+
+  private _release (): Upstream {
+    const upstream = this._upstream!
+    this._services.running.remove(upstream, this)
+    upstream.own.requests--
+    this._releaseWaitingTokens()
+    if (this._attempt?.offered) this._progress.attempts++
+    return upstream
+  }
+
+  private _releaseWaitingTokens (): void {
+    if (this._upstream) this._upstream.own.waitingTokens -= this._waitingTokens
+    this._waitingTokens = 0
+  }
+
+  private _recordFirstEvent (): void {
+    this._releaseWaitingTokens()
+    this._recordUsage()
+    this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, milliseconds: this._elapsed() }, this._request.head.requestId)
+  }
+
+  private _recordUsage (): void {
+    if (this._usageRecorded || this._request.workspace === undefined) return
+    this._usageRecorded = true
+    this._services.state.usage.record(this._request.workspace, this._services.timeOfDay())
+  }
+
+  private _recordFailure (failure: AttemptFailure, connectionLost: boolean, upstream: Upstream): void {
+    const { clock, state } = this._services
+    const now = clock.now()
+    this._failed.add(upstream)
+    this._progress.started = this._relay.started
+    if (failure === 'broken' || failure === 'server-error') this._progress.mayHaveRun = true
+    if (failure === 'other-instance') this._progress.attempts--
+    if (failure === 'unreachable' || failure === 'other-instance') upstream.health.recordUnreachable(now)
+    else upstream.health.recordFailure(now)
+    if (connectionLost) state.quarantine.recordCrash(this._request.digest, `${upstream.listed.id}/${upstream.listed.incarnation}`, now)
+  }
+
+  private _takesRetryOfServerError (): boolean {
+    if (!mayRetryServerError({ ...this._progress, attempts: this._progress.attempts + 1 })) return false
+    this._retryTaken = this._services.state.tryTakeRetry(this._request.service.name, this._services.clock.now())
+    return this._retryTaken
+  }
+
+  private _tryTakeRetry (failure: AttemptFailure): boolean {
+    if (this._retryTaken || failure === 'unreachable') return true
+    return this._services.state.tryTakeRetry(this._request.service.name, this._services.clock.now())
+  }
+
+  private _finish (upstream: Upstream): void {
+    const { clock, state } = this._services
+    if (this._relay.status >= FIRST_SERVER_ERROR_STATUS) upstream.health.recordFailure(clock.now())
+    else upstream.health.recordSuccess()
+    if (!state.quarantine.empty) state.quarantine.recordFinished(this._request.digest, clock.now())
+    this._end('complete')
+    this._relay.finish()
+  }
+
+  private _giveUpWithoutUpstream (): void {
+    if (this._relay.started) {
+      this._end('cut')
+      return this._exchange.cut()
+    }
+    if (this._progress.mayHaveRun) return this._reject(createRejection('upstream-failed', 'No upstream is left to try again, and the request may have run. Check its effect before sending it again.'))
+    this._reject(createRejection('no-upstream', `Service ${this._request.service.name} has no upstream now, and the request has not run. Send it again after the stated time.`, RETRY_AFTER_NO_UPSTREAM_MILLISECONDS))
+  }
+
+  private _expire (): void {
+    if (this._done) return
+    const offered = this._abandonAttempt()
+    if (this._relay.started) {
+      this._end('cut')
+      return this._exchange.cut()
+    }
+    if (offered || this._progress.mayHaveRun) return this._reject(createRejection('timeout', 'The time for the request is over, and it may have run. Check its effect before sending it again.'))
+    this._reject(createRejection('not-run', 'The time for the request is over before an upstream took it. Send it again after the stated time.', RETRY_AFTER_TIMEOUT_MILLISECONDS))
+  }
+
+  /** The caller has left: its upstream is to stop working for it. */
+  private _leave (): void {
+    if (this._done) return
+    this._abandonAttempt()
+    this._end('caller-gone')
+  }
+
+  private _abandonAttempt (): boolean {
+    if (!this._attempt || !this._upstream) return false
+    const { offered } = this._attempt
+    this._attempt.abandon()
+    this._release()
+    return offered
+  }
+
+  private _reject (rejection: Rejection): void {
+    if (!this._progress.mayHaveRun && this._request.workspace !== undefined) this._services.state.quotas.refund(this._request.workspace, this._request.quotaUnits)
+    this._end(rejection.kind, rejection.status)
+    this._exchange.reject(rejection)
+  }
+
+  private _end (outcome: string, status = this._relay.status): void {
+    this._done = true
+    this._deadlineTimer?.cancel()
+    const { route, workspace, service } = this._request
+    const configurationRevision = this._services.state.view.configurationRevision
+    this._services.instrumentation.emit('request-ended', { outcome, status, route: route.name, service: service.name, workspace, attempts: this._progress.attempts, events: this._relay.eventCount, milliseconds: this._elapsed(), configurationRevision }, this._request.head.requestId)
+  }
+
+  private _emitAttempt (outcome: AttemptOutcome, upstream: Upstream): void {
+    if (outcome.kind === 'complete') return
+    const { failure, detail } = outcome
+    this._services.instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, failure, detail, requests: upstream.requests, waitingTokens: upstream.waitingTokens, listRevision: this._services.state.view.upstreamsRevision, events: this._relay.eventCount }, this._request.head.requestId)
+  }
+
+  private _elapsed (): number {
+    return Math.round(this._services.clock.now() - this._request.acceptedAt)
+  }
+}
+
+function fail (failure: AttemptFailure, detail: string): PartVerdict {
+  return { kind: 'fail', failure, detail }
+}
--- /dev/null
+++ b/packages/serving/src/callers/callerExchange.ts
@@ -0,0 +1,92 @@
+/**
+ * The response to one caller over HTTP.
+ *
+ * @module
+ */
+import type { ServerResponse } from 'node:http'
+import type { CallerProtocol } from './callerProtocol.js'
+import type { Rejection } from './rejection.js'
+
+const JSON_TYPE = 'application/json'
+
+/** The response to one caller: a whole answer, a stream, or a rejection, and never more than one of them. */
+export interface CallerExchange {
+  /** Whether any part of the response was written. */
+  readonly started: boolean
+  /** Calls back once when the caller's connection ends before the response does. */
+  onGone (callback: () => void): void
+  onceDrained (callback: () => void): void
+  /** Starts an answer whose length is not known. `headers` are names and values in turn. */
+  start (status: number, headers: readonly string[]): void
+  /** Writes bytes of a started answer; false when the caller does not keep up. */
+  write (bytes: Buffer): boolean
+  end (): void
+  sendWhole (status: number, headers: readonly string[], body: Buffer): void
+  reject (rejection: Rejection): void
+  /** Cuts the connection: the only way to say that a started answer is not whole. */
+  cut (): void
+}
+
+/** Writes the response to a caller with Node's HTTP server. */
+export class HttpCallerExchange implements CallerExchange {
+  private readonly _response: ServerResponse
+  private readonly _protocol: CallerProtocol
+  private readonly _closesConnection: () => boolean
+
+  private constructor (response: ServerResponse, protocol: CallerProtocol, closesConnection: () => boolean) {
+    this._response = response
+    this._protocol = protocol
+    this._closesConnection = closesConnection
+  }
+
+  /** `closesConnection` says whether the connection is to end with the response, because the gateway is stopping. */
+  static create (response: ServerResponse, protocol: CallerProtocol, closesConnection: () => boolean): HttpCallerExchange {
+    return new HttpCallerExchange(response, protocol, closesConnection)
+  }
+
+  get started (): boolean {
+    return this._response.headersSent
+  }
+
+  onGone (callback: () => void): void {
+    this._response.once('close', () => { if (!this._response.writableFinished) callback() })
+  }
+
+  onceDrained (callback: () => void): void {
+    this._response.once('drain', callback)
+  }
+
+  start (status: number, headers: readonly string[]): void {
+    this._writeHead(status, headers)
+    this._response.flushHeaders()
+  }
+
+  write (bytes: Buffer): boolean {
+    return this._response.write(bytes)
+  }
+
+  end (): void {
+    this._response.end()
+  }
+
+  sendWhole (status: number, headers: readonly string[], body: Buffer): void {
+    this._writeHead(status, [...headers, 'content-length', String(body.length)])
+    this._response.end(body)
+  }
+
+  reject (rejection: Rejection): void {
+    if (this.started) return this.cut()
+    const body = Buffer.from(JSON.stringify({ error: { code: rejection.kind, message: rejection.message } }))
+    if (!this._response.req.complete) this._response.shouldKeepAlive = false
+    this.sendWhole(rejection.status, [...this._protocol.encodeRejection(rejection), 'content-type', JSON_TYPE], body)
+  }
+
+  cut (): void {
+    this._response.destroy()
+  }
+
+  private _writeHead (status: number, headers: readonly string[]): void {
+    if (this._closesConnection()) this._response.shouldKeepAlive = false
+    this._response.writeHead(status, [...headers])
+  }
+}
--- /dev/null
+++ b/packages/serving/src/callers/callerServer.ts
@@ -0,0 +1,100 @@
+/**
+ * Takes requests from callers.
+ *
+ * @module
+ */
+import { hash } from 'node:crypto'
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { RequestTask } from '../attempts/requestTask.js'
+import type { RequestServices } from '../attempts/requestTask.js'
+import { readBody } from './bodyReader.js'
+import { HttpCallerExchange } from './callerExchange.js'
+import type { CallerExchange } from './callerExchange.js'
+import type { CallerHead, CallerProtocol } from './callerProtocol.js'
+import { createRejection } from './rejection.js'
+import type { Rejection } from './rejection.js'
+import type { Admission, RequestAdmission } from './requestAdmission.js'
+
+/** Node refuses heads beyond this length itself; the configuration's limit lies below. */
+const LARGEST_HEAD_BYTES = 64 * 1024
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+const DEFAULT_HEADER_TIMEOUT_MILLISECONDS = 5000
+const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 15_000
+const TIMEOUT_CHECK_MILLISECONDS = 500
+const DIGEST_LENGTH = 24
+
+/** What the server works with. */
+export interface CallerServerOptions {
+  services: RequestServices
+  admission: RequestAdmission
+  protocol: CallerProtocol
+  /** Whether connections are to end with their next response. */
+  closing: () => boolean
+}
+
+/** The HTTP server for callers. */
+export class CallerServer {
+  readonly server: Server
+  private readonly _options: CallerServerOptions
+
+  private constructor (options: CallerServerOptions) {
+    this._options = options
+    this.server = createServer({ maxHeaderSize: LARGEST_HEAD_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS, requestTimeout: 0 }, (incoming, response) => this._receive(incoming, response))
+    this.applyLimits()
+  }
+
+  static create (options: CallerServerOptions): CallerServer {
+    return new CallerServer(options)
+  }
+
+  /** Takes the limits of the configuration in force. */
+  applyLimits (): void {
+    const limits = this._options.services.state.view.configuration?.callerLimits
+    this.server.headersTimeout = limits?.headerTimeoutMilliseconds ?? DEFAULT_HEADER_TIMEOUT_MILLISECONDS
+    this.server.keepAliveTimeout = limits?.idleTimeoutMilliseconds ?? DEFAULT_IDLE_TIMEOUT_MILLISECONDS
+  }
+
+  private _receive (incoming: IncomingMessage, response: ServerResponse): void {
+    const { protocol, services, admission, closing } = this._options
+    const exchange = HttpCallerExchange.create(response, protocol, closing)
+    const acceptedAt = services.clock.now()
+    const head = protocol.readHead(incoming)
+    if (head.isErr()) return this._reject(exchange, head.error, incoming)
+    const admitted = admission.admit(head.value, acceptedAt)
+    if (admitted.isErr()) return this._reject(exchange, admitted.error, incoming, head.value)
+    const bodyTimer = services.clock.schedule(admitted.value.deadline, () => this._reject(exchange, createRejection('body-too-slow', 'The body did not arrive in time, and the request has not run. Send it again.'), incoming, head.value))
+    response.once('close', () => bodyTimer.cancel())
+    const maximumBytes = services.state.view.configuration?.callerLimits?.maximumBodyBytes ?? DEFAULT_BODY_BYTES
+    readBody(incoming, maximumBytes, body => {
+      bodyTimer.cancel()
+      if (exchange.started) return
+      if (body.isErr()) return this._reject(exchange, body.error, incoming, head.value)
+      this._accept(exchange, incoming, head.value, admitted.value, body.value, acceptedAt)
+    })
+  }
+
+  private _accept (exchange: CallerExchange, incoming: IncomingMessage, head: CallerHead, admitted: Admission, body: Buffer, acceptedAt: number): void {
+    const { services, admission } = this._options
+    const now = services.clock.now()
+    const digest = digestRequest(head, body)
+    const allowed = admission.checkQuarantine(digest, now)
+    if (allowed.isErr()) return this._reject(exchange, allowed.error, incoming, head)
+    const charged = admission.chargeQuota(admitted, head, now)
+    if (charged.isErr()) return this._reject(exchange, charged.error, incoming, head)
+    RequestTask.create(services, { ...admitted, head, quotaUnits: charged.value, body, digest, acceptedAt }, exchange).run()
+  }
+
+  private _reject (exchange: CallerExchange, rejection: Rejection, incoming: IncomingMessage, head?: CallerHead): void {
+    const { services } = this._options
+    if (exchange.started) return
+    const { configurationRevision } = services.state.view
+    services.instrumentation.emit('request-rejected', { reason: rejection.kind, status: rejection.status, retryAfterMilliseconds: rejection.retryAfterMilliseconds, target: head?.target ?? incoming.url, configurationRevision }, head?.requestId)
+    exchange.reject(rejection)
+  }
+}
+
+/** The same for the same request of the same caller, whichever gateway it reaches. */
+function digestRequest (head: CallerHead, body: Buffer): string {
+  return hash('sha1', Buffer.concat([Buffer.from(`${head.method} ${head.host} ${head.target} ${head.token ?? ''}\n`), body]), 'hex').slice(0, DIGEST_LENGTH)
+}
--- /dev/null
+++ b/packages/serving/src/callers/requestAdmission.ts
@@ -0,0 +1,104 @@
+/**
+ * Decides whether a request is taken: its route, its workspace, its quota, and whether it can be served at all.
+ *
+ * @module
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Timestamp } from '@plumstage/common'
+import type { Configuration, RouteRecord, ServiceRecord, WorkspaceRecord } from '@plumstage/records'
+import { rendezvousWeight } from '../routing/rendezvousHash.js'
+import type { ServingState } from '../servingState.js'
+import type { CallerHead } from './callerProtocol.js'
+import { createRejection } from './rejection.js'
+import type { Rejection } from './rejection.js'
+
+const DEFAULT_PATIENCE_MILLISECONDS = 30_000
+const RETRY_AFTER_NO_CONFIGURATION_MILLISECONDS = 500
+const RETRY_AFTER_QUARANTINE_MILLISECONDS = 30_000
+const LONGEST_QUOTA_WAIT_MILLISECONDS = 5000
+const LOWEST_RANK = 4
+const HASH_RANGE = 2 ** 32
+
+/** Where a request goes and on whose account. */
+export interface Admission {
+  route: RouteRecord
+  service: ServiceRecord
+  workspace?: string
+  rank: number
+  deadline: Timestamp
+}
+
+/** Admission of one gateway. */
+export class RequestAdmission {
+  private readonly _state: ServingState
+
+  private constructor (state: ServingState) {
+    this._state = state
+  }
+
+  static create (state: ServingState): RequestAdmission {
+    return new RequestAdmission(state)
+  }
+
+  /** Decides by the head alone, before the body is read. */
+  admit (head: CallerHead, now: Timestamp): Result<Admission, Rejection> {
+    const { configuration } = this._state.view
+    if (!configuration) return err(createRejection('no-configuration', 'No configuration is known yet. Send the request again after the stated time.', RETRY_AFTER_NO_CONFIGURATION_MILLISECONDS))
+    const limit = configuration.callerLimits?.maximumHeaderBytes
+    if (limit !== undefined && head.headBytes > limit) return err(createRejection('head-too-large', `The head of the request is larger than ${limit} bytes. Send a smaller one.`))
+    const route = configuration.findRouteByHost(head.host, head.path)
+    if (!route) return err(createRejection('no-route', 'No route serves this host and path. Correct them, or ask the operator for a route.'))
+    const workspace = findWorkspace(configuration, route, head)
+    if (workspace.isErr()) return err(workspace.error)
+    const service = configuration.services.get(chooseService(route, head.requestId))
+    if (!service) return err(createRejection('no-upstream', `Route ${route.name} names a service that is not configured. The operator has to correct the route.`, RETRY_AFTER_NO_CONFIGURATION_MILLISECONDS))
+    const patience = Math.min(head.patienceMilliseconds ?? DEFAULT_PATIENCE_MILLISECONDS, route.timeoutMilliseconds ?? DEFAULT_PATIENCE_MILLISECONDS)
+    return ok({
+      route,
+      service,
+      workspace: workspace.value?.name,
+      rank: workspace.value?.rank ?? configuration.priorities.get(route.priority)?.rank ?? LOWEST_RANK,
+      deadline: now + patience
+    })
+  }
+
+  /** Charges the workspace's quota; returns the units charged. */
+  chargeQuota (admission: Admission, head: CallerHead, now: Timestamp): Result<number, Rejection> {
+    const quota = admission.workspace === undefined ? undefined : this._state.view.configuration?.workspaces.get(admission.workspace)?.quota
+    if (!quota || admission.workspace === undefined) return ok(0)
+    const units = quota.unit === 'requests' ? 1 : countTokens(head) ?? quota.defaultUnits
+    const verdict = this._state.quotas.take(admission.workspace, quota, units, this._state.peers.heardShare(now), now)
+    if (verdict.kind === 'admitted') return ok(units)
+    const wait = Math.min(LONGEST_QUOTA_WAIT_MILLISECONDS, verdict.retryAfterMilliseconds)
+    return err(createRejection('quota-exceeded', `Workspace ${admission.workspace} has used up its quota, and the request has not run. Send it again after the stated time.`, wait))
+  }
+
+  /** Rejects a request that has crashed upstreams before. */
+  checkQuarantine (digest: string, now: Timestamp): Result<void, Rejection> {
+    if (this._state.quarantine.empty || this._state.quarantine.stateOf(digest, now) !== 'quarantined') return ok(undefined)
+    return err(createRejection('quarantined', 'Upstreams crashed while they ran this request. It is not run again; change it before sending it again.', RETRY_AFTER_QUARANTINE_MILLISECONDS))
+  }
+}
+
+function findWorkspace (configuration: Configuration, route: RouteRecord, head: CallerHead): Result<WorkspaceRecord | undefined, Rejection> {
+  const workspace = head.token === undefined ? undefined : configuration.findWorkspaceByToken(head.token)
+  if (workspace || route.anonymous === true || configuration.workspaces.size === 0) return ok(workspace)
+  return err(createRejection('unauthenticated', 'The bearer token belongs to no workspace. Send a valid one.'))
+}
+
+/** Picks one of the services that share a route, the same for the same request. */
+function chooseService (route: RouteRecord, requestId: string): string {
+  if (!route.split || route.split.length === 0) return route.service
+  const total = route.split.reduce((sum, share) => sum + share.weight, 0)
+  let point = rendezvousWeight(requestId, route.name) / HASH_RANGE * total
+  for (const share of route.split) {
+    point -= share.weight
+    if (point < 0) return share.service
+  }
+  return route.split[route.split.length - 1].service
+}
+
+function countTokens (head: CallerHead): number | undefined {
+  return head.generation && head.generation.promptTokens + head.generation.maximumOutputTokens
+}
--- /dev/null
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -0,0 +1,211 @@
+/**
+ * Decides how many upstreams of each kind a service is to have in each failure domain.
+ *
+ * Reclaimable upstreams cost a fraction of the others, all of a failure domain go at once, and then none may be had
+ * anywhere for a while. So each domain holds enough of them that what is left carries the load after a reclaim, and
+ * others are ordered only for what the reclaimable ones don't carry, or would not after the next reclaim.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import type { ScalingBounds } from '@plumstage/records'
+import type { UpstreamOrder } from '../duties/cloud.js'
+import type { Demand } from './demandMeter.js'
+
+/** Upstreams of one kind in one failure domain. */
+export interface FleetCount {
+  failureDomain: string
+  reclaimable: boolean
+  /** Upstreams that take new work. */
+  serving: number
+  /** Upstreams that are about to go. */
+  leaving: number
+}
+
+/** What the planner is told. */
+export interface FleetObservation {
+  service: string
+  scaling: ScalingBounds
+  demand: Demand
+  counts: readonly FleetCount[]
+}
+
+/** How the planner sizes a service. */
+export interface FleetSizing {
+  /** Work that one upstream does in a second, in prompt tokens. */
+  tokensPerSecond: number
+  /** Prompt tokens that take as long as one output token. */
+  outputTokenWeight: number
+  /** Share of the time that an upstream is to be busy. */
+  utilization: number
+  /** Fewest upstreams that are to serve. */
+  fewest: number
+  /** Reclaimable upstreams in each failure domain, as a share of those that the load needs. */
+  reclaimableShare: number
+  /** Share of the needed upstreams that is to be left when the domain with the most reclaimable ones goes next. */
+  survivingShare: number
+}
+
+export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, outputTokenWeight: 6, utilization: 0.6, fewest: 3, reclaimableShare: 0.8, survivingShare: 0.67 }
+
+/** Time in which a domain that refused an order is not asked again. */
+const UNAVAILABLE_MILLISECONDS = 3000
+/** After a reclaim or a refusal, reclaimable upstreams count as hard to get for this long. */
+const SCARCE_MILLISECONDS = 5000
+/** Time beyond the boot time after which an order that has not shown is repeated. */
+const ORDER_MARGIN_MILLISECONDS = 2500
+/** The number of upstreams falls only when the lower number has sufficed for this long. */
+const SHRINK_AFTER_MILLISECONDS = 10_000
+const MILLISECONDS_PER_SECOND = 1000
+
+interface SubjectState {
+  desired: number | undefined
+  orderedAt: Timestamp
+  unavailableUntil: Timestamp
+}
+
+/** Plans one service. */
+export class FleetPlanner {
+  private readonly _sizing: FleetSizing
+  private readonly _subjects = new Map<string, SubjectState>()
+  private _needed = 0
+  private _sufficientSince: Timestamp | undefined
+  private _scarceUntil: Timestamp = Number.NEGATIVE_INFINITY
+
+  private constructor (sizing: FleetSizing) {
+    this._sizing = sizing
+  }
+
+  static create (sizing: FleetSizing = DEFAULT_FLEET_SIZING): FleetPlanner {
+    return new FleetPlanner(sizing)
+  }
+
+  /** Returns the orders that are to be given now. */
+  plan (observation: FleetObservation, now: Timestamp): UpstreamOrder[] {
+    this._noteReclaims(observation, now)
+    const needed = this._neededAt(observation.demand, now)
+    return [
+      ...this._orderReclaimable(observation, needed, now),
+      ...this._orderOthers(observation, needed, now)
+    ]
+  }
+
+  /** The order was accepted, or may have been. */
+  recordAccepted (order: UpstreamOrder, now: Timestamp): void {
+    const subject = this._subjectOf(order.failureDomain, order.reclaimable)
+    subject.desired = order.desired
+    subject.orderedAt = now
+  }
+
+  /** No upstreams of the kind are to be had in the failure domain now. */
+  recordUnavailable (order: UpstreamOrder, now: Timestamp): void {
+    this._subjectOf(order.failureDomain, order.reclaimable).unavailableUntil = now + UNAVAILABLE_MILLISECONDS
+    if (order.reclaimable) this._scarceUntil = now + SCARCE_MILLISECONDS
+  }
+
+  /** Number of upstreams that the load needs, grown at once and shrunk slowly. */
+  private _neededAt (demand: Demand, now: Timestamp): number {
+    const { tokensPerSecond, outputTokenWeight, utilization, fewest } = this._sizing
+    const work = demand.promptTokensPerSecond + outputTokenWeight * demand.outputTokensPerSecond
+    const needed = Math.max(fewest, Math.ceil(work / (tokensPerSecond * utilization)))
+    if (needed >= this._needed) {
+      this._sufficientSince = undefined
+      this._needed = needed
+      return needed
+    }
+    this._sufficientSince ??= now
+    if (now < this._sufficientSince + SHRINK_AFTER_MILLISECONDS) return this._needed
+    this._sufficientSince = undefined
+    this._needed--
+    return this._needed
+  }
+
+  private _orderReclaimable (observation: FleetObservation, needed: number, now: Timestamp): UpstreamOrder[] {
+    const { scaling, counts, service } = observation
+    if (scaling.reclaimablePriceFraction === undefined) return []
+    const desired = Math.min(scaling.maximum, Math.ceil(needed * this._sizing.reclaimableShare))
+    return domainsByPrice(scaling)
+      .map(failureDomain => ({ service, failureDomain, reclaimable: true, desired: this._holdWhileScarce(desired, countOf(counts, failureDomain, true).serving, now) }))
+      .filter(order => this._isDue(order, observation, now))
+  }
+
+  /** Reclaimable upstreams that are there are kept while no others are to be had. */
+  private _holdWhileScarce (desired: number, serving: number, now: Timestamp): number {
+    return now < this._scarceUntil ? Math.max(desired, serving) : desired
+  }
+
+  /** Orders others for what reclaimable ones don't carry now, and would not after the next reclaim. */
+  private _orderOthers (observation: FleetObservation, needed: number, now: Timestamp): UpstreamOrder[] {
+    const { scaling, counts, service } = observation
+    const missing = this._countMissing(observation, needed, now)
+    const domains = domainsByPrice(scaling)
+    const desired = new Map(domains.map(domain => [domain, 0]))
+    for (let index = 0, left = missing; left > 0 && index < missing * domains.length; index++) {
+      const domain = domains[index % domains.length]
+      const room = scaling.maximum - countOf(counts, domain, true).serving - desired.get(domain)!
+      if (room <= 0) continue
+      desired.set(domain, desired.get(domain)! + 1)
+      left--
+    }
+    return domains
+      .map(failureDomain => ({ service, failureDomain, reclaimable: false, desired: desired.get(failureDomain)! }))
+      .filter(order => this._isDue(order, observation, now))
+  }
+
+  private _countMissing ({ counts, scaling }: FleetObservation, needed: number, now: Timestamp): number {
+    const reclaimable = counts.filter(count => count.reclaimable).map(count => count.serving)
+    const serving = reclaimable.reduce((sum, count) => sum + count, 0)
+    if (serving < needed && this._isComing(scaling, now)) return counts.filter(count => !count.reclaimable).reduce((sum, count) => sum + count.serving, 0)
+    const surviving = serving - Math.max(0, ...reclaimable)
+    const hedge = now < this._scarceUntil ? Math.ceil(needed * this._sizing.survivingShare) - surviving : 0
+    return Math.max(0, needed - serving, hedge)
+  }
+
+  /** Whether reclaimable upstreams have been ordered and may still be booting. */
+  private _isComing (scaling: ScalingBounds, now: Timestamp): boolean {
+    if (now < this._scarceUntil) return false
+    const since = now - scaling.bootSeconds * MILLISECONDS_PER_SECOND - ORDER_MARGIN_MILLISECONDS
+    return [...this._subjects].some(([key, subject]) => key.endsWith(RECLAIMABLE_KEY) && subject.orderedAt > since)
+  }
+
+  private _isDue (order: UpstreamOrder, { scaling, counts }: FleetObservation, now: Timestamp): boolean {
+    const subject = this._subjectOf(order.failureDomain, order.reclaimable)
+    if (subject.unavailableUntil > now) return false
+    const { serving } = countOf(counts, order.failureDomain, order.reclaimable)
+    if (serving === order.desired && (subject.desired ?? order.desired) === order.desired) return false
+    if (subject.desired !== order.desired) return true
+    return now >= subject.orderedAt + scaling.bootSeconds * MILLISECONDS_PER_SECOND + ORDER_MARGIN_MILLISECONDS
+  }
+
+  /** A reclaim takes all reclaimable upstreams of a domain; they have to be ordered again. */
+  private _noteReclaims ({ counts }: FleetObservation, now: Timestamp): void {
+    for (const count of counts) {
+      if (!count.reclaimable || count.leaving === 0 || count.serving > 0) continue
+      const subject = this._subjectOf(count.failureDomain, true)
+      if (subject.desired === undefined || subject.desired === 0) continue
+      subject.desired = 0
+      this._scarceUntil = now + SCARCE_MILLISECONDS
+    }
+  }
+
+  private _subjectOf (failureDomain: string, reclaimable: boolean): SubjectState {
+    const key = failureDomain + (reclaimable ? RECLAIMABLE_KEY : OTHER_KEY)
+    let subject = this._subjects.get(key)
+    if (!subject) {
+      subject = { desired: undefined, orderedAt: Number.NEGATIVE_INFINITY, unavailableUntil: Number.NEGATIVE_INFINITY }
+      this._subjects.set(key, subject)
+    }
+    return subject
+  }
+}
+
+const RECLAIMABLE_KEY = '/reclaimable'
+const OTHER_KEY = '/other'
+
+function domainsByPrice (scaling: ScalingBounds): string[] {
+  return Object.entries(scaling.priceByDomain).sort(([, left], [, right]) => left - right).map(([domain]) => domain)
+}
+
+function countOf (counts: readonly FleetCount[], failureDomain: string, reclaimable: boolean): FleetCount {
+  return counts.find(count => count.failureDomain === failureDomain && count.reclaimable === reclaimable) ?? { failureDomain, reclaimable, serving: 0, leaving: 0 }
+}
--- /dev/null
+++ b/packages/serving/src/index.ts
@@ -0,0 +1,32 @@
+/**
+ * A gateway that serves callers on a platform which keeps the configuration and the list of upstreams.
+ *
+ * @module
+ */
+export * from './admission/retryBudget.js'
+export * from './attempts/attemptPolicy.js'
+export * from './attempts/eventSplitter.js'
+export * from './attempts/upstreamProtocol.js'
+export * from './callers/callerProtocol.js'
+export * from './callers/rejection.js'
+export * from './deployment/deploymentDecoder.js'
+export * from './deployment/deploymentView.js'
+export * from './duties/cloud.js'
+export * from './fleet/demandMeter.js'
+export * from './fleet/fleetPlanner.js'
+export * from './peers/gatewayReport.js'
+export * from './peers/peerTable.js'
+export * from './quotas/workspaceQuotas.js'
+export * from './recovery/quarantineTable.js'
+export * from './routing/generationRouter.js'
+export * from './routing/plainRouter.js'
+export * from './routing/rendezvousHash.js'
+export * from './routing/router.js'
+export * from './routing/sharedPartIndex.js'
+export * from './servingGateway.js'
+export * from './servingSettings.js'
+export * from './servingState.js'
+export * from './upstreams/listedUpstream.js'
+export * from './upstreams/upstreamHealth.js'
+export * from './upstreams/upstreamTable.js'
+export * from './usage/usageLedger.js'
--- /dev/null
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -0,0 +1,93 @@
+/**
+ * What a gateway tells the others, and its form in datagrams.
+ *
+ * @module
+ */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { gossip } from '@plumstage/protocol'
+import { describeError } from '@plumstage/common'
+
+/** Work of one gateway at one upstream. */
+export interface ReportedLoad {
+  upstream: string
+  requests: number
+  waitingTokens: number
+}
+
+/** Quota that a workspace has used at a gateway since its start. */
+export interface ReportedUse {
+  workspace: string
+  admittedUnits: number
+}
+
+/** Requests of a workspace that began to run in one reporting window. */
+export interface ReportedCount {
+  window: number
+  workspace: string
+  requests: number
+}
+
+/** A request that was running when upstreams crashed. */
+export interface ReportedSuspicion {
+  digest: string
+  /** Identities of the upstream runs that crashed. */
+  crashes: readonly string[]
+  /** Those of which the request was found innocent. */
+  cleared: readonly string[]
+}
+
+/** Work that callers ask of a service at one gateway. */
+export interface ReportedDemand {
+  service: string
+  promptTokensPerSecond: number
+  outputTokensPerSecond: number
+}
+
+/** The state of one gateway. */
+export interface GatewayReport {
+  name: string
+  incarnation: string
+  sequence: number
+  failureDomain: string
+  leaving: boolean
+  configurationRevision: number
+  upstreamsRevision: number
+  loads: ReportedLoad[]
+  uses: ReportedUse[]
+  windows: ReportedCount[]
+  suspicions: ReportedSuspicion[]
+  demands: ReportedDemand[]
+  knownAddresses: string[]
+}
+
+/** Encodes a report as one datagram. */
+export function encodeReport (report: GatewayReport): Uint8Array {
+  return toBinary(gossip.GatewayReportSchema, create(gossip.GatewayReportSchema, {
+    ...report,
+    sequence: BigInt(report.sequence),
+    configurationRevision: BigInt(report.configurationRevision),
+    upstreamsRevision: BigInt(report.upstreamsRevision),
+    uses: report.uses.map(use => ({ workspace: use.workspace, admittedUnits: BigInt(use.admittedUnits) })),
+    windows: report.windows.map(count => ({ ...count, window: BigInt(count.window) })),
+    suspicions: report.suspicions.map(({ digest, crashes, cleared }) => ({ digest, crashes: [...crashes], cleared: [...cleared] }))
+  }))
+}
+
+/** Decodes a datagram. */
+export function decodeReport (bytes: Uint8Array): Result<GatewayReport, Error> {
+  try {
+    const message = fromBinary(gossip.GatewayReportSchema, bytes)
+    return ok({
+      ...message,
+      sequence: Number(message.sequence),
+      configurationRevision: Number(message.configurationRevision),
+      upstreamsRevision: Number(message.upstreamsRevision),
+      uses: message.uses.map(use => ({ workspace: use.workspace, admittedUnits: Number(use.admittedUnits) })),
+      windows: message.windows.map(count => ({ window: Number(count.window), workspace: count.workspace, requests: count.requests }))
+    })
+  } catch (error) {
+    return err(new Error(`The datagram is not a gateway report: ${describeError(error)}. Check that only gateways of this release send to the port.`))
+  }
+}
--- /dev/null
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -0,0 +1,147 @@
+/**
+ * Exchanges reports with the other gateways in datagrams, and takes over what they know of the deployment when this
+ * gateway is behind.
+ *
+ * @module
+ */
+import { createSocket } from 'node:dgram'
+import type { RemoteInfo, Socket } from 'node:dgram'
+import { request } from 'undici'
+import { describeError, getLogger } from '@plumstage/common'
+import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
+import type { DeploymentView, ViewChange } from '../deployment/deploymentView.js'
+import { readDeploymentSnapshot } from '../deployment/snapshotSchema.js'
+import { decodeReport, encodeReport } from './gatewayReport.js'
+import type { GatewayReport } from './gatewayReport.js'
+import type { Peer, PeerTable } from './peerTable.js'
+
+const SHORTEST_INTERVAL_MILLISECONDS = 250
+/** The interval grows with the number of gateways, so that each sends and receives a bounded number of reports. */
+const INTERVAL_PER_PEER_MILLISECONDS = 25
+const PULL_TIMEOUT_MILLISECONDS = 800
+/** A gateway that is behind waits this long for its own watch first. */
+const PULL_AFTER_MILLISECONDS = 250
+
+/** Path under which a gateway gives others what it knows of the deployment. */
+export const SNAPSHOT_PATH = '/deployment'
+
+/** What the task works with. */
+export interface GossipTaskOptions {
+  /** Address of this gateway for datagrams. */
+  address: string
+  /** Ends when the gateway does. */
+  context: CallContext
+  clock: Clock
+  instrumentation: Instrumentation
+  peers: PeerTable
+  view: DeploymentView
+  createReport: () => GatewayReport
+  onReport: (peer: Peer) => void
+  onPeersGone: (peers: Peer[]) => void
+  onChange: (change: ViewChange) => void
+}
+
+/** Owns the datagram socket of one gateway. */
+export class GossipTask {
+  private readonly _options: GossipTaskOptions
+  private readonly _log = getLogger('peers')
+  private readonly _socket: Socket
+  private _behindSince: Timestamp | undefined
+  private _pulling = false
+
+  private constructor (options: GossipTaskOptions) {
+    this._options = options
+    this._socket = createSocket('udp4')
+    this._socket.on('error', error => this._log.warn(`The datagram socket at ${options.address} failed: ${error.message}. Reports go on when it works again.`))
+    this._socket.on('message', (bytes, sender) => this._receive(bytes, sender))
+  }
+
+  static async create (options: GossipTaskOptions): Promise<GossipTask> {
+    const task = new GossipTask(options)
+    const { host, port } = splitAddress(options.address)
+    await new Promise<void>((resolve, reject) => {
+      task._socket.once('error', reject)
+      task._socket.bind(port, host, () => { task._socket.off('error', reject); resolve() })
+    })
+    return task
+  }
+
+  /** Port on which datagrams arrive. */
+  get port (): number {
+    return this._socket.address().port
+  }
+
+  async run (): Promise<void> {
+    const { clock, peers, context } = this._options
+    context.onCancel(() => this._socket.close())
+    while (!context.cancelled) {
+      this.sendReport()
+      const gone = peers.expire(clock.now())
+      if (gone.length > 0) this._options.onPeersGone(gone)
+      await context.sleepUntil(clock.now() + this._interval)
+    }
+  }
+
+  /** Sends a report to all known gateways at once. */
+  sendReport (): void {
+    const addresses = this._options.peers.listAddresses()
+    if (addresses.length === 0) return
+    const bytes = encodeReport(this._options.createReport())
+    for (const address of addresses) {
+      const { host, port } = splitAddress(address)
+      this._socket.send(bytes, port, host, error => { if (error) this._log.debug(`A report to ${address} was not sent: ${error.message}.`) })
+    }
+  }
+
+  /** Takes over what another gateway knows; used when the store does not answer. */
+  async pull (address: string): Promise<boolean> {
+    const { clock, view, instrumentation, context } = this._options
+    const call = context.createChild(clock.now() + PULL_TIMEOUT_MILLISECONDS)
+    try {
+      const response = await request(`http://${address}${SNAPSHOT_PATH}`, { signal: call.signal })
+      const snapshot = readDeploymentSnapshot(await response.body.json())
+      const change = view.applyPeerSnapshot(snapshot)
+      instrumentation.emit('deployment-pulled', { from: address, configurationRevision: view.configurationRevision, upstreamsRevision: view.upstreamsRevision })
+      this._options.onChange(change)
+      return true
+    } catch (error) {
+      this._log.debug(`The deployment was not read from ${address}: ${describeError(error)}. Another gateway is asked.`)
+      return false
+    } finally {
+      call.finish()
+    }
+  }
+
+  private get _interval (): number {
+    return Math.max(SHORTEST_INTERVAL_MILLISECONDS, this._options.peers.listAddresses().length * INTERVAL_PER_PEER_MILLISECONDS)
+  }
+
+  private _receive (bytes: Buffer, sender: RemoteInfo): void {
+    const report = decodeReport(bytes)
+    if (report.isErr()) return this._log.warn(`${sender.address}: ${report.error.message}`)
+    const { clock, peers } = this._options
+    const peer = peers.apply(report.value, `${sender.address}:${sender.port}`, clock.now())
+    if (!peer) return
+    for (const address of report.value.knownAddresses) peers.learnAddress(address, clock.now())
+    this._options.onReport(peer)
+    this._followPeer(peer)
+  }
+
+  /** Pulls from a gateway that knows more, if this one's own watch has not caught up meanwhile. */
+  private _followPeer (peer: Peer): void {
+    const { clock, view } = this._options
+    const now = clock.now()
+    const isBehind = peer.report.configurationRevision > view.configurationRevision || peer.report.upstreamsRevision > view.upstreamsRevision
+    if (!isBehind) return
+    this._behindSince ??= now
+    if (now < this._behindSince + PULL_AFTER_MILLISECONDS || this._pulling) return
+    this._pulling = true
+    this._behindSince = undefined
+    void this.pull(peer.address).finally(() => { this._pulling = false })
+  }
+}
+
+function splitAddress (address: string): { host: string, port: number } {
+  const separator = address.lastIndexOf(':')
+  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) }
+}
--- /dev/null
+++ b/packages/serving/src/peers/membershipTask.ts
@@ -0,0 +1,66 @@
+/**
+ * Registers a gateway in the store under a lease, so that the others find it.
+ *
+ * @module
+ */
+import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
+import type { KeyValueLease, KeyValueService } from '@plumstage/coordination'
+
+const LEASE_SECONDS = 12
+const RENEW_MILLISECONDS = 4000
+const RETRY_MILLISECONDS = 1000
+const CALL_TIMEOUT_MILLISECONDS = 1500
+
+/** What the task works with. */
+export interface MembershipTaskOptions {
+  store: KeyValueService
+  key: string
+  /** Address of this gateway for other gateways. */
+  address: string
+  clock: Clock
+  instrumentation: Instrumentation
+}
+
+/** Keeps the registration of one gateway. */
+export class MembershipTask {
+  private readonly _options: MembershipTaskOptions
+  private _lease: KeyValueLease | undefined
+
+  private constructor (options: MembershipTaskOptions) {
+    this._options = options
+  }
+
+  static create (options: MembershipTaskOptions): MembershipTask {
+    return new MembershipTask(options)
+  }
+
+  async run (context: CallContext): Promise<void> {
+    const { clock } = this._options
+    while (!context.cancelled) {
+      const call = context.createChild(clock.now() + CALL_TIMEOUT_MILLISECONDS)
+      const isRegistered = this._lease ? await this._renew(call, this._lease) : await this._register(call)
+      call.finish()
+      await context.sleepUntil(clock.now() + (isRegistered ? RENEW_MILLISECONDS : RETRY_MILLISECONDS))
+    }
+  }
+
+  private async _register (context: CallContext): Promise<boolean> {
+    const { store, key, address, instrumentation } = this._options
+    const lease = await store.grantLease(context, LEASE_SECONDS)
+    if (lease.isErr()) return false
+    const written = await store.transact(context, { conditions: [], onSuccess: [{ kind: 'put', key, value: address, lease: lease.value.id }], onFailure: [] })
+    if (written.isErr() || !written.value.succeeded) return false
+    this._lease = lease.value
+    instrumentation.emit('gateway-registered', { key, revision: written.value.revision })
+    return true
+  }
+
+  private async _renew (context: CallContext, lease: KeyValueLease): Promise<boolean> {
+    const renewed = await this._options.store.keepLeaseAlive(context, lease.id)
+    if (renewed.isErr()) return false
+    if (renewed.value) return true
+    this._lease = undefined
+    this._options.instrumentation.emit('gateway-registration-lapsed', { key: this._options.key })
+    return false
+  }
+}
--- a/packages/gateway/src/recovery/quarantineTable.ts
+++ b/packages/serving/src/recovery/quarantineTable.ts
@@ -6,7 +6,7 @@
  */
 import type { Timestamp } from '@plumstage/common'
 
-const CRASHES_FOR_QUARANTINE = 2
+const DEFAULT_CRASHES_FOR_QUARANTINE = 2
 const KEPT_MILLISECONDS = 30 * 60_000
 const MAXIMUM_SUSPICIONS = 1000
 
@@ -27,15 +27,21 @@
   | 'clear'
   /** It ran on one upstream that crashed: it runs alone. */
   | 'suspect'
-  /** It ran on two: it is not run again. */
+  /** It ran on too many that crashed: it is not run again. */
   | 'quarantined'
 
 /** All suspicions that a gateway knows. */
 export class QuarantineTable {
   private readonly _suspicions = new Map<string, CrashSuspicion>()
+  private readonly _crashesForQuarantine: number
 
-  static create (): QuarantineTable {
-    return new QuarantineTable()
+  private constructor (crashesForQuarantine: number) {
+    this._crashesForQuarantine = crashesForQuarantine
+  }
+
+  /** `crashesForQuarantine` is the number of crashes after which a request is not run again. */
+  static create (crashesForQuarantine = DEFAULT_CRASHES_FOR_QUARANTINE): QuarantineTable {
+    return new QuarantineTable(crashesForQuarantine)
   }
 
   get empty (): boolean {
@@ -53,7 +59,7 @@
     if (!suspicion) return 'clear'
     const open = suspicion.crashes.filter(crash => !suspicion.cleared.includes(crash)).length
     if (open === 0) return 'clear'
-    return open >= CRASHES_FOR_QUARANTINE ? 'quarantined' : 'suspect'
+    return open >= this._crashesForQuarantine ? 'quarantined' : 'suspect'
   }
 
   /** Notes that an upstream crashed while it ran the request. `crash` identifies the run of the upstream. */
@@ -68,6 +74,14 @@
     if (suspicion) this.merge([{ ...suspicion, cleared: suspicion.crashes }], now)
   }
 
+  /** Takes suspicions that come without a deadline; they are kept as long as own ones. */
+  mergeReports (suspicions: ReadonlyArray<Omit<CrashSuspicion, 'deadline'>>, now: Timestamp): void {
+    this.merge(suspicions.map(({ digest, crashes, cleared }) => {
+      const deadline = this._suspicions.get(digest)?.deadline ?? now + KEPT_MILLISECONDS
+      return { digest, crashes, cleared, deadline }
+    }), now)
+  }
+
   merge (suspicions: readonly CrashSuspicion[], now: Timestamp): void {
     for (const offered of suspicions) {
       if (offered.deadline <= now) continue
--- /dev/null
+++ b/packages/serving/src/routing/generationRouter.ts
@@ -0,0 +1,101 @@
+/**
+ * Routes generations: to the upstream with the shortest time to the first token, where reading shared parts of the
+ * prompt again counts as time. Gateways agree on the home of a shared part by rendezvous hashing.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import type { GenerationDemand, PromptPart } from '../callers/callerProtocol.js'
+import type { Upstream } from '../upstreams/upstreamTable.js'
+import { rendezvousWeight } from './rendezvousHash.js'
+import { findCheapest } from './router.js'
+import type { Router, RoutingCall } from './router.js'
+import type { SharedPartIndex } from './sharedPartIndex.js'
+
+/** What the costs of a choice weigh. */
+export interface GenerationWeights {
+  /** Prompt tokens that an engine reads in a millisecond. */
+  prefillTokensPerMillisecond: number
+  /** How much a millisecond of reading a shared part again counts against one of waiting. */
+  recomputation: number
+  /** Cost of leaving the failure domain, in milliseconds. */
+  otherDomainMilliseconds: number
+  /** Cost of each request that an upstream runs, in milliseconds. */
+  perRequestMilliseconds: number
+}
+
+export const DEFAULT_GENERATION_WEIGHTS: GenerationWeights = {
+  prefillTokensPerMillisecond: 40,
+  recomputation: 2,
+  otherDomainMilliseconds: 5,
+  perRequestMilliseconds: 1
+}
+
+/** Cost of requests beyond the batch size, in milliseconds each. */
+const BEYOND_BATCH_MILLISECONDS = 60
+/** Share of the objective that an upstream costs which fails all requests. */
+const FAILURE_COST_OF_OBJECTIVE = 3
+
+/** Chooses by expected time to the first token. */
+export class GenerationRouter implements Router {
+  private readonly _failureDomain: string
+  private readonly _index: SharedPartIndex
+  private readonly _weights: GenerationWeights
+
+  private constructor (failureDomain: string, index: SharedPartIndex, weights: GenerationWeights) {
+    this._failureDomain = failureDomain
+    this._index = index
+    this._weights = weights
+  }
+
+  static create (failureDomain: string, index: SharedPartIndex, weights: GenerationWeights = DEFAULT_GENERATION_WEIGHTS): GenerationRouter {
+    return new GenerationRouter(failureDomain, index, weights)
+  }
+
+  choose (call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): Upstream | undefined {
+    const { generation } = call
+    if (!generation) return findCheapest(candidates, upstream => this._waitOf(upstream) + this._penaltyOf(upstream, call))
+    const shared = sharedPartsOf(generation)
+    const home = findHome(shared, candidates)
+    return findCheapest(candidates, upstream => this._waitOf(upstream) + this._penaltyOf(upstream, call) + this._recomputationOf(upstream, shared, home, now))
+  }
+
+  private _waitOf (upstream: Upstream): number {
+    const beyondBatch = Math.max(0, upstream.requests - upstream.listed.capacity)
+    return upstream.waitingTokens / this._weights.prefillTokensPerMillisecond +
+      upstream.requests * this._weights.perRequestMilliseconds +
+      beyondBatch * BEYOND_BATCH_MILLISECONDS
+  }
+
+  private _penaltyOf (upstream: Upstream, call: RoutingCall): number {
+    const distance = upstream.listed.failureDomain === this._failureDomain ? 0 : this._weights.otherDomainMilliseconds
+    return distance + FAILURE_COST_OF_OBJECTIVE * call.objectiveMilliseconds * upstream.health.failureShare
+  }
+
+  /** The home of a part is taken to have it even if this gateway has not sent it there. */
+  private _recomputationOf (upstream: Upstream, shared: readonly PromptPart[], home: Upstream | undefined, now: Timestamp): number {
+    if (upstream === home) return 0
+    const tokens = sumTokens(shared) - this._index.countCachedTokens(upstream.listed.id, shared, now)
+    return tokens / this._weights.prefillTokensPerMillisecond * this._weights.recomputation
+  }
+}
+
+/** Tokens that a request is expected to make its upstream read. */
+export function estimateReadTokens (generation: GenerationDemand, cachedTokens: number): number {
+  return Math.max(0, generation.promptTokens - cachedTokens)
+}
+
+/** The parts of a prompt that other requests may share: all but the last. */
+export function sharedPartsOf (generation: GenerationDemand): readonly PromptPart[] {
+  return generation.parts.slice(0, -1)
+}
+
+function findHome (shared: readonly PromptPart[], candidates: readonly Upstream[]): Upstream | undefined {
+  const last = shared.at(-1)
+  if (!last) return undefined
+  return findCheapest(candidates, upstream => -rendezvousWeight(last.id, upstream.listed.id))
+}
+
+function sumTokens (parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, part) => sum + part.tokens, 0)
+}
--- /dev/null
+++ b/packages/serving/src/routing/plainRouter.ts
@@ -0,0 +1,43 @@
+/**
+ * Routes calls of plain services: to the own failure domain while it is not busier than the others.
+ *
+ * @module
+ */
+import type { SeededRandom, Timestamp } from '@plumstage/common'
+import type { Upstream } from '../upstreams/upstreamTable.js'
+import { findCheapest } from './router.js'
+import type { Router, RoutingCall } from './router.js'
+
+/** Cost of leaving the failure domain, in shares of an upstream's capacity. */
+const OTHER_DOMAIN_COST = 0.25
+/** Cost of an upstream that fails all requests, in shares of an upstream's capacity. */
+const FAILURE_COST = 4
+const WARMUP_COST = 0.5
+/** Spreads equal choices over the upstreams. */
+const SPREAD = 0.02
+
+/** Chooses by free capacity, distance and failures. */
+export class PlainRouter implements Router {
+  private readonly _failureDomain: string
+  private readonly _random: SeededRandom
+
+  private constructor (failureDomain: string, random: SeededRandom) {
+    this._failureDomain = failureDomain
+    this._random = random
+  }
+
+  static create (failureDomain: string, random: SeededRandom): PlainRouter {
+    return new PlainRouter(failureDomain, random)
+  }
+
+  choose (_call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): Upstream | undefined {
+    return findCheapest(candidates, upstream => this._costOf(upstream, now))
+  }
+
+  private _costOf (upstream: Upstream, now: Timestamp): number {
+    const load = upstream.requests / Math.max(1, upstream.listed.capacity)
+    const distance = upstream.listed.failureDomain === this._failureDomain ? 0 : OTHER_DOMAIN_COST
+    const warmup = upstream.warmAt > now ? WARMUP_COST : 0
+    return load + distance + warmup + FAILURE_COST * upstream.health.failureShare + SPREAD * this._random.nextFraction()
+  }
+}
--- /dev/null
+++ b/packages/serving/src/routing/router.ts
@@ -0,0 +1,32 @@
+/**
+ * Choice of an upstream for one attempt.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import type { GenerationDemand } from '../callers/callerProtocol.js'
+import type { Upstream } from '../upstreams/upstreamTable.js'
+
+/** What a router knows of a request. */
+export interface RoutingCall {
+  generation?: GenerationDemand
+  objectiveMilliseconds: number
+}
+
+/** Chooses among the upstreams that may be given new work. */
+export interface Router {
+  choose (call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): Upstream | undefined
+}
+
+/** Returns the candidate with the lowest cost; undefined when there is none. */
+export function findCheapest (candidates: readonly Upstream[], costOf: (upstream: Upstream) => number): Upstream | undefined {
+  let cheapest: Upstream | undefined
+  let lowest = Number.POSITIVE_INFINITY
+  for (const upstream of candidates) {
+    const cost = costOf(upstream)
+    if (cost >= lowest) continue
+    lowest = cost
+    cheapest = upstream
+  }
+  return cheapest
+}
--- /dev/null
+++ b/packages/serving/src/routing/sharedPartIndex.ts
@@ -0,0 +1,53 @@
+/**
+ * Which parts of prompts this gateway's requests have lately made each upstream read.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import type { PromptPart } from '../callers/callerProtocol.js'
+
+const MAXIMUM_PARTS_PER_UPSTREAM = 4096
+
+/** Parts that an upstream has read, with the time of their last use; the least recently used are forgotten first. */
+export class SharedPartIndex {
+  private readonly _parts = new Map<string, Map<string, Timestamp>>()
+  private readonly _keptMilliseconds: number
+
+  private constructor (keptMilliseconds: number) {
+    this._keptMilliseconds = keptMilliseconds
+  }
+
+  /** `keptMilliseconds` is how long a part is taken to stay in an upstream's cache after its last use. */
+  static create (keptMilliseconds: number): SharedPartIndex {
+    return new SharedPartIndex(keptMilliseconds)
+  }
+
+  recordSent (upstreamId: string, parts: readonly PromptPart[], now: Timestamp): void {
+    const known = this._parts.get(upstreamId) ?? new Map<string, Timestamp>()
+    this._parts.set(upstreamId, known)
+    for (const part of parts) {
+      known.delete(part.id)
+      known.set(part.id, now)
+    }
+    for (const id of known.keys()) {
+      if (known.size <= MAXIMUM_PARTS_PER_UPSTREAM) return
+      known.delete(id)
+    }
+  }
+
+  /** Tokens at the start of a prompt that the upstream has read lately. */
+  countCachedTokens (upstreamId: string, parts: readonly PromptPart[], now: Timestamp): number {
+    const known = this._parts.get(upstreamId)
+    let tokens = 0
+    for (const part of parts) {
+      const usedAt = known?.get(part.id)
+      if (usedAt === undefined || usedAt < now - this._keptMilliseconds) return tokens
+      tokens += part.tokens
+    }
+    return tokens
+  }
+
+  forgetUpstream (upstreamId: string): void {
+    this._parts.delete(upstreamId)
+  }
+}
--- /dev/null
+++ b/packages/serving/src/servingGateway.ts
@@ -0,0 +1,347 @@
+/**
+ * A serving gateway: the decisions, the tasks that carry them out, and the listeners.
+ *
+ * @module
+ */
+import type { Server } from 'node:http'
+import { createAdaptorServer } from '@hono/node-server'
+import { Hono } from 'hono'
+import { CallContext, Listener, SeededRandom, getLogger } from '@plumstage/common'
+import type { Clock, Instrumentation, Timer, Timestamp } from '@plumstage/common'
+import { DutyTask } from '@plumstage/coordination'
+import type { DutyTimes, KeyValueChange, KeyValueEntry, KeyValueService } from '@plumstage/coordination'
+import { RunningRequests } from './attempts/runningRequests.js'
+import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
+import type { CallerProtocol } from './callers/callerProtocol.js'
+import { CallerServer } from './callers/callerServer.js'
+import { RequestAdmission } from './callers/requestAdmission.js'
+import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
+import { DeploymentTask } from './deployment/deploymentTask.js'
+import type { ViewChange } from './deployment/deploymentView.js'
+import type { Cloud } from './duties/cloud.js'
+import { FleetTask } from './fleet/fleetTask.js'
+import { ServingMetrics } from './observability/servingMetrics.js'
+import type { GatewayReport } from './peers/gatewayReport.js'
+import { GossipTask, SNAPSHOT_PATH } from './peers/gossipTask.js'
+import { MembershipTask } from './peers/membershipTask.js'
+import type { Peer } from './peers/peerTable.js'
+import type { ServingSettings } from './servingSettings.js'
+import { ServingState } from './servingState.js'
+import { StoreKeys } from './storeKeys.js'
+import { PooledUpstreamConnections } from './upstreams/upstreamConnections.js'
+import type { Upstream } from './upstreams/upstreamTable.js'
+import { UsageReportTask } from './usage/usageReportTask.js'
+
+const METRICS_PATH = '/metrics'
+const LEASE_RENEWALS = 3
+const LEASE_MARGIN_DIVISOR = 4
+const EXPIRE_MILLISECONDS = 500
+/** Requests that can go on elsewhere leave an upstream this long before it is taken away. */
+const MOVE_MARGIN_MILLISECONDS = 400
+/** Reports carry the counts of the windows that may not have been reported yet. */
+const REPORTED_WINDOWS = 3
+const MAXIMUM_REPORTED_SUSPICIONS = 40
+const MAXIMUM_KNOWN_ADDRESSES = 8
+/** Time after the signal to stop in which new connections may still arrive. */
+const STOP_ACCEPTING_MILLISECONDS = 3200
+/** The process ends this long before it would be killed. */
+const STOP_MARGIN_MILLISECONDS = 700
+const STOP_POLL_MILLISECONDS = 50
+/** Without the store, other gateways are asked for the deployment from this time after the start. */
+const PULL_AT_START_MILLISECONDS = 400
+const PULL_RETRY_MILLISECONDS = 500
+const HTTP_OK = 200
+const HTTP_UNAVAILABLE = 503
+
+/** Everything that a serving gateway reaches. */
+export interface ServingEnvironment {
+  clock: Clock
+  /** Never counts less time than has passed; leases are held by it. */
+  leaseClock: Clock
+  timeOfDay: () => Timestamp
+  random: SeededRandom
+  instrumentation: Instrumentation
+  store: KeyValueService
+  decoder: DeploymentDecoder
+  callerProtocol: CallerProtocol
+  upstreamProtocol: UpstreamProtocol
+  cloud?: Cloud
+  /** Address for metrics; undefined when none are served. */
+  metricsAddress?: string
+  droppedLogLines: () => number
+}
+
+/** A running gateway. */
+export class ServingGateway {
+  readonly state: ServingState
+  private readonly _settings: ServingSettings
+  private readonly _environment: ServingEnvironment
+  private readonly _context: CallContext
+  private readonly _running = RunningRequests.create()
+  private readonly _connections = PooledUpstreamConnections.create()
+  private readonly _keys: StoreKeys
+  private readonly _duty: DutyTask
+  private readonly _deploymentTask: DeploymentTask
+  private readonly _callerServer: CallerServer
+  private readonly _moveTimers = new Map<Upstream, Timer>()
+  private readonly _log = getLogger('serving')
+  private readonly _listeners: Listener[] = []
+  private _gossip!: GossipTask
+  private _reportSequence = 0
+  private _dutyKeyPresent = false
+  private _stopping = false
+
+  private constructor (settings: ServingSettings, environment: ServingEnvironment) {
+    const { clock, leaseClock, instrumentation, store } = environment
+    this._settings = settings
+    this._environment = environment
+    this._context = CallContext.create(clock)
+    this.state = ServingState.create(settings, environment.decoder, environment.random)
+    this._keys = StoreKeys.create()
+    this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => !this._dutyKeyPresent && !this._stopping, leaseClock, instrumentation, dutyTimesOf(settings))
+    this._deploymentTask = DeploymentTask.create({
+      store,
+      view: this.state.view,
+      clock,
+      instrumentation,
+      observer: { onSnapshot: entries => this._observeSnapshot(entries), onChanges: changes => this._observeChanges(changes) },
+      onChange: change => this._applyChange(change)
+    })
+    this._callerServer = CallerServer.create({
+      services: { clock, timeOfDay: environment.timeOfDay, instrumentation, state: this.state, protocol: environment.upstreamProtocol, connections: this._connections, running: this._running },
+      admission: RequestAdmission.create(this.state),
+      protocol: environment.callerProtocol,
+      closing: () => this._stopping
+    })
+  }
+
+  /** Opens the listeners and starts the tasks. */
+  static async create (settings: ServingSettings, environment: ServingEnvironment): Promise<ServingGateway> {
+    const gateway = new ServingGateway(settings, environment)
+    await gateway._listen()
+    gateway._run()
+    return gateway
+  }
+
+  /** Address for callers. */
+  get callerAddress (): string {
+    return this._listeners[0].address
+  }
+
+  /** Whether new connections may be sent here. */
+  get isReady (): boolean {
+    return !this._stopping && this.state.view.configuration !== undefined
+  }
+
+  /** Stops without cutting off a request: new connections go elsewhere, what runs ends by itself. */
+  async stop (): Promise<void> {
+    if (this._stopping) return
+    const { clock, instrumentation } = this._environment
+    const startedAt = clock.now()
+    this._stopping = true
+    instrumentation.emit('stopping', { running: this._running.count })
+    this._gossip.sendReport()
+    await this._context.sleepUntil(startedAt + STOP_ACCEPTING_MILLISECONDS)
+    this._callerServer.server.close()
+    this._callerServer.server.closeIdleConnections()
+    const lastMoment = startedAt + this._settings.graceMilliseconds - STOP_MARGIN_MILLISECONDS
+    while (this._running.count > 0 && clock.now() < lastMoment) {
+      await this._context.sleepUntil(clock.now() + STOP_POLL_MILLISECONDS)
+      this._callerServer.server.closeIdleConnections()
+    }
+    instrumentation.emit('stopped', { running: this._running.count, milliseconds: Math.round(clock.now() - startedAt) })
+    await this.destroy()
+  }
+
+  /** Ends at once. */
+  async destroy (): Promise<void> {
+    this._context.cancel('shutdown')
+    for (const timer of this._moveTimers.values()) timer.cancel()
+    await Promise.all([...this._listeners.map(async listener => await listener.destroy()), this._connections.close()])
+  }
+
+  private async _listen (): Promise<void> {
+    const { clock, instrumentation, metricsAddress } = this._environment
+    this._listeners.push(await Listener.create(this._callerServer.server, this._settings.callerAddress))
+    this._listeners.push(await Listener.create(this._createReadinessServer(), this._settings.readinessAddress))
+    this._listeners.push(await Listener.create(this._createPeerServer(), this._settings.peerAddress))
+    if (metricsAddress !== undefined) this._listeners.push(await Listener.create(this._createMetricsServer(), metricsAddress))
+    this._gossip = await GossipTask.create({
+      address: this._settings.peerAddress,
+      context: this._context,
+      clock,
+      instrumentation,
+      peers: this.state.peers,
+      view: this.state.view,
+      createReport: () => this._createReport(),
+      onReport: peer => this._applyReport(peer),
+      onPeersGone: peers => this._forgetPeers(peers),
+      onChange: change => this._applyChange(change)
+    })
+  }
+
+  private _run (): void {
+    const { store, clock, leaseClock, instrumentation, timeOfDay, cloud } = this._environment
+    const { name, peerSeeds, peerAddress } = this._settings
+    for (const seed of peerSeeds) this.state.peers.learnAddress(seed, clock.now())
+    void this._deploymentTask.run(this._context)
+    void this._gossip.run()
+    void this._pullAtStart()
+    void this._expireEntries()
+    void MembershipTask.create({ store, key: this._keys.gatewayKey(name), address: peerAddress, clock: leaseClock, instrumentation }).run(this._context)
+    if (cloud) this._runDuties(cloud, timeOfDay)
+    instrumentation.emit('started', { name, failureDomain: this._settings.failureDomain })
+  }
+
+  private _runDuties (cloud: Cloud, timeOfDay: () => Timestamp): void {
+    const { store, clock, instrumentation } = this._environment
+    const { name, reportsUsage, ordersUpstreams, usageDelayMilliseconds } = this._settings
+    const common = { duty: this._duty, holder: name, cloud, clock, instrumentation }
+    void this._duty.run(this._context)
+    if (reportsUsage) void UsageReportTask.create({ ...common, store, ledger: this.state.usage, keyOf: window => this._keys.usageKey(window), delayMilliseconds: usageDelayMilliseconds, timeOfDay }).run(this._context)
+    if (ordersUpstreams) void FleetTask.create({ ...common, state: this.state }).run(this._context)
+  }
+
+  private _createReadinessServer (): Server {
+    const application = new Hono()
+    application.get(this._environment.callerProtocol.readinessPath, call => call.body(null, this.isReady ? HTTP_OK : HTTP_UNAVAILABLE))
+    return createAdaptorServer(application) as Server
+  }
+
+  private _createPeerServer (): Server {
+    const application = new Hono()
+    application.get(SNAPSHOT_PATH, call => call.json(this.state.view.exportSnapshot()))
+    return createAdaptorServer(application) as Server
+  }
+
+  private _createMetricsServer (): Server {
+    const { clock, instrumentation, droppedLogLines } = this._environment
+    const metrics = ServingMetrics.create({
+      running: () => this._running.count,
+      configurationRevision: () => this.state.view.configurationRevision,
+      upstreamsRevision: () => this.state.view.upstreamsRevision,
+      presentGateways: () => this.state.peers.countPresent(clock.now()),
+      droppedLogLines,
+      following: () => this._deploymentTask.isFollowing
+    }, instrumentation)
+    const application = new Hono()
+    application.get(METRICS_PATH, async call => call.body(await metrics.format(), HTTP_OK, { 'content-type': metrics.contentType }))
+    return createAdaptorServer(application) as Server
+  }
+
+  /** A gateway that starts while the store is away takes the deployment from another gateway. */
+  private async _pullAtStart (): Promise<void> {
+    const { clock } = this._environment
+    await this._context.sleepUntil(clock.now() + PULL_AT_START_MILLISECONDS)
+    while (!this._context.cancelled && this.state.view.configuration === undefined) {
+      const address = this._environment.random.pick(this.state.peers.listAddresses())
+      if (address !== undefined) await this._gossip.pull(address)
+      await this._context.sleepUntil(clock.now() + PULL_RETRY_MILLISECONDS)
+    }
+  }
+
+  private async _expireEntries (): Promise<void> {
+    const { clock } = this._environment
+    while (!this._context.cancelled) {
+      await this._context.sleepUntil(clock.now() + EXPIRE_MILLISECONDS)
+      if (this.state.view.expire(clock.now())) this._applyChange({ configuration: false, upstreams: true })
+    }
+  }
+
+  private _applyChange (change: ViewChange): void {
+    const { instrumentation } = this._environment
+    if (change.configuration) {
+      this._callerServer.applyLimits()
+      instrumentation.emit('configuration-applied', { revision: this.state.view.configurationRevision, version: this.state.view.configuration?.revision })
+    }
+    if (change.upstreams) this._applyUpstreams()
+  }
+
+  private _applyUpstreams (): void {
+    const { clock, instrumentation } = this._environment
+    const removed = this.state.upstreams.apply(this.state.view.listUpstreams(), clock.now())
+    for (const upstream of removed) {
+      this._connections.forget(upstream)
+      this.state.sharedParts.forgetUpstream(upstream.listed.id)
+      instrumentation.emit('upstream-removed', { upstream: upstream.listed.id, service: upstream.listed.service, revision: this.state.view.upstreamsRevision })
+    }
+    for (const upstream of this.state.upstreams.list()) this._scheduleMove(upstream)
+    instrumentation.emit('upstreams-applied', { count: this.state.upstreams.list().length, leaving: this.state.upstreams.list().filter(upstream => upstream.isLeaving).length, revision: this.state.view.upstreamsRevision })
+  }
+
+  /** Streams that can go on elsewhere leave an upstream shortly before it is taken away. */
+  private _scheduleMove (upstream: Upstream): void {
+    if (!upstream.isLeaving || upstream.leavesAt === undefined || this._moveTimers.has(upstream)) return
+    this._moveTimers.set(upstream, this._environment.clock.schedule(upstream.leavesAt - MOVE_MARGIN_MILLISECONDS, () => {
+      this._moveTimers.delete(upstream)
+      for (const task of this._running.listOf(upstream)) task.moveAway()
+    }))
+  }
+
+  private _observeSnapshot (entries: readonly KeyValueEntry[]): void {
+    this._dutyKeyPresent = entries.some(entry => entry.key === this._keys.dutyKey)
+    for (const entry of entries) this._observeEntry(entry)
+  }
+
+  private _observeChanges (changes: readonly KeyValueChange[]): void {
+    for (const change of changes) {
+      if (change.kind === 'put') this._observeEntry(change.entry)
+      else if (change.key === this._keys.dutyKey) this._dutyKeyPresent = false
+    }
+  }
+
+  private _observeEntry (entry: KeyValueEntry): void {
+    if (entry.key === this._keys.dutyKey) this._dutyKeyPresent = true
+    if (this._keys.isGatewayKey(entry.key)) this.state.peers.learnAddress(entry.value, this._environment.clock.now())
+  }
+
+  private _createReport (): GatewayReport {
+    const { clock, timeOfDay, instrumentation } = this._environment
+    const { view, upstreams, quotas, usage, demand, quarantine, peers } = this.state
+    const now = clock.now()
+    return {
+      name: this._settings.name,
+      incarnation: instrumentation.incarnation,
+      sequence: ++this._reportSequence,
+      failureDomain: this._settings.failureDomain,
+      leaving: this._stopping,
+      configurationRevision: view.configurationRevision,
+      upstreamsRevision: view.upstreamsRevision,
+      loads: upstreams.list().filter(upstream => upstream.own.requests > 0).map(({ listed, own }) => ({ upstream: listed.id, requests: own.requests, waitingTokens: Math.round(own.waitingTokens) })),
+      uses: quotas.listAdmitted().map(({ workspace, units }) => ({ workspace, admittedUnits: units })),
+      windows: usage.listOwn(usage.windowAt(timeOfDay()) - REPORTED_WINDOWS),
+      suspicions: quarantine.list(now).slice(-MAXIMUM_REPORTED_SUSPICIONS),
+      demands: demand.list(now),
+      knownAddresses: peers.listAddresses().slice(0, MAXIMUM_KNOWN_ADDRESSES)
+    }
+  }
+
+  private _applyReport ({ report }: Peer): void {
+    const now = this._environment.clock.now()
+    const run = `${report.name}/${report.incarnation}`
+    const { upstreams, quotas, usage, quarantine } = this.state
+    const loads = new Map(report.loads.map(load => [load.upstream, load]))
+    for (const upstream of upstreams.list()) upstream.setWorkOf(report.name, loads.get(upstream.listed.id))
+    for (const use of report.uses) quotas.applyReport(run, use.workspace, use.admittedUnits)
+    usage.applyReport(run, report.windows)
+    quarantine.mergeReports(report.suspicions, now)
+  }
+
+  private _forgetPeers (peers: readonly Peer[]): void {
+    for (const { report } of peers) {
+      for (const upstream of this.state.upstreams.list()) upstream.setWorkOf(report.name, undefined)
+      this.state.quotas.forgetGateway(`${report.name}/${report.incarnation}`)
+      this._environment.instrumentation.emit('gateway-gone', { name: report.name })
+      this._log.info(`Gateway ${report.name} is no longer heard.`)
+    }
+  }
+}
+
+function dutyTimesOf ({ dutyLeaseMilliseconds }: ServingSettings): DutyTimes {
+  return {
+    leaseMilliseconds: dutyLeaseMilliseconds,
+    renewMilliseconds: dutyLeaseMilliseconds / LEASE_RENEWALS,
+    retryMilliseconds: dutyLeaseMilliseconds / LEASE_RENEWALS,
+    pauseMarginMilliseconds: dutyLeaseMilliseconds / LEASE_MARGIN_DIVISOR
+  }
+}
--- /dev/null
+++ b/packages/serving/src/servingState.ts
@@ -0,0 +1,75 @@
+/**
+ * The decisions that all requests of a gateway share.
+ *
+ * @module
+ */
+import type { SeededRandom, Timestamp } from '@plumstage/common'
+import type { ServiceRecord } from '@plumstage/records'
+import { RetryBudget } from './admission/retryBudget.js'
+import type { RetryBound } from './admission/retryBudget.js'
+import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
+import { DeploymentView } from './deployment/deploymentView.js'
+import { DemandMeter } from './fleet/demandMeter.js'
+import { PeerTable } from './peers/peerTable.js'
+import { WorkspaceQuotas } from './quotas/workspaceQuotas.js'
+import { QuarantineTable } from './recovery/quarantineTable.js'
+import { GenerationRouter } from './routing/generationRouter.js'
+import { PlainRouter } from './routing/plainRouter.js'
+import type { Router } from './routing/router.js'
+import { SharedPartIndex } from './routing/sharedPartIndex.js'
+import type { ServingSettings } from './servingSettings.js'
+import { UpstreamTable } from './upstreams/upstreamTable.js'
+import { UsageLedger } from './usage/usageLedger.js'
+
+const CRASHES_FOR_QUARANTINE = 3
+
+/** State and decisions of one gateway. */
+export class ServingState {
+  readonly view: DeploymentView
+  readonly upstreams = UpstreamTable.create()
+  readonly peers: PeerTable
+  readonly quotas = WorkspaceQuotas.create()
+  readonly usage: UsageLedger
+  readonly demand = DemandMeter.create()
+  readonly quarantine = QuarantineTable.create(CRASHES_FOR_QUARANTINE)
+  readonly sharedParts: SharedPartIndex
+  private readonly _retryBudgets = new Map<string, RetryBudget>()
+  private readonly _retryBound: RetryBound
+  private readonly _plainRouter: Router
+  private readonly _generationRouter: Router
+
+  private constructor (settings: ServingSettings, decoder: DeploymentDecoder, random: SeededRandom) {
+    this.view = DeploymentView.create(decoder)
+    this.peers = PeerTable.create(settings.peerAddress)
+    this.usage = UsageLedger.create(settings.usageWindowMilliseconds)
+    this.sharedParts = SharedPartIndex.create(settings.partReuseMilliseconds)
+    this._retryBound = settings.retryBound
+    this._plainRouter = PlainRouter.create(settings.failureDomain, random)
+    this._generationRouter = GenerationRouter.create(settings.failureDomain, this.sharedParts)
+  }
+
+  static create (settings: ServingSettings, decoder: DeploymentDecoder, random: SeededRandom): ServingState {
+    return new ServingState(settings, decoder, random)
+  }
+
+  routerOf (service: ServiceRecord | undefined): Router {
+    return service?.type === 'model-engine' ? this._generationRouter : this._plainRouter
+  }
+
+  recordRequest (service: string, now: Timestamp): void {
+    this._budgetOf(service).recordRequest(this._retryBound, now)
+  }
+
+  tryTakeRetry (service: string, now: Timestamp): boolean {
+    return this._budgetOf(service).tryTake(this._retryBound, this.peers.countPresent(now), now)
+  }
+
+  private _budgetOf (service: string): RetryBudget {
+    let budget = this._retryBudgets.get(service)
+    if (!budget) {
+      budget = RetryBudget.create()
+      this._retryBudgets.set(service, budget)
+    }
+    return budget
+  }
+}
--- /dev/null
+++ b/packages/serving/src/upstreams/upstreamConnections.ts
@@ -0,0 +1,66 @@
+/**
+ * Connections to upstreams: each carries one request at a time and is used again while the upstream keeps it open.
+ *
+ * @module
+ */
+import { Pool } from 'undici'
+import type { Dispatcher as HttpClient } from 'undici'
+import type { Upstream } from './upstreamTable.js'
+
+/** Time until a connection has to be established. */
+const CONNECT_TIMEOUT_MILLISECONDS = 700
+/** Used where an upstream does not state how long it keeps an idle connection. */
+const KEEP_ALIVE_MILLISECONDS = 4000
+const LONGEST_KEEP_ALIVE_MILLISECONDS = 60_000
+/** A connection is not used again this shortly before the upstream closes it. */
+const KEEP_ALIVE_MARGIN_MILLISECONDS = 400
+
+/** Gives the connections to one upstream. */
+export interface UpstreamConnections {
+  clientOf (upstream: Upstream): HttpClient
+  /** Closes the connections of an upstream that is gone, after the calls that use them. */
+  forget (upstream: Upstream): void
+  close (): Promise<void>
+}
+
+/** Keeps a pool of connections for each run of an upstream. */
+export class PooledUpstreamConnections implements UpstreamConnections {
+  private readonly _pools = new Map<Upstream, Pool>()
+
+  static create (): PooledUpstreamConnections {
+    return new PooledUpstreamConnections()
+  }
+
+  clientOf (upstream: Upstream): HttpClient {
+    let pool = this._pools.get(upstream)
+    if (!pool) {
+      pool = createPool(upstream.listed.address)
+      this._pools.set(upstream, pool)
+    }
+    return pool
+  }
+
+  forget (upstream: Upstream): void {
+    void this._pools.get(upstream)?.close()
+    this._pools.delete(upstream)
+  }
+
+  async close (): Promise<void> {
+    const pools = [...this._pools.values()]
+    this._pools.clear()
+    await Promise.all(pools.map(async pool => await pool.destroy()))
+  }
+}
+
+function createPool (address: string): Pool {
+  return new Pool(`http://${address}`, {
+    connections: null,
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    keepAliveMaxTimeout: LONGEST_KEEP_ALIVE_MILLISECONDS,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS }
+  })
+}
--- /dev/null
+++ b/packages/serving/src/usage/usageReportTask.ts
@@ -0,0 +1,127 @@
+/**
+ * The duty of reporting usage. The counts of a window are written to the store once, under a condition, before they are
+ * sent, so that whoever holds the duty next repeats exactly the same counts.
+ *
+ * @module
+ */
+import { z } from 'zod'
+import { getLogger } from '@plumstage/common'
+import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
+import type { DutyTask, KeyValueLease, KeyValueService } from '@plumstage/coordination'
+import type { Cloud } from '../duties/cloud.js'
+import type { UsageLedger } from './usageLedger.js'
+
+/** Time after a window's end in which the counts of the other gateways arrive. */
+const SETTLE_MILLISECONDS = 1500
+const ROUND_MILLISECONDS = 500
+const CALL_TIMEOUT_MILLISECONDS = 1500
+const KEPT_SECONDS = 300
+/** Windows that a new holder looks back on. */
+const LOOK_BACK_WINDOWS = 2
+
+const countsSchema = z.record(z.string(), z.int().min(0))
+
+/** What the task works with. */
+export interface UsageReportTaskOptions {
+  duty: DutyTask
+  holder: string
+  cloud: Cloud
+  store: KeyValueService
+  ledger: UsageLedger
+  keyOf: (window: number) => string
+  /** Time after a window's end by which it is to be reported. */
+  delayMilliseconds: number
+  clock: Clock
+  timeOfDay: () => Timestamp
+  instrumentation: Instrumentation
+}
+
+/** Reports window after window while this gateway holds the duty. */
+export class UsageReportTask {
+  private readonly _options: UsageReportTaskOptions
+  private readonly _log = getLogger('usage')
+  /** Windows before this one are reported, or are no longer due. */
+  private _nextWindow: number
+  private _lease: KeyValueLease | undefined
+
+  private constructor (options: UsageReportTaskOptions) {
+    this._options = options
+    this._nextWindow = options.ledger.windowAt(options.timeOfDay())
+  }
+
+  static create (options: UsageReportTaskOptions): UsageReportTask {
+    return new UsageReportTask(options)
+  }
+
+  async run (context: CallContext): Promise<void> {
+    const { clock, duty, ledger, timeOfDay } = this._options
+    while (!context.cancelled) {
+      const current = ledger.windowAt(timeOfDay())
+      if (!duty.hold()) this._nextWindow = Math.max(this._nextWindow, current - LOOK_BACK_WINDOWS)
+      else if (timeOfDay() > ledger.endOf(this._nextWindow) + this._options.delayMilliseconds) this._skipWindow()
+      else if (timeOfDay() >= ledger.endOf(this._nextWindow) + SETTLE_MILLISECONDS && await this._report(context, this._nextWindow)) this._nextWindow++
+      await context.sleepUntil(clock.now() + ROUND_MILLISECONDS)
+    }
+  }
+
+  private _skipWindow (): void {
+    this._options.instrumentation.emit('usage-skipped', { window: this._nextWindow })
+    this._nextWindow++
+  }
+
+  private async _report (context: CallContext, window: number): Promise<boolean> {
+    const { clock, duty, cloud, holder, instrumentation } = this._options
+    const call = context.createChild(clock.now() + CALL_TIMEOUT_MILLISECONDS)
+    try {
+      const counts = await this._settle(call, window)
+      const held = duty.hold()
+      if (!counts || !held) return false
+      const outcome = await cloud.reportUsage(call, { name: holder, fencingNumber: held.fencingNumber }, { window, counts })
+      const result = outcome.isOk() ? outcome.value : 'unanswered'
+      instrumentation.emit('usage-reported', { window, result, fencingNumber: held.fencingNumber, requests: [...counts.values()].reduce((sum, count) => sum + count, 0) })
+      if (result === 'fenced') duty.abandon()
+      return result === 'accepted'
+    } finally {
+      call.finish()
+    }
+  }
+
+  /** Returns the counts of a window as the store has them, after writing them if it has none. */
+  private async _settle (context: CallContext, window: number): Promise<Map<string, number> | undefined> {
+    const { store, ledger, keyOf } = this._options
+    const key = keyOf(window)
+    const own = ledger.sum(window)
+    const lease = await this._leaseFor(context)
+    if (!lease) return undefined
+    const written = await store.transact(context, {
+      conditions: [{ kind: 'create-revision', key, revision: 0 }],
+      onSuccess: [{ kind: 'put', key, value: JSON.stringify(Object.fromEntries(own)), lease: lease.id }],
+      onFailure: [{ kind: 'get', key }]
+    })
+    if (written.isErr()) return undefined
+    if (written.value.succeeded) return own
+    const stored = countsSchema.safeParse(parseJson(written.value.entries[0]?.value))
+    if (stored.success) return new Map(Object.entries(stored.data))
+    this._log.error(`The counts of window ${window} in the store can't be read. The window is not reported again.`)
+    return undefined
+  }
+
+  private async _leaseFor (context: CallContext): Promise<KeyValueLease | undefined> {
+    if (this._lease) {
+      const renewed = await this._options.store.keepLeaseAlive(context, this._lease.id)
+      if (renewed.isErr()) return undefined
+      if (renewed.value) return this._lease
+    }
+    const granted = await this._options.store.grantLease(context, KEPT_SECONDS)
+    this._lease = granted.isOk() ? granted.value : undefined
+    return this._lease
+  }
+}
+
+function parseJson (text: string | undefined): unknown {
+  try {
+    return JSON.parse(text ?? '')
+  } catch {
+    return undefined
+  }
+}
--- a/scenarios/world/virtualGateway.ts
+++ b/scenarios/world/virtualGateway.ts
@@ -9,7 +9,7 @@
 import type { ActionEvent, VirtualClock } from '@plumstage/common'
 import { CallReader, CallerError, GatewayCore } from '@plumstage/gateway'
 import type { EngineOrders, HandedRequest, PeerConfiguration, PeerLink, PeerMessage, UpstreamClients } from '@plumstage/gateway'
-import type { InstanceList } from '@plumstage/platform'
+import type { InstanceList } from '@plumstage/coordination'
 import type { CallRecord } from './callRecord.js'
 import { RecordedResponse } from './callRecord.js'
 import { ProcessClock } from './processClock.js'
--- a/tests/platform/etcdKeyValueService.spec.ts
+++ b/tests/coordination/etcdKeyValueService.spec.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
 import { CallContext, SystemClock } from '@plumstage/common'
-import { EtcdKeyValueService, WriteSettlement } from '@plumstage/platform'
-import type { KeyValueWatchBatch } from '@plumstage/platform'
+import { EtcdKeyValueService, WriteSettlement } from '@plumstage/coordination'
+import type { KeyValueWatchBatch } from '@plumstage/coordination'
 import { KeyValueStandin } from '@plumstage/standins'
 import { ANY_PORT } from '../support/deployment.js'
 
--- a/tests/operator/operatorCommands.spec.ts
+++ b/tests/operator/operatorCommands.spec.ts
@@ -5,7 +5,7 @@
 import { after, before, describe, it } from 'node:test'
 import { EXIT_CODES, GatewayClient, RecordStore, apply, diff, drain, exitCodeOf, explain, get, status, validate } from '@plumstage/operator'
 import type { CommandServices } from '@plumstage/operator'
-import { EtcdKeyValueService } from '@plumstage/platform'
+import { EtcdKeyValueService } from '@plumstage/coordination'
 import { Deployment, OPERATOR_TOKEN } from '../support/deployment.js'
 
 const APPLY = { prune: false, wait: false, waitSeconds: 7 }
--- a/tests/support/deployment.ts
+++ b/tests/support/deployment.ts
@@ -6,7 +6,7 @@
 import { CallContext, Instrumentation, SystemClock, createProcessIncarnation, setLogLevel } from '@plumstage/common'
 import type { ActionEvent } from '@plumstage/common'
 import { Gateway, readGatewaySettings } from '@plumstage/gateway'
-import { EtcdKeyValueService, HttpInstanceList, KeySpace } from '@plumstage/platform'
+import { EtcdKeyValueService, HttpInstanceList, KeySpace } from '@plumstage/coordination'
 import { digestToken, readRecordFile } from '@plumstage/records'
 import { EngineStandin, InstanceListStandin, KeyValueStandin, PlainServiceStandin } from '@plumstage/standins'
 import type { EngineOptions } from '@plumstage/standins'
