Take an answer without a length as broken when its connection is reset

Change: the connector notes the reset before the client's own listener runs, and the attempt ends as broken.

Ruled out: the answer relay, which never saw an error.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,5 +1,5 @@
 /** Which folders may import which. The packages' own dependencies say which packages may import which. */
-const FOLDERS_OF_DECISIONS = '^packages/gateway/src/(admission/(dispatcher\\.|fairQueue|isolation|retryBudget|serviceRate)|routing/|attempts/(dispatchBoundary|requestLifecycle|eventScanner|streamedAnswer)|claims/(claimPolicy|claimRecord)|upstreams/(upstream|upstreamTable)\\.|membership/(member|membershipTable)|configuration/configurationState|recovery/(.*(Planner|Table)|isolationShare|cacheTransfer))|^packages/coordination/src/duties/dutyLease|^packages/serving/src/(admission|routing|upstreams|quotas|fleet|attempts/(attemptPolicy|eventSplitter)|usage/usageLedger|deployment/deploymentView|peers/peerTable)'
+const FOLDERS_OF_DECISIONS = '^packages/gateway/src/(admission/(dispatcher\\.|fairQueue|isolation|retryBudget|serviceRate)|routing/|attempts/(dispatchBoundary|requestLifecycle|eventScanner|streamedAnswer)|claims/(claimPolicy|claimRecord)|upstreams/(upstream|upstreamTable)\\.|membership/(member|membershipTable)|configuration/configurationState|recovery/(.*(Planner|Table)|isolationShare|cacheTransfer))|^packages/coordination/src/duties/dutyLease|^packages/serving/src/(admission|routing|quotas|recovery|upstreams/(upstream|upstreamTable|upstreamHealth|listedUpstream)\\.|fleet/(demandMeter|fleetPlanner)|attempts/(attemptPolicy|eventSplitter|answerRelay)|callers/(rejection|requestAdmission)|usage/usageLedger|deployment/deploymentView|peers/peerTable|servingState)'
 
 module.exports = {
   forbidden: [
@@ -12,6 +12,8 @@
     { name: 'operator-does-not-know-the-gateway', severity: 'error', from: { path: '^packages/operator' }, to: { path: '^packages/(gateway|standins|load)' } },
     { name: 'timeline-knows-only-common', severity: 'error', from: { path: '^packages/timeline' }, to: { path: '^packages/(?!timeline|common)' } },
     { name: 'protocol-only-in-adapters', severity: 'error', from: { path: '^packages/(gateway|operator)', pathNot: '^packages/gateway/src/(membership/peer|recovery/handover)' }, to: { path: '^packages/protocol' } },
+    { name: 'platform-only-from-the-binary', severity: 'error', from: { path: '^packages/', pathNot: '^packages/entry' }, to: { path: '^platform/' } },
+    { name: 'platform-decides-nothing', severity: 'error', from: { path: '^platform/' }, to: { path: '^packages/(gateway|operator|standins|load|timeline|entry)' } },
     { name: 'decisions-open-no-sockets', severity: 'error', from: { path: FOLDERS_OF_DECISIONS }, to: { path: '(^node:|node_modules/(undici|hono|@hono|@connectrpc))|^(net|http|http2|fs|timers|dgram)$' } }
   ],
   options: {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/generated/**', 'reports/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/generated/**', 'reports/**', 'target/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -120,6 +120,7 @@
   }
 
   receiveEnd (): PartVerdict {
+    if (this._services.connections.resetting) return fail('broken', 'the connection was reset within the answer')
     return this._relay.receiveEnd()
   }
 
--- a/packages/serving/src/upstreams/upstreamConnections.ts
+++ b/packages/serving/src/upstreams/upstreamConnections.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import { Pool } from 'undici'
+import type { Socket } from 'node:net'
+import { Pool, buildConnector } from 'undici'
 import type { Dispatcher as HttpClient } from 'undici'
 import type { Upstream } from './upstreamTable.js'
 
@@ -18,6 +19,8 @@
 /** Gives the connections to one upstream. */
 export interface UpstreamConnections {
   clientOf (upstream: Upstream): HttpClient
+  /** Whether a connection is being reset right now: an answer that ends with its connection is not whole then. */
+  readonly resetting: boolean
   /** Closes the connections of an upstream that is gone, after the calls that use them. */
   forget (upstream: Upstream): void
   close (): Promise<void>
@@ -26,15 +29,21 @@
 /** Keeps a pool of connections for each run of an upstream. */
 export class PooledUpstreamConnections implements UpstreamConnections {
   private readonly _pools = new Map<Upstream, Pool>()
+  private readonly _connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS })
+  private _resetting = false
 
   static create (): PooledUpstreamConnections {
     return new PooledUpstreamConnections()
   }
 
+  get resetting (): boolean {
+    return this._resetting
+  }
+
   clientOf (upstream: Upstream): HttpClient {
     let pool = this._pools.get(upstream)
     if (!pool) {
-      pool = createPool(upstream.listed.address)
+      pool = this._createPool(upstream.listed.address)
       this._pools.set(upstream, pool)
     }
     return pool
@@ -50,17 +59,32 @@
     this._pools.clear()
     await Promise.all(pools.map(async pool => await pool.destroy()))
   }
-}
 
-function createPool (address: string): Pool {
-  return new Pool(`http://${address}`, {
-    connections: null,
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
-    keepAliveMaxTimeout: LONGEST_KEEP_ALIVE_MILLISECONDS,
-    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS }
-  })
+  private _createPool (address: string): Pool {
+    return new Pool(`http://${address}`, {
+      connections: null,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      keepAliveMaxTimeout: LONGEST_KEEP_ALIVE_MILLISECONDS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (options, callback) => this._connect(options, (...outcome) => {
+        const [, socket] = outcome
+        if (socket) this._observeResets(socket)
+        callback(...outcome)
+      })
+    })
+  }
+
+  /**
+   * The library takes an answer without a length as whole when its connection is reset. It does so in its own listener
+   * of the same event, which runs after this one.
+   */
+  private _observeResets (socket: Socket): void {
+    socket.on('error', () => {
+      this._resetting = true
+      queueMicrotask(() => { this._resetting = false })
+    })
+  }
 }
