--- a/packages/common/src/boundedEventLog.ts
+++ b/packages/common/src/boundedEventLog.ts
@@ -3,10 +3,12 @@
  *
  * @module
  */
-import { SonicBoom } from 'sonic-boom'
+import sonicBoom from 'sonic-boom'
 import { formatEvent } from './eventLog.js'
 import type { ActionEvent } from './instrumentation.js'
 
+const { SonicBoom } = sonicBoom
+
 const STANDARD_OUTPUT = 1
 const FLUSH_BYTES = 8 * 1024
 const MAXIMUM_PENDING_BYTES = 1024 * 1024
@@ -14,11 +16,11 @@
 
 /** Appends events to standard output or a file; what the reader does not take in time is dropped and counted. */
 export class BoundedEventLog {
-  private readonly _output: SonicBoom
+  private readonly _output: InstanceType<typeof SonicBoom>
   private readonly _timer: NodeJS.Timeout
   private _droppedLines = 0
 
-  private constructor (output: SonicBoom) {
+  private constructor (output: InstanceType<typeof SonicBoom>) {
     this._output = output
     this._output.on('drop', () => { this._droppedLines++ })
     this._output.on('error', () => { this._droppedLines++ })
--- /dev/null
+++ b/tests/platform/callerAdapter.spec.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict'
+import type { IncomingMessage } from 'node:http'
+import { describe, it } from 'node:test'
+import { CallerAdapter } from '@plumstage/platform'
+import type { CallerHead } from '@plumstage/serving'
+
+function read (fields: Record<string, string>, url = '/lohu/2f?x=1'): CallerHead {
+  const headers = { host: 'Ficu.example:8080', 'plumstage-attempt-id': 'r-1', ...fields }
+  const incoming = { url, method: 'POST', headers, rawHeaders: Object.entries(headers).flat() }
+  return CallerAdapter.create().readHead(incoming as unknown as IncomingMessage)._unsafeUnwrap()
+}
+
+describe('caller adapter', () => {
+  it('reads the work that a request asks of an engine', () => {
+    const { generation } = read({ 'plumstage-model': 'm', 'plumstage-token-count': '1460,80', 'plumstage-prompt-prefix': '5c1e07a2:800,91bd3f06:410, e4402b7d:250', 'plumstage-length-hint': '33' })
+    assert.deepEqual(generation, {
+      model: 'm',
+      promptTokens: 1460,
+      maximumOutputTokens: 80,
+      expectedOutputTokens: 33,
+      parts: [{ id: '5c1e07a2', tokens: 800 }, { id: '91bd3f06', tokens: 410 }, { id: 'e4402b7d', tokens: 250 }]
+    })
+  })
+
+  it('reads host, path and token in the form that routes and workspaces have', () => {
+    const head = read({ authorization: 'Bearer abc' })
+    assert.deepEqual([head.host, head.path, head.target, head.token], ['ficu.example', '/lohu/2f', '/lohu/2f?x=1', 'abc'])
+  })
+
+  it('takes figures that make no sense as absent', () => {
+    const head = read({ 'plumstage-deadline-ms': '-5', 'last-event-id': 'x', 'plumstage-token-count': 'many' })
+    assert.deepEqual([head.patienceMilliseconds, head.lastEventId, head.generation], [undefined, undefined, undefined])
+  })
+
+  it('writes the time to come back in seconds with fractions', () => {
+    assert.deepEqual(CallerAdapter.create().encodeRejection({ kind: 'overloaded', status: 503, retryAfterMilliseconds: 250, message: '' }), ['retry-after', '0.250'])
+  })
+})
--- /dev/null
+++ b/tests/platform/documents.spec.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import { describe, it } from 'node:test'
+import { DeploymentAdapter, readConfigurationDocument, readSettingsFile } from '@plumstage/platform'
+
+const ROUTE = { name: 'r', host: 'Wiki.example', prefix: '/a/', route_type: 'streaming', service: 'model', resumable: true, gap_objective_ms: 300, timeout_ms: 8000, objective_ms: 800, priority: 0, max_attempts: 2 }
+const SERVICE = { name: 'model', max_conns: 370, engine: { capacity: 64, kv_capacity: 344_095, most: 12, models: [{ name: 'm' }] }, scaling: { min: 1, max: 6, boot_s: 4, spot_price: 0.22, zone_prices: { east: 0.85 } } }
+const TENANT = { name: 'press', api_keys: ['one', 'two'], unit: 'tokens', uncached_tokens: 200, rate_per_s: 100, burst: 50, priority: 1 }
+
+function readConfiguration (fields: Record<string, unknown>) {
+  return readConfigurationDocument(JSON.stringify({ version: 7, routes: [ROUTE], services: [SERVICE], tenants: [TENANT], ...fields }), 12)
+}
+
+describe('configuration document', () => {
+  it('becomes records of the product', () => {
+    const configuration = readConfiguration({})._unsafeUnwrap()
+    const route = configuration.findRouteByHost('wiki.example', '/a/b')
+    assert.equal(route?.idempotency, 'non-idempotent')
+    assert.deepEqual(route?.stream, { resumable: true, longestPauseMilliseconds: 300 })
+    assert.equal(configuration.findWorkspaceByToken('two')?.name, 'press')
+    assert.deepEqual(configuration.workspaces.get('press')?.quota, { unit: 'tokens', unitsPerSecond: 100, burstUnits: 50, defaultUnits: 200 })
+    assert.equal(configuration.services.get('model')?.type, 'model-engine')
+    assert.deepEqual(configuration.services.get('model')?.scaling, { minimum: 1, maximum: 6, bootSeconds: 4, reclaimablePriceFraction: 0.22, priceByDomain: { east: 0.85 } })
+    assert.equal(configuration.revision, 12)
+  })
+
+  it('is refused with the fields that are wrong', () => {
+    const problem = readConfiguration({ routes: [{ ...ROUTE, route_type: 'odd', host: 3 }] })._unsafeUnwrapErr().message
+    assert.match(problem, /routes\.0\.route_type/)
+    assert.match(problem, /routes\.0\.host/)
+    assert.equal(readConfigurationDocument('{"version":', 1).isErr(), true)
+    assert.equal(readConfigurationDocument('[]', 1).isErr(), true)
+  })
+
+  it('accepts fields that it does not know, and a tenant without a limit', () => {
+    const configuration = readConfiguration({ novelty: 1, tenants: [{ ...TENANT, rate_per_s: 0 }] })._unsafeUnwrap()
+    assert.equal(configuration.workspaces.get('press')?.quota, undefined)
+  })
+})
+
+describe('entry of an upstream', () => {
+  const entry = { service: 'front', address: '10.0.0.1:80', zone: 'east', capacity: 6, state: 'draining', warmup_left_ms: 0, seq: 4, leaves_ms: 2400, spot: true, born: 1_772_000_000_000 }
+
+  function readEntry (fields: Record<string, unknown>) {
+    return DeploymentAdapter.create().readUpstream('i-1', JSON.stringify({ ...entry, ...fields }))
+  }
+
+  it('becomes an upstream of the product', () => {
+    assert.deepEqual(readEntry({})._unsafeUnwrap(), { id: 'i-1', incarnation: '1772000000000', service: 'front', address: '10.0.0.1:80', failureDomain: 'east', capacity: 6, state: 'leaving', leavesInMilliseconds: 2400, reclaimable: true, warmupMilliseconds: 0 })
+  })
+
+  it('names no upstream when a field is missing, of another type or unknown', () => {
+    for (const fields of [{ service: undefined }, { address: 'host:80' }, { address: 80 }, { state: 'resting' }, { zone: null }, { born: 'today' }, { capacity: '6' }]) assert.equal(readEntry(fields).isErr(), true, JSON.stringify(fields))
+    assert.equal(DeploymentAdapter.create().readUpstream('i-1', '\u0000').isErr(), true)
+  })
+})
+
+describe('settings file', () => {
+  const settings = { node_name: 'edge-1', ip: '10.1.0.1', zone: 'east', listen: { front: '10.1.0.1:8221', readiness: '10.1.0.1:8224' }, port_range: [7600, 7615], seeds: ['10.2.0.4:8229'], platform: { address: '10.200.1.7:8225' }, cloud: { address: '10.200.0.35:8225', duties: ['usage', 'scaling'] }, bounds: { grace_s: 6, lease_ms: 3000 } }
+
+  function readFile (text: string) {
+    const folder = mkdtempSync(path.join(tmpdir(), 'settings-'))
+    const file = path.join(folder, 'node.json')
+    writeFileSync(file, text)
+    const result = readSettingsFile(file)
+    rmSync(folder, { recursive: true })
+    return result
+  }
+
+  it('becomes settings of the product', () => {
+    const read = readFile(JSON.stringify({ ...settings, novelty: true }))._unsafeUnwrap()
+    assert.deepEqual([read.peerAddress, read.peerSeeds, read.graceMilliseconds, read.ordersUpstreams], ['10.1.0.1:7600', ['10.2.0.4:7600'], 6000, true])
+  })
+
+  it('is refused with every mistake and what to do', () => {
+    const problem = readFile(JSON.stringify({ ...settings, zone: 4, platform: { address: 'store' }, listen: undefined }))._unsafeUnwrapErr().message
+    for (const field of ['zone', 'platform.address', 'listen']) assert.match(problem, new RegExp(`- ${field}`))
+  })
+
+  it('is refused when it is torn or missing', () => {
+    assert.match(readFile('{"node_name": "ed')._unsafeUnwrapErr().message, /can't be read/)
+    assert.match(readSettingsFile('/does/not/exist')._unsafeUnwrapErr().message, /PLUMSTAGE_SETTINGS/)
+  })
+})
--- /dev/null
+++ b/tests/platform/support/platformDeployment.ts
@@ -0,0 +1,238 @@
+/**
+ * Serving gateways over stand-ins of the users' platform, in one process, for tests.
+ *
+ * @module
+ */
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import { connect } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { Instrumentation, LeaseClock, SeededRandom, SteadyClock, setLogLevel } from '@plumstage/common'
+import type { ActionEvent } from '@plumstage/common'
+import { CallerAdapter, CloudAdapter, DeploymentAdapter, StoreAdapter, UpstreamAdapter } from '@plumstage/platform'
+import { ServingGateway } from '@plumstage/serving'
+import type { ServingSettings } from '@plumstage/serving'
+import { StoreStandin } from './storeStandin.js'
+import { UpstreamStandin } from './upstreamStandin.js'
+
+setLogLevel(process.env.TEST_LOG_LEVEL === undefined ? 'silent' : 'debug')
+
+export const HOST = 'wiki.example'
+export const TOKEN = 'token-of-the-notaries'
+
+/** A call that the cloud received. */
+export interface CloudCall {
+  path: string
+  fencingNumber: number
+  document: Record<string, unknown>
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  status: number
+  headers: Map<string, string>
+  body: string
+  /** Whether the answer was framed as whole. */
+  whole: boolean
+}
+
+/** A request; headers with an empty value are left out. */
+export interface CallFields {
+  method?: string
+  headers?: Record<string, string>
+  body?: string
+  id?: string
+}
+
+const CONFIGURATION = {
+  version: 3,
+  routes: [
+    { name: 'page', host: HOST, prefix: '/page/', route_type: 'non_idempotent', timeout_ms: 1500, objective_ms: 100, priority: 2, service: 'front', max_attempts: 2 },
+    { name: 'search', host: HOST, prefix: '/search/', route_type: 'idempotent', timeout_ms: 1500, objective_ms: 100, priority: 2, service: 'front', max_attempts: 2 },
+    { name: 'search-deep', host: HOST, prefix: '/search/deep/', route_type: 'idempotent', timeout_ms: 1500, service: 'other', max_attempts: 1 },
+    { name: 'open', host: HOST, prefix: '/open/', route_type: 'idempotent', service: 'front', anonymous: true },
+    { name: 'brief', host: HOST, prefix: '/brief/', route_type: 'idempotent', timeout_ms: 120, service: 'front', max_attempts: 2 },
+    { name: 'manual', host: HOST, prefix: '/manual/', route_type: 'streaming', timeout_ms: 5000, objective_ms: 800, service: 'front', max_attempts: 2, resumable: true, gap_objective_ms: 300 },
+    { name: 'summary', host: HOST, prefix: '/summary/', route_type: 'streaming', timeout_ms: 5000, objective_ms: 800, service: 'front', max_attempts: 2, resumable: false, gap_objective_ms: 300 }
+  ],
+  services: [{ name: 'front', health_path: '/health', max_conns: 100 }, { name: 'other', health_path: '/health' }],
+  limits: { max_header_bytes: 4096, max_body_bytes: 2000, header_timeout_ms: 3000, idle_timeout_ms: 5000 },
+  tenants: [{ name: 'notaries', api_keys: [TOKEN], unit: 'tokens', uncached_tokens: 10, rate_per_s: 5, burst: 2000 }]
+}
+
+/** A running deployment. */
+export class PlatformDeployment {
+  readonly clock = SteadyClock.create()
+  readonly events: ActionEvent[] = []
+  readonly gateways: ServingGateway[] = []
+  readonly workers: UpstreamStandin[] = []
+  readonly cloudCalls: CloudCall[] = []
+  store!: StoreStandin
+  private _cloud!: Server
+  private readonly _waiters = new Set<() => void>()
+
+  static async create (workers = 2): Promise<PlatformDeployment> {
+    const deployment = new PlatformDeployment()
+    deployment.store = await StoreStandin.create()
+    await deployment._startCloud()
+    deployment.configure({})
+    for (let index = 1; index <= workers; index++) await deployment.addWorker(`i-${index}`)
+    await deployment.addGateway()
+    await deployment.waitForEvent(event => event.kind === 'configuration-applied')
+    return deployment
+  }
+
+  /** Writes the configuration, with some of its fields replaced. */
+  configure (fields: Partial<typeof CONFIGURATION>): number {
+    return this.store.put('op/config', JSON.stringify({ ...CONFIGURATION, ...fields }))
+  }
+
+  get routes (): typeof CONFIGURATION.routes {
+    return CONFIGURATION.routes
+  }
+
+  async addWorker (id: string, service = 'front'): Promise<UpstreamStandin> {
+    const worker = await UpstreamStandin.create(id)
+    this.workers.push(worker)
+    this.listWorker(worker, {}, service)
+    return worker
+  }
+
+  listWorker (worker: UpstreamStandin, fields: Record<string, unknown> = {}, service = 'front'): void {
+    this.store.put(`servers/${worker.id}`, JSON.stringify({ service, address: worker.address, zone: 'east', capacity: 6, state: 'ready', warmup_left_ms: 0, seq: 1, ...fields }))
+  }
+
+  async addGateway (): Promise<ServingGateway> {
+    const name = `edge-${this.gateways.length + 1}`
+    const instrumentation = Instrumentation.create(name, `${name}-run`, this.clock)
+    instrumentation.addListener(event => {
+      this.events.push(event)
+      for (const wake of this._waiters) wake()
+      this._waiters.clear()
+    })
+    const gateway = await ServingGateway.create(this._settingsOf(name), {
+      clock: this.clock,
+      leaseClock: LeaseClock.create(this.clock),
+      timeOfDay: () => Date.now(),
+      random: SeededRandom.create(1),
+      instrumentation,
+      store: StoreAdapter.create(this.store.address, this.clock),
+      decoder: DeploymentAdapter.create(),
+      callerProtocol: CallerAdapter.create(),
+      upstreamProtocol: UpstreamAdapter.create(),
+      cloud: CloudAdapter.create(`127.0.0.1:${(this._cloud.address() as AddressInfo).port}`),
+      droppedLogLines: () => 0
+    })
+    this.gateways.push(gateway)
+    return gateway
+  }
+
+  async waitForEvent (accept: (event: ActionEvent) => boolean): Promise<ActionEvent> {
+    for (;;) {
+      const event = this.events.find(accept)
+      if (event) return event
+      await new Promise<void>(resolve => this._waiters.add(resolve))
+    }
+  }
+
+  /** Waits until the gateway's list of upstreams contains the last change. */
+  async waitForList (): Promise<void> {
+    const revision = this.store.revision
+    await this.waitForEvent(event => event.kind === 'upstreams-applied' && Number(event.attributes?.revision) >= revision)
+  }
+
+  /** Sends one request over a connection of its own and reads the answer to its end. */
+  async call (target: string, fields: CallFields = {}): Promise<CallerAnswer> {
+    return await this.sendRaw(formatCall(target, fields))
+  }
+
+  /** Sends one request and leaves its answer unread. */
+  open (target: string, fields: CallFields = {}): Socket {
+    const [host, port] = this.gateways[0].callerAddress.split(':')
+    const socket = connect(Number(port), host)
+    socket.on('error', () => socket.destroy())
+    socket.write(formatCall(target, fields))
+    return socket
+  }
+
+  async sendRaw (text: string): Promise<CallerAnswer> {
+    const [host, port] = this.gateways[0].callerAddress.split(':')
+    const socket = connect(Number(port), host)
+    const chunks: Buffer[] = []
+    socket.on('data', chunk => chunks.push(chunk))
+    socket.on('error', () => socket.destroy())
+    socket.write(text)
+    await new Promise<void>(resolve => socket.once('close', () => resolve()))
+    return parseAnswer(Buffer.concat(chunks).toString('latin1'))
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.gateways.map(async gateway => await gateway.destroy()))
+    await Promise.all(this.workers.map(async worker => await worker.stop()))
+    await this.store.stop()
+    this._cloud.closeAllConnections()
+    await new Promise<void>(resolve => this._cloud.close(() => resolve()))
+  }
+
+  private async _startCloud (): Promise<void> {
+    this._cloud = createServer((request, response) => {
+      let text = ''
+      request.on('data', (chunk: Buffer) => { text += chunk.toString() })
+      request.on('end', () => {
+        this.cloudCalls.push({ path: request.url ?? '', fencingNumber: Number(request.headers['plumstage-fencing-token']), document: JSON.parse(text) as Record<string, unknown> })
+        response.end()
+      })
+    })
+    await new Promise<void>(resolve => this._cloud.listen(0, '127.0.0.1', resolve))
+  }
+
+  private _settingsOf (name: string): ServingSettings {
+    return {
+      name,
+      failureDomain: 'east',
+      callerAddress: '127.0.0.1:0',
+      readinessAddress: '127.0.0.1:0',
+      peerAddress: '127.0.0.1:0',
+      peerSeeds: [],
+      addresses: { store: this.store.address },
+      graceMilliseconds: 6000,
+      dutyLeaseMilliseconds: 3000,
+      usageWindowMilliseconds: 1000,
+      usageDelayMilliseconds: 10_000,
+      retryBound: { ratio: 0.2, slack: 50, windowMilliseconds: 10_000 },
+      partReuseMilliseconds: 9000,
+      reportsUsage: true,
+      ordersUpstreams: true
+    }
+  }
+}
+
+function formatCall (target: string, { method = 'GET', headers = {}, body = '', id = `request-${Math.random()}` }: CallFields): string {
+  const fields = { Host: HOST, 'Plumstage-Attempt-Id': id, Authorization: `Bearer ${TOKEN}`, Connection: 'close', 'Content-Length': String(body.length), ...headers }
+  const lines = Object.entries(fields).filter(([, value]) => value !== '')
+  return `${method} ${target} HTTP/1.1\r\n${lines.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n${body}`
+}
+
+function parseAnswer (text: string): CallerAnswer {
+  const headEnd = text.indexOf('\r\n\r\n')
+  if (headEnd < 0) return { status: 0, headers: new Map(), body: '', whole: false }
+  const [first, ...lines] = text.slice(0, headEnd).split('\r\n')
+  const headers = new Map(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]))
+  const rest = text.slice(headEnd + 4)
+  const status = Number(first.split(' ')[1])
+  if (headers.get('transfer-encoding') !== 'chunked') return { status, headers, body: rest, whole: rest.length === Number(headers.get('content-length')) }
+  const { body, whole } = readChunks(rest)
+  return { status, headers, body, whole }
+}
+
+function readChunks (text: string): { body: string, whole: boolean } {
+  let body = ''
+  for (let start = 0; ;) {
+    const lineEnd = text.indexOf('\r\n', start)
+    if (lineEnd < 0) return { body, whole: false }
+    const length = Number.parseInt(text.slice(start, lineEnd), 16)
+    if (length === 0) return { body, whole: true }
+    body += text.slice(lineEnd + 2, lineEnd + 2 + length)
+    start = lineEnd + 2 + length + 2
+  }
+}
--- /dev/null
+++ b/tests/platform/support/storeStandin.ts
@@ -0,0 +1,191 @@
+/**
+ * A stand-in of the users' store: keys with revisions, watches, transactions and leases, over HTTP.
+ *
+ * @module
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+interface Item {
+  key: string
+  value: string
+  revision: number
+  created: number
+  lease: number
+}
+
+interface Deletion {
+  key: string
+  revision: number
+  deleted: true
+}
+
+type Fault = 'none' | 'busy' | 'silent' | 'lose-answer'
+
+interface TransactionDocument {
+  expected_rev: Array<{ key: string, revision: number }>
+  puts: Array<{ key: string, value: string, lease: number }>
+  remove: string[]
+}
+
+/** Answers one call; undefined when it is answered later. */
+type Reply = { status: number, document: unknown } | undefined
+
+const PAGE_SIZE = 3
+
+/** A running store. */
+export class StoreStandin {
+  /** What goes wrong with calls, and for which paths. */
+  fault: Fault = 'none'
+  faultPath = ''
+  readonly calls: string[] = []
+  private readonly _server: Server
+  private readonly _items = new Map<string, Item>()
+  private readonly _history: Array<Item | Deletion> = []
+  private readonly _waiting = new Set<() => void>()
+  private _revision = 7
+  private _compactedBefore = 0
+  private _nextLease = 100
+  private readonly _leases = new Set<number>()
+
+  private constructor () {
+    this._server = createServer((request, response) => { void this._serve(request, response) })
+  }
+
+  static async create (): Promise<StoreStandin> {
+    const standin = new StoreStandin()
+    await new Promise<void>(resolve => standin._server.listen(0, '127.0.0.1', resolve))
+    return standin
+  }
+
+  get address (): string {
+    return `127.0.0.1:${(this._server.address() as AddressInfo).port}`
+  }
+
+  get revision (): number {
+    return this._revision
+  }
+
+  read (key: string): string | undefined {
+    const item = this._items.get(key)
+    return item && Buffer.from(item.value, 'base64').toString()
+  }
+
+  listKeys (prefix: string): string[] {
+    return [...this._items.keys()].filter(key => key.startsWith(prefix))
+  }
+
+  put (key: string, value: string | Buffer, lease = 0): number {
+    const revision = ++this._revision
+    const item = { key, value: Buffer.from(value).toString('base64'), revision, created: this._items.get(key)?.created ?? revision, lease }
+    this._items.set(key, item)
+    this._record(item)
+    return revision
+  }
+
+  remove (key: string): void {
+    if (this._items.delete(key)) this._record({ key, revision: ++this._revision, deleted: true })
+  }
+
+  /** Forgets the history, so that watches from before are told so. */
+  compact (): void {
+    this._compactedBefore = this._revision
+    this._wake()
+  }
+
+  endLease (lease: number): void {
+    this._leases.delete(lease)
+    for (const item of [...this._items.values()]) if (item.lease === lease) this.remove(item.key)
+  }
+
+  async stop (): Promise<void> {
+    this._server.closeAllConnections()
+    await new Promise<void>(resolve => this._server.close(() => resolve()))
+  }
+
+  private _record (change: Item | Deletion): void {
+    this._history.push(change)
+    this._wake()
+  }
+
+  private _wake (): void {
+    for (const wake of [...this._waiting]) wake()
+  }
+
+  private async _serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://store')
+    this.calls.push(`${request.method} ${url.pathname}`)
+    const fault = url.pathname.startsWith(this.faultPath) ? this.fault : 'none'
+    const chunks: Buffer[] = []
+    for await (const chunk of request) chunks.push(chunk as Buffer)
+    if (fault === 'silent') return
+    if (fault === 'busy') return send(response, { status: 503, document: {} })
+    const reply = this._answer(request.method ?? 'GET', url, Buffer.concat(chunks).toString(), response)
+    if (fault === 'lose-answer') return void request.socket.destroy()
+    if (reply) send(response, reply)
+  }
+
+  private _answer (method: string, url: URL, body: string, response: ServerResponse): Reply {
+    const path = url.pathname
+    if (path === '/v1/kv-key') return this._get(url.searchParams.get('key') ?? '')
+    if (path === '/v1/kv-range') return this._range(url)
+    if (path === '/v1/kv-watch') return this._watch(url, response)
+    if (path === '/v1/kv-txn') return this._transact(JSON.parse(body) as TransactionDocument)
+    if (path === '/v1/kv-lease') return this._grant(JSON.parse(body) as { ttl_ms: number })
+    if (path.startsWith('/v1/kv-keep/')) return this._leases.has(Number(path.split('/').at(-1))) ? { status: 200, document: { ttl_ms: 3000 } } : { status: 404, document: {} }
+    if (method === 'DELETE') this.endLease(Number(path.split('/').at(-1)))
+    return { status: 200, document: {} }
+  }
+
+  private _get (key: string): Reply {
+    const item = this._items.get(key)
+    return item ? { status: 200, document: { ...item, current_rev: this._revision } } : { status: 404, document: {} }
+  }
+
+  private _range (url: URL): Reply {
+    const after = url.searchParams.get('after') ?? ''
+    const prefix = url.searchParams.get('prefix') ?? ''
+    const items = [...this._items.values()].filter(item => item.key.startsWith(prefix) && item.key > after).sort((left, right) => left.key < right.key ? -1 : 1)
+    return { status: 200, document: { items: items.slice(0, PAGE_SIZE), more_pages: items.length > PAGE_SIZE, current_rev: this._revision } }
+  }
+
+  private _watch (url: URL, response: ServerResponse): Reply {
+    const after = Number(url.searchParams.get('after'))
+    const prefix = url.searchParams.get('prefix') ?? ''
+    if (after < this._compactedBefore) return { status: 410, document: {} }
+    const events = this._history.filter(change => change.revision > after && change.key.startsWith(prefix))
+    if (events.length > 0) return { status: 200, document: { events, current_rev: this._revision } }
+    const timer = setTimeout(() => finish({ status: 200, document: { events: [], current_rev: this._revision } }), Number(url.searchParams.get('wait_ms')))
+    const wake = (): void => { finish(this._watch(url, response)) }
+    const finish = (reply: Reply): void => {
+      clearTimeout(timer)
+      this._waiting.delete(wake)
+      if (reply) send(response, reply)
+    }
+    this._waiting.add(wake)
+    response.once('close', () => finish(undefined))
+    return undefined
+  }
+
+  private _transact (document: TransactionDocument): Reply {
+    const holds = document.expected_rev.every(({ key, revision }) => (this._items.get(key)?.revision ?? 0) === revision)
+    if (!holds) return { status: 412, document: { items: document.expected_rev.map(({ key }) => this._items.get(key)).filter(item => item !== undefined) } }
+    if (document.puts.some(put => put.lease !== 0 && !this._leases.has(put.lease))) return { status: 404, document: {} }
+    for (const { key, value, lease } of document.puts) this.put(key, Buffer.from(value, 'base64'), lease)
+    for (const key of document.remove) this.remove(key)
+    return { status: 200, document: { revision: this._revision } }
+  }
+
+  private _grant ({ ttl_ms: milliseconds }: { ttl_ms: number }): Reply {
+    const lease = this._nextLease++
+    this._leases.add(lease)
+    return { status: 200, document: { lease, ttl_ms: milliseconds } }
+  }
+}
+
+function send (response: ServerResponse, { status, document }: { status: number, document: unknown }): void {
+  if (response.writableEnded || response.destroyed) return
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(document))
+}
--- /dev/null
+++ b/tests/platform/support/upstreamStandin.ts
@@ -0,0 +1,128 @@
+/**
+ * A stand-in of a worker of the users' platform. Each answer is a script over the bare connection, so that it can be cut,
+ * doubled or left without a length.
+ *
+ * @module
+ */
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+
+/** A request as the worker read it. */
+export interface ReceivedRequest {
+  method: string
+  target: string
+  headers: Map<string, string>
+  body: string
+  requestId: string
+  socket: Socket
+}
+
+/** Answers one request. */
+export type AnswerScript = (request: ReceivedRequest, worker: UpstreamStandin) => void
+
+const HEAD_END = '\r\n\r\n'
+
+/** A running worker. */
+export class UpstreamStandin {
+  readonly id: string
+  readonly requests: ReceivedRequest[] = []
+  script: AnswerScript
+  connectionCount = 0
+  private readonly _server: Server
+  private readonly _sockets = new Set<Socket>()
+  private readonly _waiters = new Set<() => void>()
+
+  private constructor (id: string, script: AnswerScript) {
+    this.id = id
+    this.script = script
+    this._server = createServer(socket => this._serve(socket))
+  }
+
+  static async create (id: string, script: AnswerScript = answerWhole('hello')): Promise<UpstreamStandin> {
+    const worker = new UpstreamStandin(id, script)
+    await new Promise<void>(resolve => worker._server.listen(0, '127.0.0.1', resolve))
+    return worker
+  }
+
+  get address (): string {
+    return `127.0.0.1:${(this._server.address() as AddressInfo).port}`
+  }
+
+  /** Resolves when the worker has received this many requests. */
+  async waitForRequests (count: number): Promise<void> {
+    while (this.requests.length < count) await new Promise<void>(resolve => this._waiters.add(resolve))
+  }
+
+  async stop (): Promise<void> {
+    for (const socket of this._sockets) socket.destroy()
+    await new Promise<void>(resolve => this._server.close(() => resolve()))
+  }
+
+  private _serve (socket: Socket): void {
+    this.connectionCount++
+    this._sockets.add(socket)
+    socket.on('close', () => this._sockets.delete(socket))
+    socket.on('error', () => socket.destroy())
+    let received = ''
+    socket.on('data', chunk => {
+      received += chunk.toString('latin1')
+      for (let request = takeRequest(received, socket); request; request = takeRequest(received, socket)) {
+        received = received.slice(request.length)
+        this._receive(request.request)
+      }
+    })
+  }
+
+  private _receive (request: ReceivedRequest): void {
+    this.requests.push(request)
+    for (const wake of this._waiters) wake()
+    this._waiters.clear()
+    if (request.headers.get('plumstage-expect-instance') !== this.id) return void request.socket.write(`HTTP/1.1 421 Misdirected Request\r\nPlumstage-Instance-Id: ${this.id}\r\nContent-Length: 0${HEAD_END}`)
+    this.script(request, this)
+  }
+}
+
+/** Head of a signed answer. */
+export function headOf (request: ReceivedRequest, worker: UpstreamStandin, status = '200 OK', extra = ''): string {
+  return `HTTP/1.1 ${status}\r\nPlumstage-Attempt-Id: ${request.requestId}\r\nPlumstage-Server-Stamp: signed-by-${worker.id}\r\n${extra}`
+}
+
+/** Answers with a body of known length. */
+export function answerWhole (body: string, status = '200 OK'): AnswerScript {
+  return (request, worker) => request.socket.write(`${headOf(request, worker, status)}Content-Length: ${body.length}${HEAD_END}${body}`)
+}
+
+/** Refuses the request without running it. */
+export function refuse (): AnswerScript {
+  return request => request.socket.write(`HTTP/1.1 503 Service Unavailable\r\nPlumstage-Attempt-Id: ${request.requestId}\r\nPlumstage-Not-Executed: 1\r\nContent-Length: 0${HEAD_END}`)
+}
+
+/** Streams events `first` to `last`; then ends the stream in order, or cuts the connection inside the next event. */
+export function streamEvents (first: number, last: number, ending: 'end' | 'reset'): AnswerScript {
+  return (request, worker) => {
+    const { socket } = request
+    socket.write(`${headOf(request, worker)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked${HEAD_END}`)
+    for (let id = first; id <= last; id++) socket.write(chunkOf(eventOf(id)))
+    if (ending === 'end') return void socket.write('0\r\n\r\n')
+    socket.write(chunkOf('id: 99'), () => socket.resetAndDestroy())
+  }
+}
+
+export function eventOf (id: number): string {
+  return `id: ${id}\ndata: token ${id}\n\n`
+}
+
+function chunkOf (text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
+function takeRequest (received: string, socket: Socket): { request: ReceivedRequest, length: number } | undefined {
+  const headEnd = received.indexOf(HEAD_END)
+  if (headEnd < 0) return undefined
+  const [first, ...lines] = received.slice(0, headEnd).split('\r\n')
+  const headers = new Map(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]))
+  const length = headEnd + HEAD_END.length + Number(headers.get('content-length') ?? 0)
+  if (received.length < length) return undefined
+  const [method, target] = first.split(' ')
+  return { length, request: { method, target, headers, body: received.slice(headEnd + HEAD_END.length, length), requestId: headers.get('plumstage-attempt-id') ?? '', socket } }
+}
--- a/tests/promises/mechanisms.spec.ts
+++ b/tests/promises/mechanisms.spec.ts
@@ -3,7 +3,9 @@
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { ConfigurationState, Dispatcher, DutyLease, HandoverTask, QuarantineTable, EventScanner, FairQueue, GatewayCore, KeyValueClaimRegistry, MembershipTable, RequestLifecycle, UpstreamAttempt, UpstreamTable } from '@plumstage/gateway'
+import { DutyLease } from '@plumstage/coordination'
+import { QuarantineTable } from '@plumstage/serving'
+import { ConfigurationState, Dispatcher, HandoverTask, EventScanner, FairQueue, GatewayCore, KeyValueClaimRegistry, MembershipTable, RequestLifecycle, UpstreamAttempt, UpstreamTable } from '@plumstage/gateway'
 import { readScenario } from '../../scenarios/runner/scenarioFiles.js'
 import { runScenario } from '../../scenarios/runner/scenarioRunner.js'
 
--- a/tests/recovery/quarantineTable.spec.ts
+++ b/tests/recovery/quarantineTable.spec.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { QuarantineTable } from '@plumstage/gateway'
-import type { CrashSuspicion } from '@plumstage/gateway'
+import { QuarantineTable } from '@plumstage/serving'
+import type { CrashSuspicion } from '@plumstage/serving'
 
 const suspicion = fc.record({
   digest: fc.constantFrom('a', 'b', 'c'),
--- /dev/null
+++ b/tests/serving/deploymentView.spec.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { err, ok } from 'neverthrow'
+import { setLogLevel } from '@plumstage/common'
+import type { KeyValueEntry } from '@plumstage/coordination'
+import { Configuration } from '@plumstage/records'
+import { DeploymentView } from '@plumstage/serving'
+import type { DeploymentDecoder } from '@plumstage/serving'
+
+setLogLevel('silent')
+
+const DECODER: DeploymentDecoder = {
+  classify: key => key === 'configuration' ? { kind: 'configuration' } : { kind: 'upstream', id: key },
+  readConfiguration: (value, revision) => value === 'bad' ? err(new Error('bad')) : ok(Configuration.create(revision, [])),
+  readUpstream: (id, value) => value === 'bad' ? err(new Error('bad')) : ok({ id, incarnation: '1', service: value, address: '10.0.0.1:80', failureDomain: 'east', capacity: 1, state: 'ready', reclaimable: false, warmupMilliseconds: 0 })
+}
+
+function entry (key: string, modRevision: number, value = 'front'): KeyValueEntry {
+  return { key, value, modRevision, createRevision: modRevision }
+}
+
+function idsOf (view: DeploymentView): string[] {
+  return view.listUpstreams().map(listed => listed.id).sort()
+}
+
+describe('deployment view', () => {
+  it('never goes back to an older configuration, whoever tells it', () => {
+    const view = DeploymentView.create(DECODER)
+    view.applyStoreSnapshot([entry('configuration', 9)], 0)
+    view.applyPeerSnapshot({ configuration: { key: 'configuration', value: 'x', revision: 7 }, upstreams: { revision: 0, entries: [] } })
+    assert.equal(view.configurationRevision, 9)
+    view.applyPeerSnapshot({ configuration: { key: 'configuration', value: 'x', revision: 11 }, upstreams: { revision: 0, entries: [] } })
+    view.applyStoreChanges([{ kind: 'put', entry: entry('configuration', 10) }], 0)
+    assert.equal(view.configurationRevision, 11)
+  })
+
+  it('keeps the last good configuration in force', () => {
+    const view = DeploymentView.create(DECODER)
+    view.applyStoreSnapshot([entry('configuration', 3)], 0)
+    view.applyStoreChanges([{ kind: 'put', entry: entry('configuration', 4, 'bad') }], 0)
+    assert.equal(view.configuration?.revision, 3)
+  })
+
+  it('names no upstream for an entry that can\'t be read, and keeps the others', () => {
+    const view = DeploymentView.create(DECODER)
+    view.applyStoreSnapshot([entry('a', 1), entry('b', 2, 'bad')], 0)
+    assert.deepEqual(idsOf(view), ['a'])
+  })
+
+  it('removes at once what is removed while the store is well', () => {
+    const view = DeploymentView.create(DECODER)
+    view.applyStoreSnapshot([entry('a', 1)], 0)
+    view.applyStoreChanges([{ kind: 'delete', key: 'a', modRevision: 2 }], 100)
+    assert.deepEqual(idsOf(view), [])
+  })
+
+  it('keeps entries that lapsed while the store was away until they had time to come back', () => {
+    const view = DeploymentView.create(DECODER)
+    view.applyStoreSnapshot([entry('a', 1), entry('b', 2)], 0)
+    view.recordStoreReturn(10_000)
+    view.applyStoreChanges([{ kind: 'delete', key: 'a', modRevision: 3 }, { kind: 'delete', key: 'b', modRevision: 4 }], 10_001)
+    assert.deepEqual(idsOf(view), ['a', 'b'])
+    view.applyStoreChanges([{ kind: 'put', entry: entry('a', 5) }], 11_000)
+    view.expire(12_400)
+    assert.deepEqual(idsOf(view), ['a'])
+  })
+
+  it('takes a newer list over from another gateway, and ignores what its own watch tells late', () => {
+    const view = DeploymentView.create(DECODER)
+    view.applyStoreSnapshot([entry('a', 1)], 0)
+    view.applyPeerSnapshot({ upstreams: { revision: 8, entries: [{ key: 'b', value: 'front', revision: 8 }] } })
+    view.applyStoreChanges([{ kind: 'put', entry: entry('a', 6) }], 0)
+    assert.deepEqual(idsOf(view), ['b'])
+    view.applyStoreChanges([{ kind: 'put', entry: entry('c', 9) }], 0)
+    assert.deepEqual(idsOf(view), ['b', 'c'])
+  })
+})
--- /dev/null
+++ b/tests/serving/eventSplitter.spec.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { EventSplitter } from '@plumstage/serving'
+
+function event (id: number): string {
+  return `id: ${id}\ndata: token ${id}\n\n`
+}
+
+describe('event splitter', () => {
+  it('gives out whole events only, whatever the pieces in which they arrive', () => {
+    fc.assert(fc.property(fc.integer({ min: 1, max: 30 }), fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1 }), (count, cuts) => {
+      const bytes = Buffer.from(Array.from({ length: count }, (_, index) => event(index + 1)).join(''))
+      const splitter = EventSplitter.create()
+      let text = ''
+      for (let start = 0, turn = 0; start < bytes.length; turn++) {
+        const end = start + cuts[turn % cuts.length]
+        const split = splitter.split(bytes.subarray(start, end))
+        assert.equal(split.problem, undefined)
+        assert.ok(split.bytes.length === 0 || split.bytes.toString().endsWith('\n\n'))
+        text += split.bytes.toString()
+        start = end
+      }
+      assert.equal(text, bytes.toString())
+      assert.equal(splitter.lastId, count)
+      assert.equal(splitter.endsInsideEvent, false)
+    }))
+  })
+
+  it('drops events that the caller has', () => {
+    const split = EventSplitter.create(2).split(Buffer.from(event(1) + event(2) + event(3)))
+    assert.equal(split.bytes.toString(), event(3))
+    assert.equal(split.count, 1)
+  })
+
+  it('reports a missing event and gives out what came before it', () => {
+    const split = EventSplitter.create().split(Buffer.from(event(1) + event(3)))
+    assert.equal(split.bytes.toString(), event(1))
+    assert.match(split.problem ?? '', /event 3 follows event 1/)
+  })
+
+  it('finds the id behind other lines', () => {
+    const splitter = EventSplitter.create()
+    splitter.split(Buffer.from('weights: 2\nid: 7\ndata: x\n\n'))
+    assert.equal(splitter.lastId, 7)
+  })
+
+  it('knows that a stream ended inside an event', () => {
+    const splitter = EventSplitter.create()
+    splitter.split(Buffer.from(event(1) + 'id: 2\nda'))
+    assert.equal(splitter.endsInsideEvent, true)
+    assert.equal(splitter.lastId, 1)
+  })
+})
--- /dev/null
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { ScalingBounds } from '@plumstage/records'
+import { FleetPlanner } from '@plumstage/serving'
+import type { FleetCount, UpstreamOrder } from '@plumstage/serving'
+
+const SCALING: ScalingBounds = { minimum: 1, maximum: 8, bootSeconds: 4, reclaimablePriceFraction: 0.22, priceByDomain: { east: 0.9, north: 1, west: 1.2 } }
+const QUIET = { promptTokensPerSecond: 0, outputTokensPerSecond: 0 }
+const ROUND_MILLISECONDS = 400
+
+/** Failure domains that carry out orders, and may refuse reclaimable upstreams. */
+class FleetModel {
+  readonly counts: FleetCount[] = []
+  dry = false
+  now = 0
+  orders: UpstreamOrder[] = []
+  private readonly _planner = FleetPlanner.create()
+  private readonly _booting: Array<{ order: UpstreamOrder, readyAt: number }> = []
+
+  constructor (others: number) {
+    for (const failureDomain of Object.keys(SCALING.priceByDomain)) {
+      this.counts.push({ failureDomain, reclaimable: true, serving: 0, leaving: 0 }, { failureDomain, reclaimable: false, serving: others, leaving: 0 })
+    }
+  }
+
+  run (milliseconds: number, demand = QUIET): void {
+    for (const end = this.now + milliseconds; this.now < end; this.now += ROUND_MILLISECONDS) {
+      for (const boot of this._booting.splice(0)) {
+        if (boot.readyAt <= this.now) this.countOf(boot.order.failureDomain, boot.order.reclaimable).serving = boot.order.desired
+        else this._booting.push(boot)
+      }
+      for (const order of this._planner.plan({ service: 'model', scaling: SCALING, demand, counts: this.counts }, this.now)) this._give(order)
+    }
+  }
+
+  reclaim (failureDomain: string): void {
+    const count = this.countOf(failureDomain, true)
+    count.leaving = count.serving
+    count.serving = 0
+  }
+
+  serving (reclaimable: boolean): number {
+    return this.counts.filter(count => count.reclaimable === reclaimable).reduce((sum, count) => sum + count.serving, 0)
+  }
+
+  countOf (failureDomain: string, reclaimable: boolean): FleetCount {
+    return this.counts.find(count => count.failureDomain === failureDomain && count.reclaimable === reclaimable)!
+  }
+
+  private _give (order: UpstreamOrder): void {
+    this.orders.push(order)
+    if (this.dry && order.reclaimable) return this._planner.recordUnavailable(order, this.now)
+    this._planner.recordAccepted(order, this.now)
+    const count = this.countOf(order.failureDomain, order.reclaimable)
+    if (order.desired <= count.serving) count.serving = order.desired
+    else this._booting.push({ order, readyAt: this.now + SCALING.bootSeconds * 1000 })
+  }
+}
+
+describe('fleet planner', () => {
+  it('replaces the costly upstreams of the start by reclaimable ones, without leaving the service empty', () => {
+    const fleet = new FleetModel(4)
+    fleet.run(3600)
+    assert.ok(fleet.serving(false) > 0, 'the others serve until the reclaimable ones have booted')
+    fleet.run(12_000)
+    assert.equal(fleet.serving(false), 0)
+    assert.ok(fleet.counts.filter(count => count.reclaimable).every(count => count.serving >= 2))
+  })
+
+  it('orders others when domain after domain is reclaimed and none are to be had anywhere', () => {
+    const fleet = new FleetModel(0)
+    fleet.run(8000)
+    fleet.dry = true
+    fleet.reclaim('east')
+    fleet.run(6000)
+    fleet.reclaim('north')
+    fleet.run(6000)
+    assert.ok(fleet.serving(false) >= 2, `${fleet.serving(false)} others before the last reclaim`)
+    fleet.reclaim('west')
+    fleet.run(8000)
+    assert.ok(fleet.serving(false) >= 3, `${fleet.serving(false)} others after it`)
+  })
+
+  it('goes back to reclaimable upstreams when they are to be had again', () => {
+    const fleet = new FleetModel(0)
+    fleet.run(8000)
+    fleet.dry = true
+    for (const domain of ['east', 'north', 'west']) fleet.reclaim(domain)
+    fleet.run(16_000)
+    fleet.dry = false
+    fleet.run(20_000)
+    assert.equal(fleet.serving(false), 0)
+    assert.ok(fleet.serving(true) >= 6)
+  })
+
+  it('does not repeat an order that may still be booting', () => {
+    const fleet = new FleetModel(0)
+    fleet.run(4000)
+    const keys = fleet.orders.map(order => `${order.failureDomain} ${order.reclaimable} ${order.desired}`)
+    assert.equal(new Set(keys).size, keys.length)
+  })
+
+  it('grows with the load at once and stays within the bounds', () => {
+    const fleet = new FleetModel(0)
+    fleet.run(8000)
+    fleet.run(6000, { promptTokensPerSecond: 2_000_000, outputTokensPerSecond: 0 })
+    assert.ok(fleet.counts.every(count => count.serving <= SCALING.maximum))
+    assert.equal(fleet.countOf('east', true).serving, SCALING.maximum)
+  })
+})
--- /dev/null
+++ b/tests/serving/gatewayReport.spec.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { PeerTable, decodeReport, encodeReport } from '@plumstage/serving'
+import type { GatewayReport } from '@plumstage/serving'
+
+const REPORT: GatewayReport = {
+  name: 'edge-1',
+  incarnation: 'a1',
+  sequence: 5,
+  failureDomain: 'east',
+  leaving: false,
+  configurationRevision: 44,
+  upstreamsRevision: 68,
+  loads: [{ upstream: 'i-1', requests: 3, waitingTokens: 9000 }],
+  uses: [{ workspace: 'press', admittedUnits: 123_456 }],
+  windows: [{ window: 354_409_920, workspace: 'press', requests: 12 }],
+  suspicions: [{ digest: 'ab12', crashes: ['i-1/1'], cleared: [] }],
+  demands: [{ service: 'model', promptTokensPerSecond: 4000, outputTokensPerSecond: 200 }],
+  knownAddresses: ['10.1.0.1:7600']
+}
+
+describe('gateway report', () => {
+  it('comes back as it was sent', () => {
+    const decoded = decodeReport(encodeReport(REPORT))._unsafeUnwrap()
+    for (const [field, value] of Object.entries(REPORT)) assert.deepEqual(JSON.parse(JSON.stringify(decoded[field as keyof GatewayReport], withoutTypeNames)), value, field)
+  })
+
+  it('is refused when the datagram is something else', () => {
+    assert.equal(decodeReport(Buffer.from('not a report')).isErr(), true)
+  })
+})
+
+describe('peer table', () => {
+  it('ignores reports that were overtaken, but not those of a new run', () => {
+    const table = PeerTable.create('10.1.0.9:7600')
+    assert.ok(table.apply(REPORT, '10.1.0.1:7600', 0))
+    assert.equal(table.apply({ ...REPORT, sequence: 4 }, '10.1.0.1:7600', 1), undefined)
+    assert.ok(table.apply({ ...REPORT, incarnation: 'a2', sequence: 1 }, '10.1.0.1:7600', 2))
+  })
+
+  it('counts a silent gateway against the share of quotas until it is forgotten', () => {
+    const table = PeerTable.create('10.1.0.9:7600')
+    table.apply(REPORT, '10.1.0.1:7600', 0)
+    assert.equal(table.heardShare(1000), 1)
+    assert.equal(table.heardShare(5000), 0.5)
+    table.expire(20_000)
+    assert.equal(table.heardShare(20_000), 1)
+  })
+
+  it('does not count a gateway that said it is leaving', () => {
+    const table = PeerTable.create('10.1.0.9:7600')
+    table.apply({ ...REPORT, leaving: true }, '10.1.0.1:7600', 0)
+    assert.equal(table.heardShare(5000), 1)
+    assert.equal(table.countPresent(100), 1)
+  })
+})
+
+function withoutTypeNames (key: string, value: unknown): unknown {
+  return key.startsWith('$') ? undefined : value
+}
--- /dev/null
+++ b/tests/serving/workspaceQuotas.spec.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { WorkspaceQuota } from '@plumstage/records'
+import { WorkspaceQuotas } from '@plumstage/serving'
+
+const QUOTA: WorkspaceQuota = { unit: 'tokens', unitsPerSecond: 1000, burstUnits: 1000, defaultUnits: 200 }
+const REQUEST_UNITS = 50
+const REPORT_MILLISECONDS = 250
+const STEP_MILLISECONDS = 10
+
+/** Gateways of which each asks for a multiple of the quota; returns the units admitted in all. */
+function offerLoad (gateways: number, milliseconds: number, hears: boolean): number {
+  const quotas = Array.from({ length: gateways }, () => WorkspaceQuotas.create())
+  let admitted = 0
+  for (let now = 0; now < milliseconds; now += STEP_MILLISECONDS) {
+    quotas.forEach(own => { if (own.take('press', QUOTA, REQUEST_UNITS, hears ? 1 : 1 / gateways, now).kind === 'admitted') admitted += REQUEST_UNITS })
+    if (!hears || now % REPORT_MILLISECONDS !== 0) continue
+    quotas.forEach((own, index) => quotas.forEach((other, sender) => {
+      if (sender !== index) for (const { workspace, units } of other.listAdmitted()) own.applyReport(`gateway-${sender}`, workspace, units)
+    }))
+  }
+  return admitted
+}
+
+describe('workspace quotas', () => {
+  it('binds the sum over gateways that hear each other', () => {
+    const admitted = offerLoad(9, 8000, true)
+    const allowed = QUOTA.unitsPerSecond * 8 + QUOTA.burstUnits
+    // Reports come late, so that each gateway may once admit what it did not know to be used.
+    assert.ok(admitted <= allowed + 9 * REQUEST_UNITS * REPORT_MILLISECONDS / STEP_MILLISECONDS, `${admitted} units`)
+    assert.ok(admitted >= QUOTA.unitsPerSecond * 8 * 0.9, `${admitted} units`)
+  })
+
+  it('binds the sum over gateways that do not hear each other', () => {
+    const admitted = offerLoad(9, 8000, false)
+    assert.ok(admitted <= QUOTA.unitsPerSecond * 8 + QUOTA.burstUnits + 9 * REQUEST_UNITS, `${admitted} units`)
+  })
+
+  it('gives back the units of a request that did not run, and says when to come back', () => {
+    const quotas = WorkspaceQuotas.create()
+    quotas.take('press', QUOTA, 2000, 1, 0)
+    const refused = quotas.take('press', QUOTA, 100, 1, 0)
+    assert.ok(refused.kind === 'exceeded' && refused.retryAfterMilliseconds > 0)
+    quotas.refund('press', 2000)
+    assert.equal(quotas.take('press', QUOTA, 100, 1, 0).kind, 'admitted')
+  })
+
+  it('counts a gateway that starts again from its new start', () => {
+    const quotas = WorkspaceQuotas.create()
+    quotas.take('press', QUOTA, 0, 1, 0)
+    quotas.applyReport('edge-1/first', 'press', 400)
+    quotas.applyReport('edge-1/second', 'press', 300)
+    assert.equal(quotas.take('press', QUOTA, 1, 1, 0).kind, 'exceeded')
+  })
+})
