Tell a reset from an orderly end by the missing peer

Change: at the end of a connection its peer's address is asked for; a reset connection has none. A test over a bare socket was red before.

--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -89,7 +89,7 @@
     const { services } = this._options
     if (exchange.started) return
     const { configurationRevision } = services.state.view
-    services.instrumentation.emit('request-rejected', { reason: rejection.kind, status: rejection.status, retryAfterMilliseconds: rejection.retryAfterMilliseconds, target: head?.target ?? incoming.url, configurationRevision }, head?.requestId)
+    services.instrumentation.emit('request-rejected', { reason: rejection.kind, status: rejection.status, message: rejection.message, retryAfterMilliseconds: rejection.retryAfterMilliseconds, target: head?.target ?? incoming.url, configurationRevision }, head?.requestId)
     exchange.reject(rejection)
   }
 }
--- a/packages/serving/src/upstreams/upstreamConnections.ts
+++ b/packages/serving/src/upstreams/upstreamConnections.ts
@@ -78,13 +78,25 @@
   }
 
   /**
-   * The library takes an answer without a length as whole when its connection is reset. It does so in its own listener
-   * of the same event, which runs after this one.
+   * The library takes an answer without a length as whole when its connection is reset. It does so in its own listeners
+   * of the same events, which run after these.
    */
   private _observeResets (socket: Socket): void {
-    socket.on('error', () => {
-      this._resetting = true
-      queueMicrotask(() => { this._resetting = false })
-    })
+    socket.on('error', () => this._markResetting())
+    socket.on('end', () => { if (wasReset(socket)) this._markResetting() })
+  }
+
+  private _markResetting (): void {
+    this._resetting = true
+    queueMicrotask(() => { this._resetting = false })
   }
 }
+
+/**
+ * Whether a connection that has ended was reset. Node reports a reset that arrives together with bytes as an ordinary
+ * end; but a reset connection has no peer any more, and one that was closed in order still has. The address of the peer
+ * is asked for here first, since Node keeps what it has answered once.
+ */
+function wasReset (socket: Socket): boolean {
+  return socket.remoteAddress === undefined
+}
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -123,6 +123,15 @@
     assert.equal(answer.status, 502)
   })
 
+  it('does not take it as whole either when the reset arrives together with the bytes', async () => {
+    script((request, worker) => {
+      request.socket.write(`${headOf(request, worker)}\r\nhalf of the page`)
+      request.socket.resetAndDestroy()
+    })
+    const answer = await deployment.call('/page/x', { method: 'POST' })
+    assert.equal(answer.status, 502)
+  })
+
   it('takes an answer without a length as whole when its connection ends in order', async () => {
     script((request, worker) => request.socket.end(`${headOf(request, worker)}\r\nthe page`))
     const answer = await deployment.call('/page/x', { method: 'POST' })
