Start sooner after a kill: a code cache, and later what callers don't need

Change: the bundle is loaded with V8's code cache, made by the build under the flags of the run; hono and prom-client are loaded after callers are served; digests of prompt blocks, which load WebAssembly, have an entry point of their own.

--- a/packages/entry/bundle.mjs
+++ b/packages/entry/bundle.mjs
@@ -1,15 +1,31 @@
-// Bundles plumstage-entry into one file, so that a restarted process serves again soon.
+// Bundles plumstage-entry into one file with V8's code cache beside it, so that a process that was killed serves again
+// soon. The cache holds only for the same release of Node and the same V8 flags as those of the run.
+import { copyFileSync, readFileSync, writeFileSync } from 'node:fs'
+import { createRequire } from 'node:module'
+import path from 'node:path'
+import vm from 'node:vm'
 import { build } from 'esbuild'
 
+const TARGET = 'target'
+const BUNDLE = path.join(TARGET, 'plumstage-entry.bundle.cjs')
+const CACHE = path.join(TARGET, 'plumstage-entry.cache')
+
 await build({
-  entryPoints: ['packages/entry/dist/bin/entryMain.js'],
-  outfile: 'target/plumstage-entry.mjs',
+  entryPoints: ['packages/entry/dist/entry.js'],
+  outfile: BUNDLE,
   bundle: true,
   minify: true,
   keepNames: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
-  banner: { js: "import { createRequire as createRequireForBundle } from 'node:module'; const require = createRequireForBundle(import.meta.url);" },
+  format: 'cjs',
   logLevel: 'warning'
 })
+copyFileSync('packages/entry/launch.cjs', path.join(TARGET, 'plumstage-entry.cjs'))
+
+// Loading the bundle starts nothing, but compiles what every start needs.
+const file = path.resolve(BUNDLE)
+const script = new vm.Script(`(function (exports, require, module) {${readFileSync(file, 'utf8')}\n})`, { filename: file })
+const module = { exports: {} }
+script.runInThisContext()(module.exports, createRequire(file), module)
+writeFileSync(CACHE, script.createCachedData())
--- a/packages/entry/src/bin/entryMain.ts
+++ b/packages/entry/src/bin/entryMain.ts
@@ -4,63 +4,6 @@
  *
  * @module
  */
-import { BoundedEventLog, Instrumentation, LeaseClock, SeededRandom, SteadyClock, SystemClock, createProcessIncarnation, describeError, getLogger, setLogLevel } from '@plumstage/common'
-import { CallerAdapter, CloudAdapter, DeploymentAdapter, StoreAdapter, UpstreamAdapter, readSettingsFile, settingsPath } from '@plumstage/platform'
-import { ServingGateway } from '@plumstage/serving'
-import type { ServingSettings } from '@plumstage/serving'
-import { readEntryOptions } from '../entryOptions.js'
-import type { EntryOptions } from '../entryOptions.js'
-import { SettingsWatch } from '../settingsWatch.js'
+import { runEntry } from '../entry.js'
 
-const EXIT_SETTINGS = 2
-const EXIT_FAILURE = 1
-const RANDOM_SEED_LIMIT = 2 ** 31
-
-const log = getLogger('entry')
-
-async function run (options: EntryOptions, path: string, settings: ServingSettings): Promise<void> {
-  const clock = SteadyClock.create()
-  const instrumentation = Instrumentation.create(settings.name, createProcessIncarnation(), SystemClock.create())
-  const events = options.events === 'none' ? undefined : BoundedEventLog.create(options.events)
-  if (events) instrumentation.addListener(event => events.append(event))
-  const gateway = await ServingGateway.create(settings, {
-    clock,
-    leaseClock: LeaseClock.create(clock),
-    timeOfDay: () => Date.now(),
-    random: SeededRandom.create(Math.floor(Math.random() * RANDOM_SEED_LIMIT)),
-    instrumentation,
-    store: StoreAdapter.create(settings.addresses.store, clock),
-    decoder: DeploymentAdapter.create(),
-    callerProtocol: CallerAdapter.create(),
-    upstreamProtocol: UpstreamAdapter.create(),
-    cloud: settings.addresses.cloud === undefined ? undefined : CloudAdapter.create(settings.addresses.cloud),
-    metricsAddress: options.metricsPort === 0 ? undefined : `${settings.peerAddress.split(':')[0]}:${options.metricsPort}`,
-    droppedLogLines: () => events?.droppedLines ?? 0
-  })
-  SettingsWatch.create(path, clock, instrumentation).start()
-  const stop = (): void => {
-    void gateway.stop().then(() => {
-      events?.close()
-      process.exit(0)
-    })
-  }
-  process.once('SIGTERM', stop)
-  process.once('SIGINT', stop)
-}
-
-const options = readEntryOptions(process.argv.slice(2), process.env)
-if (options.isErr()) {
-  process.stderr.write(options.error.message + '\n')
-  process.exit(EXIT_SETTINGS)
-}
-setLogLevel(options.value.logLevel)
-const path = settingsPath(process.env)
-const settings = readSettingsFile(path)
-if (settings.isErr()) {
-  log.error(settings.error.message)
-  process.exit(EXIT_SETTINGS)
-}
-run(options.value, path, settings.value).catch((error: unknown) => {
-  log.error(describeError(error))
-  process.exit(EXIT_FAILURE)
-})
+runEntry()
--- a/packages/gateway/src/attempts/inboundCall.ts
+++ b/packages/gateway/src/attempts/inboundCall.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
-import { digestPrefixBlocks, estimateTokens, renderChat } from '@plumstage/common'
-import type { ChatMessage } from '@plumstage/common'
+import { digestPrefixBlocks, estimateTokens, renderChat } from '@plumstage/common/promptBlocks'
+import type { ChatMessage } from '@plumstage/common/promptBlocks'
 import type { HandedRequest } from '../recovery/handedRequest.js'
 import type { Configuration, PriorityRecord, RouteRecord, ServiceRecord, WorkspaceRecord } from '@plumstage/records'
 import type { CompletionEndpoint } from './streamedAnswer.js'
--- a/packages/gateway/src/operators/routeExplainer.ts
+++ b/packages/gateway/src/operators/routeExplainer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { digestPrefixBlocks, estimateTokens, renderChat } from '@plumstage/common'
+import { digestPrefixBlocks, estimateTokens, renderChat } from '@plumstage/common/promptBlocks'
 import type { Clock } from '@plumstage/common'
 import type { Configuration, RouteRecord } from '@plumstage/records'
 import type { RoutingScore, ScoreRouter } from '../routing/router.js'
--- a/packages/gateway/src/routing/prefixIndex.ts
+++ b/packages/gateway/src/routing/prefixIndex.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { TOKENS_PER_BLOCK } from '@plumstage/common'
+import { TOKENS_PER_BLOCK } from '@plumstage/common/promptBlocks'
 
 const BLOCKS_PER_UPSTREAM = 4096
 
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -3,26 +3,23 @@
  *
  * @module
  */
-import type { Server } from 'node:http'
-import { createAdaptorServer } from '@hono/node-server'
-import { Hono } from 'hono'
-import { CallContext, Listener, SeededRandom, getLogger } from '@plumstage/common'
-import type { Clock, Instrumentation, Timer, Timestamp } from '@plumstage/common'
+import { CallContext, Listener, describeError, getLogger } from '@plumstage/common'
+import type { Clock, Instrumentation, SeededRandom, Timer, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
 import type { DutyTimes, KeyValueChange, KeyValueEntry, KeyValueService } from '@plumstage/coordination'
 import { RunningRequests } from './attempts/runningRequests.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
 import type { CallerProtocol } from './callers/callerProtocol.js'
 import { CallerServer } from './callers/callerServer.js'
+import { createReadinessServer } from './callers/readinessServer.js'
 import { RequestAdmission } from './callers/requestAdmission.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
 import { DeploymentTask } from './deployment/deploymentTask.js'
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
 import { FleetTask } from './fleet/fleetTask.js'
-import { ServingMetrics } from './observability/servingMetrics.js'
 import type { GatewayReport } from './peers/gatewayReport.js'
-import { GossipTask, SNAPSHOT_PATH } from './peers/gossipTask.js'
+import { GossipTask } from './peers/gossipTask.js'
 import { MembershipTask } from './peers/membershipTask.js'
 import type { Peer } from './peers/peerTable.js'
 import type { ServingSettings } from './servingSettings.js'
@@ -32,7 +29,6 @@
 import type { Upstream } from './upstreams/upstreamTable.js'
 import { UsageReportTask } from './usage/usageReportTask.js'
 
-const METRICS_PATH = '/metrics'
 const LEASE_RENEWALS = 3
 const LEASE_MARGIN_DIVISOR = 4
 const EXPIRE_MILLISECONDS = 500
@@ -51,8 +47,6 @@
 /** Without the store, other gateways are asked for the deployment from this time after the start. */
 const PULL_AT_START_MILLISECONDS = 400
 const PULL_RETRY_MILLISECONDS = 500
-const HTTP_OK = 200
-const HTTP_UNAVAILABLE = 503
 
 /** Everything that a serving gateway reaches. */
 export interface ServingEnvironment {
@@ -88,6 +82,7 @@
   private readonly _log = getLogger('serving')
   private readonly _listeners: Listener[] = []
   private _gossip!: GossipTask
+  private _internalListeners: Promise<void> = Promise.resolve()
   private _reportSequence = 0
   private _dutyKeyPresent = false
   private _stopping = false
@@ -158,15 +153,14 @@
   async destroy (): Promise<void> {
     this._context.cancel('shutdown')
     for (const timer of this._moveTimers.values()) timer.cancel()
+    await this._internalListeners
     await Promise.all([...this._listeners.map(async listener => await listener.destroy()), this._connections.close()])
   }
 
   private async _listen (): Promise<void> {
-    const { clock, instrumentation, metricsAddress } = this._environment
+    const { clock, instrumentation, callerProtocol } = this._environment
     this._listeners.push(await Listener.create(this._callerServer.server, this._settings.callerAddress))
-    this._listeners.push(await Listener.create(this._createReadinessServer(), this._settings.readinessAddress))
-    this._listeners.push(await Listener.create(this._createPeerServer(), this._settings.peerAddress))
-    if (metricsAddress !== undefined) this._listeners.push(await Listener.create(this._createMetricsServer(), metricsAddress))
+    this._listeners.push(await Listener.create(createReadinessServer(callerProtocol.readinessPath, () => this.isReady), this._settings.readinessAddress))
     this._gossip = await GossipTask.create({
       address: this._settings.peerAddress,
       context: this._context,
@@ -188,6 +182,7 @@
     for (const seed of peerSeeds) this.state.peers.learnAddress(seed, clock.now())
     void this._deploymentTask.run(this._context)
     void this._gossip.run()
+    this._internalListeners = this._listenInternally()
     void this._pullAtStart()
     void this._expireEntries()
     void MembershipTask.create({ store, key: this._keys.gatewayKey(name), address: peerAddress, clock: leaseClock, instrumentation }).run(this._context)
@@ -204,31 +199,24 @@
     if (ordersUpstreams) void FleetTask.create({ ...common, state: this.state }).run(this._context)
   }
 
-  private _createReadinessServer (): Server {
-    const application = new Hono()
-    application.get(this._environment.callerProtocol.readinessPath, call => call.body(null, this.isReady ? HTTP_OK : HTTP_UNAVAILABLE))
-    return createAdaptorServer(application) as Server
-  }
-
-  private _createPeerServer (): Server {
-    const application = new Hono()
-    application.get(SNAPSHOT_PATH, call => call.json(this.state.view.exportSnapshot()))
-    return createAdaptorServer(application) as Server
-  }
-
-  private _createMetricsServer (): Server {
-    const { clock, instrumentation, droppedLogLines } = this._environment
-    const metrics = ServingMetrics.create({
-      running: () => this._running.count,
-      configurationRevision: () => this.state.view.configurationRevision,
-      upstreamsRevision: () => this.state.view.upstreamsRevision,
-      presentGateways: () => this.state.peers.countPresent(clock.now()),
-      droppedLogLines,
-      following: () => this._deploymentTask.isFollowing
-    }, instrumentation)
-    const application = new Hono()
-    application.get(METRICS_PATH, async call => call.body(await metrics.format(), HTTP_OK, { 'content-type': metrics.contentType }))
-    return createAdaptorServer(application) as Server
+  /** Opens what callers do not need, after they are served. */
+  private async _listenInternally (): Promise<void> {
+    const { clock, instrumentation, droppedLogLines, metricsAddress } = this._environment
+    try {
+      const { createMetricsServer, createPeerServer } = await import('./observability/internalServers.js')
+      this._listeners.push(await Listener.create(createPeerServer(this.state.view), this._settings.peerAddress))
+      if (metricsAddress === undefined) return
+      this._listeners.push(await Listener.create(createMetricsServer({
+        running: () => this._running.count,
+        configurationRevision: () => this.state.view.configurationRevision,
+        upstreamsRevision: () => this.state.view.upstreamsRevision,
+        presentGateways: () => this.state.peers.countPresent(clock.now()),
+        droppedLogLines,
+        following: () => this._deploymentTask.isFollowing
+      }, instrumentation), metricsAddress))
+    } catch (error) {
+      this._log.error(`Callers are served, but not other gateways or metrics: ${describeError(error)}`)
+    }
   }
 
   /** A gateway that starts while the store is away takes the deployment from another gateway. */
--- a/packages/standins/src/engine/prefixCache.ts
+++ b/packages/standins/src/engine/prefixCache.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { TOKENS_PER_BLOCK } from '@plumstage/common'
+import { TOKENS_PER_BLOCK } from '@plumstage/common/promptBlocks'
 
 /** What happened to a block. */
 export type CacheEventKind = 'stored' | 'removed'
--- a/packages/standins/src/engine/tokenSource.ts
+++ b/packages/standins/src/engine/tokenSource.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { digestText32 } from '@plumstage/common'
+import { digestText32 } from '@plumstage/common/promptBlocks'
 
 const WORDS = ['ledger', 'press', 'lacquer', 'sleeve', 'notary', 'summary', 'page', 'clerk', 'quote', 'plate', 'stamp', 'label', 'volume', 'record', 'groove', 'archive']
 const POSITION_MULTIPLIER = 2654435761
--- a/scenarios/checker/promiseChecker.ts
+++ b/scenarios/checker/promiseChecker.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { renderChat } from '@plumstage/common'
+import { renderChat } from '@plumstage/common/promptBlocks'
 import { TokenSource } from '@plumstage/standins'
 import type { CallRecord } from '../world/callRecord.js'
 import type { Evidence } from '../world/virtualWorld.js'
--- a/scenarios/world/virtualUpstream.ts
+++ b/scenarios/world/virtualUpstream.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Dispatcher as HttpClient } from 'undici'
-import { renderChat } from '@plumstage/common'
+import { renderChat } from '@plumstage/common/promptBlocks'
 import type { VirtualClock } from '@plumstage/common'
 import { CompletionFormat, TokenSource } from '@plumstage/standins'
 import type { UpstreamRun } from '@plumstage/standins'
--- a/tests/support/answers.ts
+++ b/tests/support/answers.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { renderChat } from '@plumstage/common'
+import { renderChat } from '@plumstage/common/promptBlocks'
 import { TokenSource } from '@plumstage/standins'
 
 /** What a caller saw of a streamed answer. */
