Say in the log why a started answer was cut, and how much time a request had

Change: three outcomes instead of one; the line gives the time allowed and the last upstream too.

No behaviour changes. tests/platform/wholePath.spec.ts passes.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -133,8 +133,7 @@
     const verdict = decideAfterFailure(outcome.failure, this._progress, () => this._tryTakeRetry(outcome.failure))
     if (verdict.kind === 'retry') return this._start()
     if (verdict.kind === 'reject') return this._reject(verdict.rejection)
-    this._end('cut')
-    this._exchange.cut()
+    this._cut('cut-after-failure')
   }
 
   private _start (): void {
@@ -246,10 +245,7 @@
   }
 
   private _giveUpWithoutUpstream (): void {
-    if (this._relay.started) {
-      this._end('cut')
-      return this._exchange.cut()
-    }
+    if (this._relay.started) return this._cut('cut-without-upstream')
     if (this._progress.mayHaveRun) return this._reject(createRejection('upstream-failed', 'No upstream is left to try again, and the request may have run. Check its effect before sending it again.'))
     this._reject(createRejection('no-upstream', `Service ${this._request.service.name} has no upstream now, and the request has not run. Send it again after the stated time.`, RETRY_AFTER_NO_UPSTREAM_MILLISECONDS))
   }
@@ -257,10 +253,7 @@
   private _expire (): void {
     if (this._done) return
     const offered = this._abandonAttempt()
-    if (this._relay.started) {
-      this._end('cut')
-      return this._exchange.cut()
-    }
+    if (this._relay.started) return this._cut('cut-at-deadline')
     if (offered || this._progress.mayHaveRun) return this._reject(createRejection('timeout', 'The time for the request is over, and it may have run. Check its effect before sending it again.'))
     this._reject(createRejection('not-run', 'The time for the request is over before an upstream took it. Send it again after the stated time.', RETRY_AFTER_TIMEOUT_MILLISECONDS))
   }
@@ -286,12 +279,18 @@
     this._exchange.reject(rejection)
   }
 
+  /** Ends the connection, so that an answer that has started does not look whole. */
+  private _cut (outcome: 'cut-after-failure' | 'cut-without-upstream' | 'cut-at-deadline'): void {
+    this._end(outcome)
+    this._exchange.cut()
+  }
+
   private _end (outcome: string, status = this._relay.status): void {
     this._done = true
     this._deadlineTimer?.cancel()
-    const { route, workspace, service } = this._request
+    const { route, workspace, service, acceptedAt, deadline } = this._request
     const configurationRevision = this._services.state.view.configurationRevision
-    this._services.instrumentation.emit('request-ended', { outcome, status, route: route.name, service: service.name, workspace, attempts: this._progress.attempts, events: this._relay.eventCount, milliseconds: this._elapsed(), configurationRevision }, this._request.head.requestId)
+    this._services.instrumentation.emit('request-ended', { outcome, status, route: route.name, service: service.name, workspace, attempts: this._progress.attempts, events: this._relay.eventCount, milliseconds: this._elapsed(), allowedMilliseconds: Math.round(deadline - acceptedAt), upstream: this._upstream?.listed.id, configurationRevision }, this._request.head.requestId)
   }
 
   private _emitAttempt (outcome: AttemptOutcome, upstream: Upstream): void {
