Hedge wholly against the next reclaim, and keep four upstreams at least

Ruled out: more reclaimable upstreams alone; none are to be had between reclaims.

Change: survivors of the next reclaim are to be all that the load needs, and that is four at least. Test: four others serve before the last domain goes (two before).

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -142,7 +142,7 @@
     this._upstream = upstream
     this._retryTaken = false
     this._relay.beginAttempt()
-    this._hold(upstream)
+    this._countWork(upstream)
     this._attempt = UpstreamAttempt.create(this)
     const { head, body, workspace, rank, deadline } = this._request
     const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
@@ -172,7 +172,7 @@
   }
 
   /** Counts the work that the attempt brings to its upstream. */
-  private _hold (upstream: Upstream): void {
+  private _countWork (upstream: Upstream): void {
     const { state, clock, running } = this._services
     const { generation } = this._request.head
     const now = clock.now()
--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -46,7 +46,7 @@
   survivingShare: number
 }
 
-export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, outputTokenWeight: 6, utilization: 0.6, fewest: 3, reclaimableShare: 0.8, survivingShare: 0.67 }
+export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, outputTokenWeight: 6, utilization: 0.6, fewest: 4, reclaimableShare: 0.8, survivingShare: 1 }
 
 /** Time in which a domain that refused an order is not asked again. */
 const UNAVAILABLE_MILLISECONDS = 3000
@@ -57,6 +57,9 @@
 /** The number of upstreams falls only when the lower number has sufficed for this long. */
 const SHRINK_AFTER_MILLISECONDS = 10_000
 const MILLISECONDS_PER_SECOND = 1000
+/** Ends of the keys under which the state of each kind in a failure domain is kept. */
+const RECLAIMABLE_KEY = '/reclaimable'
+const OTHER_KEY = '/other'
 
 interface SubjectState {
   desired: number | undefined
@@ -199,9 +202,6 @@
   }
 }
 
-const RECLAIMABLE_KEY = '/reclaimable'
-const OTHER_KEY = '/other'
-
 function domainsByPrice (scaling: ScalingBounds): string[] {
   return Object.entries(scaling.priceByDomain).sort(([, left], [, right]) => left - right).map(([domain]) => domain)
 }
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -79,8 +79,16 @@
 export function decodeReport (bytes: Uint8Array): Result<GatewayReport, Error> {
   try {
     const message = fromBinary(gossip.GatewayReportSchema, bytes)
+    const { name, incarnation, failureDomain, leaving, loads, suspicions, demands, knownAddresses } = message
     return ok({
-      ...message,
+      name,
+      incarnation,
+      failureDomain,
+      leaving,
+      loads,
+      suspicions,
+      demands,
+      knownAddresses,
       sequence: Number(message.sequence),
       configurationRevision: Number(message.configurationRevision),
       upstreamsRevision: Number(message.upstreamsRevision),
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -75,10 +75,10 @@
     fleet.run(6000)
     fleet.reclaim('north')
     fleet.run(6000)
-    assert.ok(fleet.serving(false) >= 2, `${fleet.serving(false)} others before the last reclaim`)
+    assert.ok(fleet.serving(false) >= 4, `${fleet.serving(false)} others before the last reclaim`)
     fleet.reclaim('west')
     fleet.run(8000)
-    assert.ok(fleet.serving(false) >= 3, `${fleet.serving(false)} others after it`)
+    assert.ok(fleet.serving(false) >= 4, `${fleet.serving(false)} others after it`)
   })
 
   it('goes back to reclaimable upstreams when they are to be had again', () => {
