Open the event log before the first line, so that it can be closed at once

Cause: a log to a file was opened in the background, and closing it before that threw. Found by a test of dropped lines, which was red.

Change: the file is opened at once.

--- a/packages/common/src/boundedEventLog.ts
+++ b/packages/common/src/boundedEventLog.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { openSync } from 'node:fs'
 import sonicBoom from 'sonic-boom'
 import { formatEvent } from './eventLog.js'
 import type { ActionEvent } from './instrumentation.js'
@@ -30,8 +31,8 @@
 
   /** Opens the log; `target` is a path, or `-` for standard output. */
   static create (target: string): BoundedEventLog {
-    const destination = target === '-' ? { fd: STANDARD_OUTPUT } : { dest: target }
-    return new BoundedEventLog(new SonicBoom({ ...destination, sync: false, minLength: FLUSH_BYTES, maxLength: MAXIMUM_PENDING_BYTES }))
+    const descriptor = target === '-' ? STANDARD_OUTPUT : openSync(target, 'a')
+    return new BoundedEventLog(new SonicBoom({ fd: descriptor, sync: false, minLength: FLUSH_BYTES, maxLength: MAXIMUM_PENDING_BYTES }))
   }
 
   /** Lines that were dropped since the start. */
--- /dev/null
+++ b/tests/common/boundedEventLog.spec.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict'
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import { describe, it } from 'node:test'
+import { BoundedEventLog } from '@plumstage/common'
+import type { ActionEvent } from '@plumstage/common'
+
+const LINES = 20_000
+
+function createEvent (sequence: number): ActionEvent {
+  return { process: 'edge-1', incarnation: 'a', sequence, time: 1, kind: 'request-ended', request: `request-${sequence}`, attributes: { outcome: 'complete', route: 'page' } }
+}
+
+describe('bounded event log', () => {
+  it('writes whole lines, and drops and counts what is not taken in time', () => {
+    const folder = mkdtempSync(path.join(tmpdir(), 'events-'))
+    const file = path.join(folder, 'events.jsonl')
+    const log = BoundedEventLog.create(file)
+    // All in one turn, so that nothing is taken meanwhile.
+    for (let sequence = 1; sequence <= LINES; sequence++) log.append(createEvent(sequence))
+    log.close()
+    const lines = readFileSync(file, 'utf8').trimEnd().split('\n').map(line => JSON.parse(line) as ActionEvent)
+    assert.ok(log.droppedLines > 0)
+    assert.equal(lines.length + log.droppedLines, LINES)
+    rmSync(folder, { recursive: true })
+  })
+})
--- /dev/null
+++ b/tests/entry/entryOptions.spec.ts
@@ -0,0 +1,16 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { readEntryOptions } from '../../packages/entry/dist/entryOptions.js'
+
+describe('options of plumstage-entry', () => {
+  it('come from flags and from the environment, flags first', () => {
+    const options = readEntryOptions(['--metrics-port', '9464'], { PLUMSTAGE_METRICS_PORT: '1', PLUMSTAGE_LOG_LEVEL: 'warn' })._unsafeUnwrap()
+    assert.deepEqual(options, { metricsPort: 9464, logLevel: 'warn', events: '-' })
+  })
+
+  it('are refused with every mistake', () => {
+    const problem = readEntryOptions(['--log-level', 'loud', '--metrics-port', '70000'], {})._unsafeUnwrapErr().message
+    assert.match(problem, /--log-level/)
+    assert.match(problem, /--metrics-port/)
+  })
+})
