Take requests for 2.6 s after the signal to stop

Ruled out: new connections, which the balancer had stopped sending; the longer grace, which the platform sets.

Change: kept connections are closed, and the listener with them, 2.6 s after the signal instead of 3.2; the balancer takes a gateway out after two questions, two seconds. The test measured 3.2 s before and fails then.

--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -39,8 +39,11 @@
 const REPORTS_PER_ADDRESS_LIST = 8
 const MAXIMUM_REPORTED_SUSPICIONS = 40
 const MAXIMUM_KNOWN_ADDRESSES = 8
-/** Time after the signal to stop in which new connections may still arrive. */
-const STOP_ACCEPTING_MILLISECONDS = 3200
+/**
+ * Time after the signal to stop in which requests are still taken: the balancer sends connections for two questions
+ * more, and a request that came later might not end within the grace time.
+ */
+const STOP_ACCEPTING_MILLISECONDS = 2600
 /** The process ends this long before it would be killed. */
 const STOP_MARGIN_MILLISECONDS = 700
 const STOP_POLL_MILLISECONDS = 50
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -236,6 +236,18 @@
     await stopped
   })
 
+  it('takes no request later than three seconds after it was told to stop', async () => {
+    const kept = deployment.open('/open/x', { headers: { Connection: 'keep-alive' } })
+    await new Promise<void>(resolve => kept.once('data', () => resolve()))
+    const closed = new Promise<void>(resolve => kept.once('close', () => resolve()))
+    const toldAt = deployment.clock.now()
+    const stopped = deployment.gateways[0].stop()
+    await closed
+    const elapsed = deployment.clock.now() - toldAt
+    assert.ok(elapsed > 2000 && elapsed < 3000, `closed after ${elapsed} ms`)
+    await stopped
+  })
+
   it('reports each window once, with the fencing number of its duty', async () => {
     await deployment.call('/open/x', { headers: { Authorization: `Bearer ${TOKEN}` } })
     await deployment.waitForEvent(event => event.kind === 'usage-reported' && Number(event.attributes?.requests) > 0)
