--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -36,7 +36,7 @@
     metricsAddress: options.metricsPort === 0 ? undefined : `${settings.peerAddress.split(':')[0]}:${options.metricsPort}`,
     droppedLogLines: () => events?.droppedLines ?? 0
   })
-  SettingsWatch.create(path, clock, instrumentation).start()
+  SettingsWatch.create(path, clock, instrumentation, changed => gateway.applySettings(changed)).start()
   const stop = (): void => {
     void gateway.stop().then(() => {
       events?.close()
--- a/packages/entry/src/settingsWatch.ts
+++ b/packages/entry/src/settingsWatch.ts
@@ -15,17 +15,19 @@
   private readonly _path: string
   private readonly _clock: Clock
   private readonly _instrumentation: Instrumentation
+  private readonly _onChange: (settings: ServingSettings) => void
   private readonly _log = getLogger('settings')
   private _current = ''
 
-  private constructor (path: string, clock: Clock, instrumentation: Instrumentation) {
+  private constructor (path: string, clock: Clock, instrumentation: Instrumentation, onChange: (settings: ServingSettings) => void) {
     this._path = path
     this._clock = clock
     this._instrumentation = instrumentation
+    this._onChange = onChange
   }
 
-  static create (path: string, clock: Clock, instrumentation: Instrumentation): SettingsWatch {
-    return new SettingsWatch(path, clock, instrumentation)
+  static create (path: string, clock: Clock, instrumentation: Instrumentation, onChange: (settings: ServingSettings) => void): SettingsWatch {
+    return new SettingsWatch(path, clock, instrumentation, onChange)
   }
 
   start (): void {
@@ -53,6 +55,7 @@
     if (text === this._current) return
     this._current = text
     this._instrumentation.emit('settings-changed', { path: this._path })
-    this._log.info('The settings file has changed. Its addresses are used from the next start.')
+    this._log.info('The settings file has changed. Its bounds are in force now; its name and addresses are used from the next start.')
+    this._onChange(settings)
   }
 }
--- a/packages/serving/src/routing/sharedPartIndex.ts
+++ b/packages/serving/src/routing/sharedPartIndex.ts
@@ -11,13 +11,13 @@
 /** Parts that an upstream has read, with the time of their last use; the least recently used are forgotten first. */
 export class SharedPartIndex {
   private readonly _parts = new Map<string, Map<string, Timestamp>>()
-  private readonly _keptMilliseconds: number
+  /** How long a part is taken to stay in an upstream's cache after its last use. */
+  keptMilliseconds: number
 
   private constructor (keptMilliseconds: number) {
-    this._keptMilliseconds = keptMilliseconds
+    this.keptMilliseconds = keptMilliseconds
   }
 
-  /** `keptMilliseconds` is how long a part is taken to stay in an upstream's cache after its last use. */
   static create (keptMilliseconds: number): SharedPartIndex {
     return new SharedPartIndex(keptMilliseconds)
   }
@@ -41,7 +41,7 @@
     let tokens = 0
     for (const part of parts) {
       const usedAt = known?.get(part.id)
-      if (usedAt === undefined || usedAt < now - this._keptMilliseconds) return tokens
+      if (usedAt === undefined || usedAt < now - this.keptMilliseconds) return tokens
       tokens += part.tokens
     }
     return tokens
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -72,7 +72,7 @@
 /** A running gateway. */
 export class ServingGateway {
   readonly state: ServingState
-  private readonly _settings: ServingSettings
+  private _settings: ServingSettings
   private readonly _environment: ServingEnvironment
   private readonly _context: CallContext
   private readonly _running = RunningRequests.create()
@@ -132,6 +132,14 @@
     return !this._stopping && this.state.view.configuration !== undefined
   }
 
+  /** Takes changed settings into force: all but the name, the addresses and the lease of duties, which hold from the next start. */
+  applySettings (settings: ServingSettings): void {
+    const { name, failureDomain, callerAddress, readinessAddress, peerAddress, addresses, dutyLeaseMilliseconds } = this._settings
+    this._settings = { ...settings, name, failureDomain, callerAddress, readinessAddress, peerAddress, addresses, dutyLeaseMilliseconds }
+    this.state.applySettings(this._settings)
+    for (const seed of settings.peerSeeds) this.state.peers.learnAddress(seed, this._environment.clock.now())
+  }
+
   /** Stops without cutting off a request: new connections go elsewhere, what runs ends by itself. */
   async stop (): Promise<void> {
     if (this._stopping) return
@@ -195,10 +203,10 @@
 
   private _runDuties (cloud: Cloud, timeOfDay: () => Timestamp): void {
     const { store, clock, instrumentation } = this._environment
-    const { name, reportsUsage, ordersUpstreams, usageDelayMilliseconds } = this._settings
+    const { name, reportsUsage, ordersUpstreams } = this._settings
     const common = { duty: this._duty, holder: name, cloud, clock, instrumentation }
     void this._duty.run(this._context)
-    if (reportsUsage) void UsageReportTask.create({ ...common, store, ledger: this.state.usage, keyOf: window => this._keys.usageKey(window), delayMilliseconds: usageDelayMilliseconds, timeOfDay }).run(this._context)
+    if (reportsUsage) void UsageReportTask.create({ ...common, store, ledger: this.state.usage, keyOf: window => this._keys.usageKey(window), delayMilliseconds: () => this._settings.usageDelayMilliseconds, timeOfDay }).run(this._context)
     if (ordersUpstreams) void FleetTask.create({ ...common, state: this.state }).run(this._context)
   }
 
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -34,7 +34,7 @@
   readonly quarantine = QuarantineTable.create(CRASHES_FOR_QUARANTINE)
   readonly sharedParts: SharedPartIndex
   private readonly _retryBudgets = new Map<string, RetryBudget>()
-  private readonly _retryBound: RetryBound
+  private _retryBound: RetryBound
   private readonly _plainRouter: Router
   private readonly _generationRouter: Router
 
@@ -52,6 +52,12 @@
     return new ServingState(settings, decoder, random)
   }
 
+  /** Takes changed settings into force. */
+  applySettings (settings: ServingSettings): void {
+    this._retryBound = settings.retryBound
+    this.sharedParts.keptMilliseconds = settings.partReuseMilliseconds
+  }
+
   routerOf (service: ServiceRecord | undefined): Router {
     return service?.type === 'model-engine' ? this._generationRouter : this._plainRouter
   }
--- a/packages/serving/src/usage/usageReportTask.ts
+++ b/packages/serving/src/usage/usageReportTask.ts
@@ -30,7 +30,7 @@
   ledger: UsageLedger
   keyOf: (window: number) => string
   /** Time after a window's end by which it is to be reported. */
-  delayMilliseconds: number
+  delayMilliseconds: () => number
   clock: Clock
   timeOfDay: () => Timestamp
   instrumentation: Instrumentation
@@ -58,7 +58,7 @@
     while (!context.cancelled) {
       const current = ledger.windowAt(timeOfDay())
       if (!duty.hold()) this._nextWindow = Math.max(this._nextWindow, current - LOOK_BACK_WINDOWS)
-      else if (timeOfDay() > ledger.endOf(this._nextWindow) + this._options.delayMilliseconds) this._skipWindow()
+      else if (timeOfDay() > ledger.endOf(this._nextWindow) + this._options.delayMilliseconds()) this._skipWindow()
       else if (timeOfDay() >= ledger.endOf(this._nextWindow) + SETTLE_MILLISECONDS && await this._report(context, this._nextWindow)) this._nextWindow++
       await context.sleepUntil(clock.now() + ROUND_MILLISECONDS)
     }
--- /dev/null
+++ b/tests/serving/servingState.spec.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { SeededRandom } from '@plumstage/common'
+import { DeploymentAdapter } from '@plumstage/platform'
+import { ServingState } from '@plumstage/serving'
+import type { ServingSettings } from '@plumstage/serving'
+
+const SETTINGS: ServingSettings = {
+  name: 'edge-1',
+  failureDomain: 'east',
+  callerAddress: '10.1.0.1:80',
+  readinessAddress: '10.1.0.1:81',
+  peerAddress: '10.1.0.1:7600',
+  peerSeeds: [],
+  addresses: { store: '10.9.0.1:80' },
+  graceMilliseconds: 8000,
+  dutyLeaseMilliseconds: 3000,
+  usageWindowMilliseconds: 5000,
+  usageDelayMilliseconds: 10_000,
+  retryBound: { ratio: 0, slack: 1, windowMilliseconds: 10_000 },
+  partReuseMilliseconds: 9000,
+  reportsUsage: false,
+  ordersUpstreams: false
+}
+
+describe('serving state', () => {
+  it('takes changed bounds into force without a new start', () => {
+    const state = ServingState.create(SETTINGS, DeploymentAdapter.create(), SeededRandom.create(1))
+    assert.equal(state.tryTakeRetry('front', 0), true)
+    assert.equal(state.tryTakeRetry('front', 1), false)
+    state.applySettings({ ...SETTINGS, retryBound: { ratio: 0, slack: 3, windowMilliseconds: 10_000 }, partReuseMilliseconds: 100 })
+    assert.equal(state.tryTakeRetry('front', 2), true)
+    state.sharedParts.recordSent('i-1', [{ id: 'a', tokens: 10 }], 0)
+    assert.equal(state.sharedParts.countCachedTokens('i-1', [{ id: 'a', tokens: 10 }], 101), 0)
+  })
+})
