--- a/packages/serving/src/peers/peerTable.ts
+++ b/packages/serving/src/peers/peerTable.ts
@@ -10,12 +10,16 @@
 const ABSENT_AFTER_MILLISECONDS = 2000
 /** A gateway that is registered but silent counts as present for the quota for this long. */
 const FORGOTTEN_AFTER_MILLISECONDS = 15_000
+/** A run whose first report here has at most this number has been heard from its start. */
+const FIRST_SEQUENCES = 4
 
 /** Another gateway. */
 export interface Peer {
   address: string
   report: GatewayReport
   heardAt: Timestamp
+  /** Whether nothing that the gateway did before this report was missed: it was heard all the while, or has just started. */
+  wasHeard: boolean
 }
 
 /** Gateways by name. */
@@ -44,7 +48,9 @@
     const known = this._peers.get(report.name)
     if (known && known.report.incarnation === report.incarnation && known.report.sequence >= report.sequence) return undefined
     this.learnAddress(address, now)
-    const peer = { address, report, heardAt: now }
+    const isSameRun = known?.report.incarnation === report.incarnation
+    const wasHeard = isSameRun ? known.heardAt > now - ABSENT_AFTER_MILLISECONDS : report.sequence <= FIRST_SEQUENCES
+    const peer = { address, report, heardAt: now, wasHeard }
     this._peers.set(report.name, peer)
     return peer
   }
--- a/packages/serving/src/quotas/workspaceQuotas.ts
+++ b/packages/serving/src/quotas/workspaceQuotas.ts
@@ -57,14 +57,17 @@
     bucket.admittedUnits -= units
   }
 
-  /** Takes what one run of another gateway says it has admitted since its start. */
-  applyReport (gatewayRun: string, workspace: string, admittedUnits: number): void {
+  /**
+   * Takes what one run of another gateway says it has admitted since its start. What it admitted while it was not heard
+   * is only noted: the refill was cut down for it at that time.
+   */
+  applyReport (gatewayRun: string, workspace: string, admittedUnits: number, wasHeard: boolean): void {
     const known = this._reported.get(gatewayRun) ?? new Map<string, number>()
     this._reported.set(gatewayRun, known)
     const before = known.get(workspace) ?? 0
     known.set(workspace, admittedUnits)
     const bucket = this._buckets.get(workspace)
-    if (bucket) bucket.units -= admittedUnits - before
+    if (bucket && wasHeard) bucket.units -= admittedUnits - before
   }
 
   /** Forgets a gateway that is gone. */
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -317,13 +317,13 @@
     }
   }
 
-  private _applyReport ({ report }: Peer): void {
+  private _applyReport ({ report, wasHeard }: Peer): void {
     const now = this._environment.clock.now()
     const run = `${report.name}/${report.incarnation}`
     const { upstreams, quotas, usage, quarantine } = this.state
     const loads = new Map(report.loads.map(load => [load.upstream, load]))
     for (const upstream of upstreams.list()) upstream.setWorkOf(report.name, loads.get(upstream.listed.id))
-    for (const use of report.uses) quotas.applyReport(run, use.workspace, use.admittedUnits)
+    for (const use of report.uses) quotas.applyReport(run, use.workspace, use.admittedUnits, wasHeard)
     usage.applyReport(run, report.windows)
     quarantine.mergeReports(report.suspicions, now)
   }
--- a/tests/serving/gatewayReport.spec.ts
+++ b/tests/serving/gatewayReport.spec.ts
@@ -38,6 +38,14 @@
     assert.ok(table.apply({ ...REPORT, incarnation: 'a2', sequence: 1 }, '10.1.0.1:7600', 2))
   })
 
+  it('tells a gateway that was heard all the while from one that comes back or was there before', () => {
+    const table = PeerTable.create('10.1.0.9:7600')
+    assert.equal(table.apply({ ...REPORT, sequence: 60 }, '10.1.0.1:7600', 0)?.wasHeard, false)
+    assert.equal(table.apply({ ...REPORT, sequence: 61 }, '10.1.0.1:7600', 500)?.wasHeard, true)
+    assert.equal(table.apply({ ...REPORT, sequence: 70 }, '10.1.0.1:7600', 5000)?.wasHeard, false)
+    assert.equal(table.apply({ ...REPORT, incarnation: 'a2', sequence: 1 }, '10.1.0.1:7600', 9000)?.wasHeard, true)
+  })
+
   it('counts a silent gateway against the share of quotas until it is forgotten', () => {
     const table = PeerTable.create('10.1.0.9:7600')
     table.apply(REPORT, '10.1.0.1:7600', 0)
--- a/tests/serving/workspaceQuotas.spec.ts
+++ b/tests/serving/workspaceQuotas.spec.ts
@@ -16,7 +16,7 @@
     quotas.forEach(own => { if (own.take('press', QUOTA, REQUEST_UNITS, hears ? 1 : 1 / gateways, now).kind === 'admitted') admitted += REQUEST_UNITS })
     if (!hears || (now % REPORT_MILLISECONDS !== 0 && !quotas.some(own => own.isReportUrgent))) continue
     quotas.forEach((own, index) => quotas.forEach((other, sender) => {
-      if (sender !== index) for (const { workspace, units } of other.takeReport()) own.applyReport(`gateway-${sender}`, workspace, units)
+      if (sender !== index) for (const { workspace, units } of other.takeReport()) own.applyReport(`gateway-${sender}`, workspace, units, true)
     }))
   }
   return admitted
@@ -44,11 +44,20 @@
     assert.equal(quotas.take('press', QUOTA, 100, 1, 0).kind, 'admitted')
   })
 
+  it('does not charge a gateway that starts late for what the others used before', () => {
+    const quotas = WorkspaceQuotas.create()
+    quotas.take('press', QUOTA, 0, 1, 0)
+    quotas.applyReport('edge-1/first', 'press', 500_000, false)
+    assert.equal(quotas.take('press', QUOTA, 1, 1, 100).kind, 'admitted')
+    quotas.applyReport('edge-1/first', 'press', 501_000, true)
+    assert.equal(quotas.take('press', QUOTA, 1, 1, 200).kind, 'exceeded')
+  })
+
   it('counts a gateway that starts again from its new start', () => {
     const quotas = WorkspaceQuotas.create()
     quotas.take('press', QUOTA, 0, 1, 0)
-    quotas.applyReport('edge-1/first', 'press', 400)
-    quotas.applyReport('edge-1/second', 'press', 300)
+    quotas.applyReport('edge-1/first', 'press', 400, true)
+    quotas.applyReport('edge-1/second', 'press', 300, true)
     assert.equal(quotas.take('press', QUOTA, 1, 1, 0).kind, 'exceeded')
   })
 })
