--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -9,6 +9,9 @@
 import type { DeploymentView, ViewChange } from './deploymentView.js'
 
 const RETRY_MILLISECONDS = 250
+/** After a change, those that follow are collected for this long for each gateway of the deployment. */
+const COLLECT_PER_GATEWAY_MILLISECONDS = 12
+const LONGEST_COLLECTION_MILLISECONDS = 900
 const SNAPSHOT_TIMEOUT_MILLISECONDS = 3000
 /** A store that did not answer for this long counts as having been away. */
 const AWAY_AFTER_MILLISECONDS = 800
@@ -27,6 +30,8 @@
   clock: Clock
   instrumentation: Instrumentation
   observer: StoreObserver
+  /** Number of gateways that follow the store. */
+  countGateways: () => number
   onChange (change: ViewChange): void
 }
 
@@ -83,9 +88,15 @@
       if (batch.value.changes.length === 0) continue
       this._options.onChange(view.applyStoreChanges(batch.value.changes, clock.now()))
       observer.onChanges(batch.value.changes)
+      await context.sleepUntil(clock.now() + this._collectionMilliseconds)
     }
   }
 
+  /** Gateways that each ask for every change by itself would together ask with the square of their number. */
+  private get _collectionMilliseconds (): number {
+    return Math.min(LONGEST_COLLECTION_MILLISECONDS, COLLECT_PER_GATEWAY_MILLISECONDS * this._options.countGateways())
+  }
+
   private _recordFailure (error: KeyValueError): void {
     if (this._failingSince !== undefined) return
     this._failingSince = this._options.clock.now()
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -101,6 +101,7 @@
       view: this.state.view,
       clock,
       instrumentation,
+      countGateways: () => this.state.peers.listRegistrations().length,
       observer: { onSnapshot: entries => this._observeSnapshot(entries), onChanges: changes => this._observeChanges(changes) },
       onChange: change => this._applyChange(change)
     })
--- /dev/null
+++ b/tests/serving/deploymentTask.spec.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { CallContext, Instrumentation, VirtualClock } from '@plumstage/common'
+import type { KeyValueError, KeyValueService, KeyValueWatchBatch } from '@plumstage/coordination'
+import { DeploymentAdapter } from '@plumstage/platform'
+import { DeploymentTask, DeploymentView } from '@plumstage/serving'
+
+const CHANGES = 200
+const CHANGE_EVERY_MILLISECONDS = 10
+const SECOND = 1000
+
+/** A store whose entries change every few milliseconds; counts the calls that ask for changes. */
+function createBusyStore (clock: VirtualClock): { service: KeyValueService, calls: () => number } {
+  let calls = 0
+  async function * watch (context: CallContext): AsyncGenerator<Result<KeyValueWatchBatch, KeyValueError>> {
+    for (let revision = 2; !context.cancelled; revision = Math.floor(clock.now() / CHANGE_EVERY_MILLISECONDS) + 2) {
+      calls++
+      yield ok({ revision, changes: [{ kind: 'delete', key: `other/${revision}`, modRevision: revision }] })
+    }
+  }
+  const service = { list: async () => ok({ revision: 1, entries: [] }), watch } as unknown as KeyValueService
+  return { service, calls: () => calls }
+}
+
+/** Calls of one gateway while entries change all the time. */
+async function countCalls (gateways: number): Promise<number> {
+  const clock = VirtualClock.create()
+  const store = createBusyStore(clock)
+  const context = CallContext.create(clock)
+  const task = DeploymentTask.create({
+    store: store.service,
+    view: DeploymentView.create(DeploymentAdapter.create()),
+    clock,
+    instrumentation: Instrumentation.create('edge-1', 'run', clock),
+    observer: { onSnapshot: () => {}, onChanges: () => {} },
+    countGateways: () => gateways,
+    onChange: () => {}
+  })
+  void task.run(context)
+  for (let change = 0; change < CHANGES; change++) {
+    await new Promise(resolve => setImmediate(resolve))
+    clock.advanceTo(clock.now() + CHANGE_EVERY_MILLISECONDS)
+  }
+  context.cancel('shutdown')
+  return store.calls() / (CHANGES * CHANGE_EVERY_MILLISECONDS / SECOND)
+}
+
+describe('deployment task', () => {
+  it('collects changes for longer the more gateways there are, so that the calls of all stay bounded', async () => {
+    assert.ok(await countCalls(9) <= 11)
+    assert.ok(await countCalls(72) <= 2)
+  })
+})
