--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -40,13 +40,15 @@
   utilization: number
   /** Fewest upstreams that are to serve. */
   fewest: number
+  /** Share of the upstreams found at first that are taken to be needed before any demand is known. */
+  initialShare: number
   /** Reclaimable upstreams in each failure domain, as a share of those that the load needs. */
   reclaimableShare: number
   /** Share of the needed upstreams that is to be left when the domain with the most reclaimable ones goes next. */
   survivingShare: number
 }
 
-export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, outputTokenWeight: 6, utilization: 0.6, fewest: 4, reclaimableShare: 0.8, survivingShare: 1 }
+export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, outputTokenWeight: 6, utilization: 0.6, fewest: 4, initialShare: 0.4, reclaimableShare: 0.8, survivingShare: 1 }
 
 /** Time in which a domain that refused an order is not asked again. */
 const UNAVAILABLE_MILLISECONDS = 3000
@@ -56,6 +58,10 @@
 const ORDER_MARGIN_MILLISECONDS = 2500
 /** The number of upstreams falls only when the lower number has sufficed for this long. */
 const SHRINK_AFTER_MILLISECONDS = 10_000
+/** Share of the upstreams by which the number then falls. */
+const SHRINK_STEP = 0.2
+/** Time for which the first number of upstreams is kept while callers ask for nothing. */
+const IDLE_START_MILLISECONDS = 30_000
 const MILLISECONDS_PER_SECOND = 1000
 /** Ends of the keys under which the state of each kind in a failure domain is kept. */
 const RECLAIMABLE_KEY = '/reclaimable'
@@ -72,6 +78,7 @@
   private readonly _sizing: FleetSizing
   private readonly _subjects = new Map<string, SubjectState>()
   private _needed = 0
+  private _keptUntil: Timestamp | undefined
   private _sufficientSince: Timestamp | undefined
   private _scarceUntil: Timestamp = Number.NEGATIVE_INFINITY
 
@@ -86,6 +93,7 @@
   /** Returns the orders that are to be given now. */
   plan (observation: FleetObservation, now: Timestamp): UpstreamOrder[] {
     this._noteReclaims(observation, now)
+    if (this._keptUntil === undefined) this._start(observation.counts, now)
     const needed = this._neededAt(observation.demand, now)
     return [
       ...this._orderReclaimable(observation, needed, now),
@@ -106,6 +114,12 @@
     if (order.reclaimable) this._scarceUntil = now + SCARCE_MILLISECONDS
   }
 
+  private _start (counts: readonly FleetCount[], now: Timestamp): void {
+    const found = counts.reduce((sum, count) => sum + count.serving, 0)
+    this._needed = Math.ceil(found * this._sizing.initialShare)
+    this._keptUntil = now + IDLE_START_MILLISECONDS
+  }
+
   /** Number of upstreams that the load needs, grown at once and shrunk slowly. */
   private _neededAt (demand: Demand, now: Timestamp): number {
     const { tokensPerSecond, outputTokenWeight, utilization, fewest } = this._sizing
@@ -116,10 +130,12 @@
       this._needed = needed
       return needed
     }
+    if (work > 0) this._keptUntil = now
+    if (now < this._keptUntil!) return this._needed
     this._sufficientSince ??= now
     if (now < this._sufficientSince + SHRINK_AFTER_MILLISECONDS) return this._needed
     this._sufficientSince = undefined
-    this._needed--
+    this._needed = Math.max(needed, this._needed - Math.max(1, Math.floor(this._needed * SHRINK_STEP)))
     return this._needed
   }
 
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -58,6 +58,15 @@
 }
 
 describe('fleet planner', () => {
+  it('keeps part of a large fleet before callers ask for anything, and lets go of what they do not need', () => {
+    const fleet = new FleetModel(20)
+    fleet.run(12_000)
+    const found = 3 * 20
+    assert.ok(fleet.serving(true) + fleet.serving(false) >= found * 0.4, `${fleet.serving(true)} and ${fleet.serving(false)}`)
+    fleet.run(100_000, { promptTokensPerSecond: 30_000, outputTokensPerSecond: 0 })
+    assert.ok(fleet.serving(true) + fleet.serving(false) <= 12, `${fleet.serving(true)} and ${fleet.serving(false)}`)
+  })
+
   it('replaces the costly upstreams of the start by reclaimable ones, without leaving the service empty', () => {
     const fleet = new FleetModel(4)
     fleet.run(3600)
