--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -42,13 +42,16 @@
   fewest: number
   /** Share of the upstreams found at first that are taken to be needed before any demand is known. */
   initialShare: number
-  /** Reclaimable upstreams in each failure domain, as a share of those that the load needs. */
-  reclaimableShare: number
+  /**
+   * Reclaimable upstreams in each failure domain beyond those that carry the load while one domain has none, as a
+   * multiple of the square root of the number that is needed: the fluctuation of the load grows like that.
+   */
+  reclaimableReserve: number
   /** Share of the needed upstreams that is to be left when the domain with the most reclaimable ones goes next. */
   survivingShare: number
 }
 
-export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, outputTokenWeight: 6, utilization: 0.6, fewest: 4, initialShare: 0.4, reclaimableShare: 0.8, survivingShare: 1 }
+export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, outputTokenWeight: 6, utilization: 0.6, fewest: 4, initialShare: 0.4, reclaimableReserve: 0.7, survivingShare: 1 }
 
 /** Time in which a domain that refused an order is not asked again. */
 const UNAVAILABLE_MILLISECONDS = 3000
@@ -60,6 +63,8 @@
 const SHRINK_AFTER_MILLISECONDS = 10_000
 /** Share of the upstreams by which the number then falls. */
 const SHRINK_STEP = 0.2
+/** Upstreams that were there before the gateway appear in the list within this time. */
+const FIRST_LIST_MILLISECONDS = 2500
 /** Time for which the first number of upstreams is kept while callers ask for nothing. */
 const IDLE_START_MILLISECONDS = 30_000
 const MILLISECONDS_PER_SECOND = 1000
@@ -78,7 +83,9 @@
   private readonly _sizing: FleetSizing
   private readonly _subjects = new Map<string, SubjectState>()
   private _needed = 0
-  private _keptUntil: Timestamp | undefined
+  private _found = 0
+  private _startedAt: Timestamp | undefined
+  private _hasDemand = false
   private _sufficientSince: Timestamp | undefined
   private _scarceUntil: Timestamp = Number.NEGATIVE_INFINITY
 
@@ -93,7 +100,9 @@
   /** Returns the orders that are to be given now. */
   plan (observation: FleetObservation, now: Timestamp): UpstreamOrder[] {
     this._noteReclaims(observation, now)
-    if (this._keptUntil === undefined) this._start(observation.counts, now)
+    this._startedAt ??= now
+    this._noteFound(observation, now)
+    if (!this._hasDemand && this._found === 0 && now < this._startedAt + FIRST_LIST_MILLISECONDS) return []
     const needed = this._neededAt(observation.demand, now)
     return [
       ...this._orderReclaimable(observation, needed, now),
@@ -114,10 +123,12 @@
     if (order.reclaimable) this._scarceUntil = now + SCARCE_MILLISECONDS
   }
 
-  private _start (counts: readonly FleetCount[], now: Timestamp): void {
-    const found = counts.reduce((sum, count) => sum + count.serving, 0)
-    this._needed = Math.ceil(found * this._sizing.initialShare)
-    this._keptUntil = now + IDLE_START_MILLISECONDS
+  /** Part of the upstreams that are there at first counts as needed until callers ask for something. */
+  private _noteFound ({ counts, demand }: FleetObservation, now: Timestamp): void {
+    this._hasDemand ||= demand.promptTokensPerSecond + demand.outputTokensPerSecond > 0
+    if (this._hasDemand || now >= this._startedAt! + FIRST_LIST_MILLISECONDS) return
+    this._found = Math.max(this._found, counts.reduce((sum, count) => sum + count.serving, 0))
+    this._needed = Math.max(this._needed, Math.ceil(this._found * this._sizing.initialShare))
   }
 
   /** Number of upstreams that the load needs, grown at once and shrunk slowly. */
@@ -130,8 +141,7 @@
       this._needed = needed
       return needed
     }
-    if (work > 0) this._keptUntil = now
-    if (now < this._keptUntil!) return this._needed
+    if (!this._hasDemand && now < this._startedAt! + IDLE_START_MILLISECONDS) return this._needed
     this._sufficientSince ??= now
     if (now < this._sufficientSince + SHRINK_AFTER_MILLISECONDS) return this._needed
     this._sufficientSince = undefined
@@ -142,8 +152,10 @@
   private _orderReclaimable (observation: FleetObservation, needed: number, now: Timestamp): UpstreamOrder[] {
     const { scaling, counts, service } = observation
     if (scaling.reclaimablePriceFraction === undefined) return []
-    const desired = Math.min(scaling.maximum, Math.ceil(needed * this._sizing.reclaimableShare))
-    return domainsByPrice(scaling)
+    const domains = domainsByPrice(scaling)
+    const remaining = Math.max(1, domains.length - 1)
+    const desired = Math.min(scaling.maximum, Math.ceil(needed / remaining + this._sizing.reclaimableReserve * Math.sqrt(needed)))
+    return domains
       .map(failureDomain => ({ service, failureDomain, reclaimable: true, desired: this._holdWhileScarce(desired, countOf(counts, failureDomain, true).serving, now) }))
       .filter(order => this._isDue(order, observation, now))
   }
