--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -63,8 +63,10 @@
 const SHRINK_AFTER_MILLISECONDS = 10_000
 /** Share of the upstreams by which the number then falls. */
 const SHRINK_STEP = 0.2
-/** Upstreams that were there before the gateway appear in the list within this time. */
-const FIRST_LIST_MILLISECONDS = 2500
+/** Upstreams that were there at the start appear in the list one by one; it counts as whole when it has not grown for this long. */
+const FIRST_LIST_MILLISECONDS = 1500
+/** The first list is waited for at most this long. */
+const LONGEST_FIRST_LIST_MILLISECONDS = 4000
 /** Time for which the first number of upstreams is kept while callers ask for nothing. */
 const IDLE_START_MILLISECONDS = 30_000
 const MILLISECONDS_PER_SECOND = 1000
@@ -84,25 +86,29 @@
   private readonly _subjects = new Map<string, SubjectState>()
   private _needed = 0
   private _found = 0
-  private _startedAt: Timestamp | undefined
+  private _foundAt: Timestamp
+  private readonly _startedAt: Timestamp
   private _hasDemand = false
+  /** Whether the first list of upstreams has been taken as whole. */
+  private _listWhole = false
   private _sufficientSince: Timestamp | undefined
   private _scarceUntil: Timestamp = Number.NEGATIVE_INFINITY
 
-  private constructor (sizing: FleetSizing) {
+  private constructor (sizing: FleetSizing, now: Timestamp) {
     this._sizing = sizing
+    this._startedAt = now
+    this._foundAt = now
   }
 
-  static create (sizing: FleetSizing = DEFAULT_FLEET_SIZING): FleetPlanner {
-    return new FleetPlanner(sizing)
+  static create (now: Timestamp, sizing: FleetSizing = DEFAULT_FLEET_SIZING): FleetPlanner {
+    return new FleetPlanner(sizing, now)
   }
 
   /** Returns the orders that are to be given now. */
   plan (observation: FleetObservation, now: Timestamp): UpstreamOrder[] {
     this._noteReclaims(observation, now)
-    this._startedAt ??= now
     this._noteFound(observation, now)
-    if (!this._hasDemand && this._found === 0 && now < this._startedAt + FIRST_LIST_MILLISECONDS) return []
+    if (!this._isListWhole(now)) return []
     const needed = this._neededAt(observation.demand, now)
     return [
       ...this._orderReclaimable(observation, needed, now),
@@ -123,11 +129,18 @@
     if (order.reclaimable) this._scarceUntil = now + SCARCE_MILLISECONDS
   }
 
+  private _isListWhole (now: Timestamp): boolean {
+    this._listWhole ||= this._hasDemand || now >= Math.min(this._startedAt + LONGEST_FIRST_LIST_MILLISECONDS, this._foundAt + FIRST_LIST_MILLISECONDS)
+    return this._listWhole
+  }
+
   /** Part of the upstreams that are there at first counts as needed until callers ask for something. */
   private _noteFound ({ counts, demand }: FleetObservation, now: Timestamp): void {
     this._hasDemand ||= demand.promptTokensPerSecond + demand.outputTokensPerSecond > 0
-    if (this._hasDemand || now >= this._startedAt! + FIRST_LIST_MILLISECONDS) return
-    this._found = Math.max(this._found, counts.reduce((sum, count) => sum + count.serving, 0))
+    const found = counts.reduce((sum, count) => sum + count.serving, 0)
+    if (this._listWhole || found <= this._found) return
+    this._found = found
+    this._foundAt = now
     this._needed = Math.max(this._needed, Math.ceil(this._found * this._sizing.initialShare))
   }
 
@@ -141,7 +154,7 @@
       this._needed = needed
       return needed
     }
-    if (!this._hasDemand && now < this._startedAt! + IDLE_START_MILLISECONDS) return this._needed
+    if (!this._hasDemand && now < this._startedAt + IDLE_START_MILLISECONDS) return this._needed
     this._sufficientSince ??= now
     if (now < this._sufficientSince + SHRINK_AFTER_MILLISECONDS) return this._needed
     this._sufficientSince = undefined
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -50,7 +50,7 @@
     const { state, clock } = this._options
     for (const service of state.view.configuration?.services.values() ?? []) {
       if (!service.scaling) continue
-      const planner = this._planners.get(service.name) ?? FleetPlanner.create()
+      const planner = this._planners.get(service.name) ?? FleetPlanner.create(clock.now())
       this._planners.set(service.name, planner)
       const observation = { service: service.name, scaling: service.scaling, demand: this._demandOf(service.name), counts: this._countUpstreams(service.name) }
       for (const order of planner.plan(observation, clock.now())) await this._give(context, planner, order)
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -14,7 +14,7 @@
   dry = false
   now = 0
   orders: UpstreamOrder[] = []
-  private readonly _planner = FleetPlanner.create()
+  private readonly _planner = FleetPlanner.create(0)
   private readonly _booting: Array<{ order: UpstreamOrder, readyAt: number }> = []
 
   constructor (others: number) {
@@ -59,10 +59,12 @@
 
 describe('fleet planner', () => {
   it('does not plan before the upstreams that are there can be in its list', () => {
-    const planner = FleetPlanner.create()
+    const planner = FleetPlanner.create(0)
     const counts = (serving: number): FleetCount[] => [{ failureDomain: 'east', reclaimable: false, serving, leaving: 0 }]
     assert.deepEqual(planner.plan({ service: 'model', scaling: SCALING, demand: QUIET, counts: counts(0) }, 0), [])
-    const orders = planner.plan({ service: 'model', scaling: SCALING, demand: QUIET, counts: counts(20) }, 400)
+    assert.deepEqual(planner.plan({ service: 'model', scaling: SCALING, demand: QUIET, counts: counts(6) }, 1200), [])
+    assert.deepEqual(planner.plan({ service: 'model', scaling: SCALING, demand: QUIET, counts: counts(20) }, 1600), [])
+    const orders = planner.plan({ service: 'model', scaling: SCALING, demand: QUIET, counts: counts(20) }, 3200)
     assert.ok(orders.some(order => order.reclaimable && order.desired >= 5))
   })
 
