--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -110,10 +110,9 @@
     this._noteFound(observation, now)
     if (!this._isListWhole(now)) return []
     const needed = this._neededAt(observation.demand, now)
-    return [
-      ...this._orderReclaimable(observation, needed, now),
-      ...this._orderOthers(observation, needed, now)
-    ]
+    const reclaimable = this._orderReclaimable(observation, needed, now)
+    const isComing = this._isComing(observation.scaling, now) || (now >= this._scarceUntil && reclaimable.length > 0)
+    return [...reclaimable, ...this._orderOthers(observation, needed, isComing, now)]
   }
 
   /** The order was accepted, or may have been. */
@@ -169,19 +168,28 @@
     const remaining = Math.max(1, domains.length - 1)
     const desired = Math.min(scaling.maximum, Math.ceil(needed / remaining + this._sizing.reclaimableReserve * Math.sqrt(needed)))
     return domains
-      .map(failureDomain => ({ service, failureDomain, reclaimable: true, desired: this._holdWhileScarce(desired, countOf(counts, failureDomain, true).serving, now) }))
+      .map(failureDomain => {
+        const room = Math.max(0, scaling.maximum - this._countOthers(counts, failureDomain))
+        const held = this._holdWhileScarce(desired, countOf(counts, failureDomain, true).serving, now)
+        return { service, failureDomain, reclaimable: true, desired: Math.min(room, held) }
+      })
       .filter(order => this._isDue(order, observation, now))
   }
 
+  /** Others that a failure domain has, or will have when its last order has been carried out. */
+  private _countOthers (counts: readonly FleetCount[], failureDomain: string): number {
+    return Math.max(countOf(counts, failureDomain, false).serving, this._subjectOf(failureDomain, false).desired ?? 0)
+  }
+
   /** Reclaimable upstreams that are there are kept while no others are to be had. */
   private _holdWhileScarce (desired: number, serving: number, now: Timestamp): number {
     return now < this._scarceUntil ? Math.max(desired, serving) : desired
   }
 
   /** Orders others for what reclaimable ones don't carry now, and would not after the next reclaim. */
-  private _orderOthers (observation: FleetObservation, needed: number, now: Timestamp): UpstreamOrder[] {
+  private _orderOthers (observation: FleetObservation, needed: number, isComing: boolean, now: Timestamp): UpstreamOrder[] {
     const { scaling, counts, service } = observation
-    const missing = this._countMissing(observation, needed, now)
+    const missing = this._countMissing(observation, needed, isComing, now)
     const domains = domainsByPrice(scaling)
     const desired = new Map(domains.map(domain => [domain, 0]))
     for (let index = 0, left = missing; left > 0 && index < missing * domains.length; index++) {
@@ -196,10 +204,10 @@
       .filter(order => this._isDue(order, observation, now))
   }
 
-  private _countMissing ({ counts, scaling }: FleetObservation, needed: number, now: Timestamp): number {
+  private _countMissing ({ counts }: FleetObservation, needed: number, isComing: boolean, now: Timestamp): number {
     const reclaimable = counts.filter(count => count.reclaimable).map(count => count.serving)
     const serving = reclaimable.reduce((sum, count) => sum + count, 0)
-    if (serving < needed && this._isComing(scaling, now)) return counts.filter(count => !count.reclaimable).reduce((sum, count) => sum + count.serving, 0)
+    if (serving < needed && isComing) return counts.filter(count => !count.reclaimable).reduce((sum, count) => sum + count.serving, 0)
     const surviving = serving - Math.max(0, ...reclaimable)
     const hedge = now < this._scarceUntil ? Math.ceil(needed * this._sizing.survivingShare) - surviving : 0
     return Math.max(0, needed - serving, hedge)
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -49,6 +49,7 @@
 
   private _give (order: UpstreamOrder): void {
     this.orders.push(order)
+    if (order.desired + this.countOf(order.failureDomain, !order.reclaimable).serving > SCALING.maximum) return this._planner.recordUnavailable(order, this.now)
     if (this.dry && order.reclaimable) return this._planner.recordUnavailable(order, this.now)
     this._planner.recordAccepted(order, this.now)
     const count = this.countOf(order.failureDomain, order.reclaimable)
@@ -100,6 +101,14 @@
     assert.ok(fleet.serving(false) >= 4, `${fleet.serving(false)} others after it`)
   })
 
+  it('goes back to reclaimable upstreams although others take up most of what a domain may have', () => {
+    const fleet = new FleetModel(7)
+    const demand = { promptTokensPerSecond: 300_000, outputTokensPerSecond: 0 }
+    fleet.run(60_000, demand)
+    assert.ok(fleet.serving(true) >= 12, `${fleet.serving(true)} reclaimable, ${fleet.serving(false)} others`)
+    assert.ok(fleet.serving(false) <= 2, `${fleet.serving(true)} reclaimable, ${fleet.serving(false)} others`)
+  })
+
   it('goes back to reclaimable upstreams when they are to be had again', () => {
     const fleet = new FleetModel(0)
     fleet.run(8000)
