--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -80,6 +80,14 @@
   unavailableUntil: Timestamp
 }
 
+/** What a failure domain is to have of the upstreams that are not reclaimable. */
+interface DomainPlan {
+  failureDomain: string
+  others: number
+  /** Most that it may have beside its reclaimable ones. */
+  room: number
+}
+
 /** Plans one service. */
 export class FleetPlanner {
   private readonly _sizing: FleetSizing
@@ -188,29 +196,38 @@
 
   /** Orders others for what reclaimable ones don't carry now, and would not after the next reclaim. */
   private _orderOthers (observation: FleetObservation, needed: number, isComing: boolean, now: Timestamp): UpstreamOrder[] {
-    const { scaling, counts, service } = observation
-    const missing = this._countMissing(observation, needed, isComing, now)
-    const domains = domainsByPrice(scaling)
-    const desired = new Map(domains.map(domain => [domain, 0]))
-    for (let index = 0, left = missing; left > 0 && index < missing * domains.length; index++) {
-      const domain = domains[index % domains.length]
-      const room = scaling.maximum - countOf(counts, domain, true).serving - desired.get(domain)!
-      if (room <= 0) continue
-      desired.set(domain, desired.get(domain)! + 1)
-      left--
-    }
-    return domains
-      .map(failureDomain => ({ service, failureDomain, reclaimable: false, desired: desired.get(failureDomain)! }))
+    const { scaling, service } = observation
+    return this._distributeOthers(observation, this._countOthersWanted(observation, needed, isComing, now))
+      .map(({ failureDomain, others }) => ({ service, failureDomain, reclaimable: false, desired: Math.min(others, scaling.maximum) }))
       .filter(order => this._isDue(order, observation, now))
   }
 
-  private _countMissing ({ counts }: FleetObservation, needed: number, isComing: boolean, now: Timestamp): number {
+  /** Keeps the others where they are as far as possible, so that none is exchanged for one in another domain. */
+  private _distributeOthers ({ counts, scaling }: FleetObservation, wanted: number): DomainPlan[] {
+    const plans = domainsByPrice(scaling).map(failureDomain => ({
+      failureDomain,
+      others: this._countOthers(counts, failureDomain),
+      room: scaling.maximum - countOf(counts, failureDomain, true).serving
+    }))
+    let total = plans.reduce((sum, plan) => sum + plan.others, 0)
+    for (; total > wanted; total--) findMost(plans.toReversed(), plan => plan.others).others--
+    for (; total < wanted && plans.some(plan => plan.others < plan.room); total++) findMost(plans.filter(plan => plan.others < plan.room), plan => -plan.others).others++
+    return plans
+  }
+
+  /**
+   * Others that are there are kept until reclaimable ones carry the load even without the domain that has most of them;
+   * new ones are ordered for that only while reclaimable ones are hard to get.
+   */
+  private _countOthersWanted ({ counts, scaling }: FleetObservation, needed: number, isComing: boolean, now: Timestamp): number {
     const reclaimable = counts.filter(count => count.reclaimable).map(count => count.serving)
     const serving = reclaimable.reduce((sum, count) => sum + count, 0)
-    if (serving < needed && isComing) return counts.filter(count => !count.reclaimable).reduce((sum, count) => sum + count.serving, 0)
+    const others = domainsByPrice(scaling).reduce((sum, domain) => sum + this._countOthers(counts, domain), 0)
     const surviving = serving - Math.max(0, ...reclaimable)
-    const hedge = now < this._scarceUntil ? Math.ceil(needed * this._sizing.survivingShare) - surviving : 0
-    return Math.max(0, needed - serving, hedge)
+    const fewest = Math.max(0, needed - serving)
+    const most = Math.max(fewest, Math.ceil(needed * this._sizing.survivingShare) - surviving)
+    if (now < this._scarceUntil) return most
+    return Math.min(most, isComing ? others : Math.max(fewest, others))
   }
 
   /** Whether reclaimable upstreams have been ordered and may still be booting. */
@@ -255,6 +272,11 @@
   return Object.entries(scaling.priceByDomain).sort(([, left], [, right]) => left - right).map(([domain]) => domain)
 }
 
+/** Returns the first plan with the highest value. */
+function findMost (plans: readonly DomainPlan[], valueOf: (plan: DomainPlan) => number): DomainPlan {
+  return plans.reduce((most, plan) => valueOf(plan) > valueOf(most) ? plan : most)
+}
+
 function countOf (counts: readonly FleetCount[], failureDomain: string, reclaimable: boolean): FleetCount {
   return counts.find(count => count.failureDomain === failureDomain && count.reclaimable === reclaimable) ?? { failureDomain, reclaimable, serving: 0, leaving: 0 }
 }
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -53,7 +53,8 @@
       const planner = this._planners.get(service.name) ?? FleetPlanner.create(clock.now())
       this._planners.set(service.name, planner)
       const observation = { service: service.name, scaling: service.scaling, demand: this._demandOf(service.name), counts: this._countUpstreams(service.name) }
-      for (const order of planner.plan(observation, clock.now())) await this._give(context, planner, order)
+      // An order without an answer must not hold up the others.
+      await Promise.all(planner.plan(observation, clock.now()).map(async order => await this._give(context, planner, order)))
     }
   }
 
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -101,6 +101,19 @@
     assert.ok(fleet.serving(false) >= 4, `${fleet.serving(false)} others after it`)
   })
 
+  it('keeps others until reclaimable upstreams carry the load without their largest domain', () => {
+    const planner = FleetPlanner.create(0)
+    const counts: FleetCount[] = [
+      { failureDomain: 'east', reclaimable: true, serving: 6, leaving: 0 },
+      { failureDomain: 'north', reclaimable: false, serving: 6, leaving: 0 },
+      { failureDomain: 'west', reclaimable: false, serving: 6, leaving: 0 }
+    ]
+    const demand = { promptTokensPerSecond: 300_000, outputTokensPerSecond: 0 }
+    const orders = planner.plan({ service: 'model', scaling: SCALING, demand, counts }, 0)
+    assert.deepEqual(orders.filter(order => !order.reclaimable && order.desired < 6), [])
+    assert.ok(orders.some(order => order.reclaimable))
+  })
+
   it('goes back to reclaimable upstreams although others take up most of what a domain may have', () => {
     const fleet = new FleetModel(7)
     const demand = { promptTokensPerSecond: 300_000, outputTokensPerSecond: 0 }
