--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -10,6 +10,7 @@
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
 import { estimateReadTokens, sharedPartsOf } from '../routing/generationRouter.js'
+import { DEFAULT_OBJECTIVE_MILLISECONDS } from '../servingState.js'
 import type { ServingState } from '../servingState.js'
 import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
@@ -26,7 +27,6 @@
 const RETRY_AFTER_NO_UPSTREAM_MILLISECONDS = 800
 const RETRY_AFTER_TIMEOUT_MILLISECONDS = 500
 const LONGEST_URGENCY = 9
-const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
 
 /** What requests work with. */
 export interface RequestServices {
@@ -68,6 +68,9 @@
   private _attempt: UpstreamAttempt | undefined
   private _upstream: Upstream | undefined
   private _waitingTokens = 0
+  /** Prompt tokens that the upstream had to read when the attempt was sent, those of the request included. */
+  private _tokensAhead = 0
+  private _sentAt: Timestamp = 0
   private _retryTaken = false
   private _usageRecorded = false
   private _deadlineTimer: Timer | undefined
@@ -91,6 +94,8 @@
     state.recordRequest(service.name, clock.now())
     this._deadlineTimer = clock.schedule(deadline, () => this._expire())
     this._exchange.onGone(() => this._leave())
+    const rejection = this._checkOverload()
+    if (rejection) return this._reject(rejection)
     this._start()
   }
 
@@ -161,6 +166,21 @@
     })
   }
 
+  private _checkOverload (): Rejection | undefined {
+    const { clock, state, instrumentation } = this._services
+    const { service, route, head, rank, deadline } = this._request
+    if (!head.generation) return undefined
+    const now = clock.now()
+    const patienceMilliseconds = deadline - now
+    const waitMilliseconds = state.expectedWait(service.name, now)
+    const objectiveMilliseconds = state.shortestObjective(service.name)
+    const longestPatienceMilliseconds = state.notePatience(route.name, patienceMilliseconds)
+    const verdict = state.overload.decide({ rank, objectiveMilliseconds, patienceMilliseconds, longestPatienceMilliseconds, waitMilliseconds })
+    if (verdict.kind === 'admitted') return undefined
+    instrumentation.emit('overloaded', { service: service.name, rank, waitMilliseconds: Math.round(waitMilliseconds), objectiveMilliseconds, patienceMilliseconds: Math.round(patienceMilliseconds) }, head.requestId)
+    return createRejection('overloaded', `The upstreams of service ${service.name} would begin with the request too late, and it has not run. Send it again after the stated time.`, verdict.retryAfterMilliseconds)
+  }
+
   private _choose (): Upstream | undefined {
     const { clock, state } = this._services
     const { service, head, route } = this._request
@@ -182,6 +202,8 @@
     const shared = sharedPartsOf(generation)
     this._waitingTokens = estimateReadTokens(generation, state.sharedParts.countCachedTokens(upstream.listed.id, shared, now))
     upstream.own.waitingTokens += this._waitingTokens
+    this._tokensAhead = upstream.waitingTokens
+    this._sentAt = now
     state.sharedParts.recordSent(upstream.listed.id, shared, now)
     state.demand.record(this._request.service.name, this._waitingTokens, generation.expectedOutputTokens ?? generation.maximumOutputTokens, now)
   }
@@ -202,6 +224,7 @@
 
   private _recordFirstEvent (): void {
     this._releaseWaitingTokens()
+    this._services.state.readSpeedOf(this._request.service.name).record(this._tokensAhead, this._services.clock.now() - this._sentAt)
     this._recordUsage()
     this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, milliseconds: this._elapsed() }, this._request.head.requestId)
   }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './admission/overloadGuard.js'
 export * from './admission/retryBudget.js'
 export * from './attempts/attemptPolicy.js'
 export * from './attempts/eventSplitter.js'
@@ -26,6 +27,7 @@
 export * from './recovery/quarantineTable.js'
 export * from './routing/generationRouter.js'
 export * from './routing/plainRouter.js'
+export * from './routing/readSpeed.js'
 export * from './routing/rendezvousHash.js'
 export * from './routing/router.js'
 export * from './routing/sharedPartIndex.js'
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -5,6 +5,7 @@
  */
 import type { SeededRandom, Timestamp } from '@plumstage/common'
 import type { ServiceRecord } from '@plumstage/records'
+import { OverloadGuard } from './admission/overloadGuard.js'
 import { RetryBudget } from './admission/retryBudget.js'
 import type { RetryBound } from './admission/retryBudget.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
@@ -15,6 +16,7 @@
 import { QuarantineTable } from './recovery/quarantineTable.js'
 import { GenerationRouter } from './routing/generationRouter.js'
 import { PlainRouter } from './routing/plainRouter.js'
+import { ReadSpeed } from './routing/readSpeed.js'
 import type { Router } from './routing/router.js'
 import { SharedPartIndex } from './routing/sharedPartIndex.js'
 import type { ServingSettings } from './servingSettings.js'
@@ -22,6 +24,8 @@
 import { UsageLedger } from './usage/usageLedger.js'
 
 const CRASHES_FOR_QUARANTINE = 3
+/** Objective of requests whose route states none. */
+export const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
 
 /** State and decisions of one gateway. */
 export class ServingState {
@@ -33,6 +37,11 @@
   readonly demand = DemandMeter.create()
   readonly quarantine = QuarantineTable.create(CRASHES_FOR_QUARANTINE)
   readonly sharedParts: SharedPartIndex
+  readonly overload: OverloadGuard
+  private readonly _readSpeeds = new Map<string, ReadSpeed>()
+  private readonly _longestPatience = new Map<string, number>()
+  private _shortestObjectives = new Map<string, number>()
+  private _objectivesRevision = 0
   private readonly _retryBudgets = new Map<string, RetryBudget>()
   private _retryBound: RetryBound
   private readonly _plainRouter: Router
@@ -44,6 +53,7 @@
     this.usage = UsageLedger.create(settings.usageWindowMilliseconds)
     this.sharedParts = SharedPartIndex.create(settings.partReuseMilliseconds)
     this._retryBound = settings.retryBound
+    this.overload = OverloadGuard.create(random)
     this._plainRouter = PlainRouter.create(settings.failureDomain, random)
     this._generationRouter = GenerationRouter.create(settings.failureDomain, this.sharedParts)
   }
@@ -62,6 +72,35 @@
     return service?.type === 'model-engine' ? this._generationRouter : this._plainRouter
   }
 
+  readSpeedOf (service: string): ReadSpeed {
+    let speed = this._readSpeeds.get(service)
+    if (!speed) {
+      speed = ReadSpeed.create()
+      this._readSpeeds.set(service, speed)
+    }
+    return speed
+  }
+
+  /** Time until the least busy upstream of a service begins with another prompt, in milliseconds; 0 without any. */
+  expectedWait (service: string, now: Timestamp): number {
+    const available = this.upstreams.listAvailable(service, now)
+    if (available.length === 0) return 0
+    return Math.min(...available.map(upstream => upstream.waitingTokens)) / this.readSpeedOf(service).tokensPerMillisecond
+  }
+
+  /** Shortest time within which answers of a service are to begin, over all its routes, in milliseconds. */
+  shortestObjective (service: string): number {
+    if (this._objectivesRevision !== this.view.configurationRevision) this._readObjectives()
+    return this._shortestObjectives.get(service) ?? DEFAULT_OBJECTIVE_MILLISECONDS
+  }
+
+  /** Notes the time that a caller grants; returns the longest that callers of the route have granted, in milliseconds. */
+  notePatience (route: string, milliseconds: number): number {
+    const longest = Math.max(milliseconds, this._longestPatience.get(route) ?? 0)
+    this._longestPatience.set(route, longest)
+    return longest
+  }
+
   recordRequest (service: string, now: Timestamp): void {
     this._budgetOf(service).recordRequest(this._retryBound, now)
   }
@@ -70,6 +109,15 @@
     return this._budgetOf(service).tryTake(this._retryBound, this.peers.countPresent(now), now)
   }
 
+  private _readObjectives (): void {
+    this._objectivesRevision = this.view.configurationRevision
+    this._shortestObjectives = new Map()
+    for (const { service, split, objectiveMilliseconds } of this.view.configuration?.routes.values() ?? []) {
+      if (objectiveMilliseconds === undefined) continue
+      for (const name of split?.map(share => share.service) ?? [service]) this._shortestObjectives.set(name, Math.min(objectiveMilliseconds, this._shortestObjectives.get(name) ?? Number.POSITIVE_INFINITY))
+    }
+  }
+
   private _budgetOf (service: string): RetryBudget {
     let budget = this._retryBudgets.get(service)
     if (!budget) {
