--- a/packages/serving/src/fleet/demandMeter.ts
+++ b/packages/serving/src/fleet/demandMeter.ts
@@ -8,6 +8,8 @@
 const SLICE_MILLISECONDS = 500
 const SLICES = 8
 const MILLISECONDS_PER_SECOND = 1000
+/** When requests have only just begun, their rate is taken over at least this time. */
+const SHORTEST_SPAN_SECONDS = 1
 
 /** Work for each second. */
 export interface Demand {
@@ -50,7 +52,7 @@
   demandOf (service: string, now: Timestamp): Demand {
     const since = now - SLICES * SLICE_MILLISECONDS
     const recent = (this._slices.get(service) ?? []).filter(slice => slice.startsAt >= since)
-    const seconds = SLICES * SLICE_MILLISECONDS / MILLISECONDS_PER_SECOND
+    const seconds = Math.max(SHORTEST_SPAN_SECONDS, (now - (recent.at(0)?.startsAt ?? now)) / MILLISECONDS_PER_SECOND)
     return {
       promptTokensPerSecond: Math.round(recent.reduce((sum, slice) => sum + slice.promptTokens, 0) / seconds),
       outputTokensPerSecond: Math.round(recent.reduce((sum, slice) => sum + slice.outputTokens, 0) / seconds)
--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -28,12 +28,16 @@
   scaling: ScalingBounds
   demand: Demand
   counts: readonly FleetCount[]
+  /** Prompt tokens that an upstream has been seen to get through in a second; undefined when that is not known. */
+  seenTokensPerSecond?: number
 }
 
 /** How the planner sizes a service. */
 export interface FleetSizing {
-  /** Work that one upstream does in a second, in prompt tokens. */
+  /** Work that one upstream does in a second, in prompt tokens, unless it is seen to do more. */
   tokensPerSecond: number
+  /** Most work that is taken to be done in a second whatever is seen, in prompt tokens. */
+  mostTokensPerSecond: number
   /** Prompt tokens that take as long as one output token. */
   outputTokenWeight: number
   /** Share of the time that an upstream is to be busy. */
@@ -51,7 +55,7 @@
   survivingShare: number
 }
 
-export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, outputTokenWeight: 6, utilization: 0.6, fewest: 4, initialShare: 0.4, reclaimableReserve: 0.7, survivingShare: 1 }
+export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, mostTokensPerSecond: 75_000, outputTokenWeight: 6, utilization: 0.6, fewest: 4, initialShare: 0.5, reclaimableReserve: 0.7, survivingShare: 1 }
 
 /** Time in which a domain that refused an order is not asked again. */
 const UNAVAILABLE_MILLISECONDS = 3000
@@ -117,7 +121,7 @@
     this._noteReclaims(observation, now)
     this._noteFound(observation, now)
     if (!this._isListWhole(now)) return []
-    const needed = this._neededAt(observation.demand, now)
+    const needed = this._neededAt(observation, now)
     const reclaimable = this._orderReclaimable(observation, needed, now)
     const isComing = this._isComing(observation.scaling, now) || (now >= this._scarceUntil && reclaimable.length > 0)
     return [...reclaimable, ...this._orderOthers(observation, needed, isComing, now)]
@@ -152,8 +156,9 @@
   }
 
   /** Number of upstreams that the load needs, grown at once and shrunk slowly. */
-  private _neededAt (demand: Demand, now: Timestamp): number {
-    const { tokensPerSecond, outputTokenWeight, utilization, fewest } = this._sizing
+  private _neededAt ({ demand, seenTokensPerSecond = 0 }: FleetObservation, now: Timestamp): number {
+    const { outputTokenWeight, utilization, fewest, mostTokensPerSecond } = this._sizing
+    const tokensPerSecond = Math.min(mostTokensPerSecond, Math.max(this._sizing.tokensPerSecond, seenTokensPerSecond))
     const work = demand.promptTokensPerSecond + outputTokenWeight * demand.outputTokensPerSecond
     const needed = Math.max(fewest, Math.ceil(work / (tokensPerSecond * utilization)))
     if (needed >= this._needed) {
--- /dev/null
+++ b/tests/serving/demandMeter.spec.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { DemandMeter } from '@plumstage/serving'
+
+const STEP_MILLISECONDS = 100
+
+function measureAfter (milliseconds: number): number {
+  const meter = DemandMeter.create()
+  for (let now = 0; now <= milliseconds; now += STEP_MILLISECONDS) meter.record('model', 1000, 10, now)
+  return meter.demandOf('model', milliseconds).promptTokensPerSecond
+}
+
+describe('demand meter', () => {
+  it('shows the rate of requests that have only just begun', () => {
+    assert.ok(measureAfter(1500) > 9000, `${measureAfter(1500)} tokens a second`)
+  })
+
+  it('shows the rate of the last seconds', () => {
+    assert.ok(Math.abs(measureAfter(20_000) - 10_000) < 1500, `${measureAfter(20_000)} tokens a second`)
+  })
+
+  it('shows nothing when nobody has asked for seconds', () => {
+    const meter = DemandMeter.create()
+    meter.record('model', 1000, 10, 0)
+    assert.equal(meter.demandOf('model', 10_000).promptTokensPerSecond, 0)
+  })
+})
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -114,6 +114,17 @@
     assert.ok(orders.some(order => order.reclaimable))
   })
 
+  it('orders fewer where upstreams are seen to do more', () => {
+    const orderedAt = (seenTokensPerSecond: number | undefined): number => {
+      const planner = FleetPlanner.create(0)
+      const demand = { promptTokensPerSecond: 200_000, outputTokensPerSecond: 0 }
+      const [order] = planner.plan({ service: 'model', scaling: SCALING, demand, counts: [], seenTokensPerSecond }, 0)
+      return order.desired
+    }
+    assert.ok(orderedAt(70_000) < orderedAt(undefined))
+    assert.equal(orderedAt(20_000), orderedAt(undefined))
+  })
+
   it('goes back to reclaimable upstreams although others take up most of what a domain may have', () => {
     const fleet = new FleetModel(7)
     const demand = { promptTokensPerSecond: 300_000, outputTokensPerSecond: 0 }
