--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from './boundedEventLog.js'
 export * from './callContext.js'
 export * from './clock.js'
+export * from './connectionHeaders.js'
 export * from './errors.js'
 export * from './eventLog.js'
 export * from './identities.js'
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { hash } from 'node:crypto'
+import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { RequestTask } from '../attempts/requestTask.js'
@@ -96,5 +96,5 @@
 
 /** The same for the same request of the same caller, whichever gateway it reaches. */
 function digestRequest (head: CallerHead, body: Buffer): string {
-  return hash('sha1', Buffer.concat([Buffer.from(`${head.method} ${head.host} ${head.target} ${head.token ?? ''}\n`), body]), 'hex').slice(0, DIGEST_LENGTH)
+  return createHash('sha1').update(`${head.method} ${head.host} ${head.target} ${head.token ?? ''}\n`).update(body).digest('hex').slice(0, DIGEST_LENGTH)
 }
