--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -194,6 +194,11 @@
     return Math.max(countOf(counts, failureDomain, false).serving, this._subjectOf(failureDomain, false).desired ?? 0)
   }
 
+  /** Reclaimable upstreams that a failure domain has, or will have when its last order has been carried out. */
+  private _countReclaimable (counts: readonly FleetCount[], failureDomain: string): number {
+    return Math.max(countOf(counts, failureDomain, true).serving, this._subjectOf(failureDomain, true).desired ?? 0)
+  }
+
   /** Reclaimable upstreams that are there are kept while no others are to be had. */
   private _holdWhileScarce (desired: number, serving: number, now: Timestamp): number {
     return now < this._scarceUntil ? Math.max(desired, serving) : desired
@@ -212,7 +217,7 @@
     const plans = domainsByPrice(scaling).map(failureDomain => ({
       failureDomain,
       others: this._countOthers(counts, failureDomain),
-      room: scaling.maximum - countOf(counts, failureDomain, true).serving
+      room: scaling.maximum - this._countReclaimable(counts, failureDomain)
     }))
     let total = plans.reduce((sum, plan) => sum + plan.others, 0)
     for (; total > wanted; total--) findMost(plans.toReversed(), plan => plan.others).others--
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -114,6 +114,19 @@
     assert.ok(orders.some(order => order.reclaimable))
   })
 
+  it('does not give up reclaimable upstreams that are booting for others', () => {
+    const demand = { promptTokensPerSecond: 250_000, outputTokensPerSecond: 0 }
+    const fleet = new FleetModel(0)
+    fleet.run(12_000)
+    fleet.run(800, demand)
+    const ordered = fleet.orders.filter(order => order.reclaimable && order.failureDomain === 'west').at(-1)!.desired
+    fleet.dry = true
+    fleet.reclaim('east')
+    fleet.run(2000, demand)
+    assert.equal(fleet.orders.filter(order => order.reclaimable && order.failureDomain === 'west').at(-1)!.desired, ordered)
+    assert.ok(fleet.orders.some(order => !order.reclaimable && order.desired > 0))
+  })
+
   it('orders fewer where upstreams are seen to do more', () => {
     const orderedAt = (seenTokensPerSecond: number | undefined): number => {
       const planner = FleetPlanner.create(0)
