--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -10,7 +10,6 @@
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
 import { estimateReadTokens, sharedPartsOf } from '../routing/generationRouter.js'
-import { DEFAULT_OBJECTIVE_MILLISECONDS } from '../servingState.js'
 import type { ServingState } from '../servingState.js'
 import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
@@ -27,6 +26,7 @@
 const RETRY_AFTER_NO_UPSTREAM_MILLISECONDS = 800
 const RETRY_AFTER_TIMEOUT_MILLISECONDS = 500
 const LONGEST_URGENCY = 9
+const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
 
 /** What requests work with. */
 export interface RequestServices {
@@ -168,17 +168,15 @@
 
   private _checkOverload (): Rejection | undefined {
     const { clock, state, instrumentation } = this._services
-    const { service, route, head, rank, deadline } = this._request
+    const { service, head, deadline } = this._request
     if (!head.generation) return undefined
     const now = clock.now()
     const patienceMilliseconds = deadline - now
     const waitMilliseconds = state.expectedWait(service.name, now)
-    const objectiveMilliseconds = state.shortestObjective(service.name)
-    const longestPatienceMilliseconds = state.notePatience(route.name, patienceMilliseconds)
-    const verdict = state.overload.decide({ rank, objectiveMilliseconds, patienceMilliseconds, longestPatienceMilliseconds, waitMilliseconds })
+    const verdict = state.overload.decide(waitMilliseconds, patienceMilliseconds)
     if (verdict.kind === 'admitted') return undefined
-    instrumentation.emit('overloaded', { service: service.name, rank, waitMilliseconds: Math.round(waitMilliseconds), objectiveMilliseconds, patienceMilliseconds: Math.round(patienceMilliseconds) }, head.requestId)
-    return createRejection('overloaded', `The upstreams of service ${service.name} would begin with the request too late, and it has not run. Send it again after the stated time.`, verdict.retryAfterMilliseconds)
+    instrumentation.emit('overloaded', { service: service.name, waitMilliseconds: Math.round(waitMilliseconds), patienceMilliseconds: Math.round(patienceMilliseconds) }, head.requestId)
+    return createRejection('overloaded', `The upstreams of service ${service.name} would begin with the request only when its time is over, and it has not run. Send it again after the stated time.`, verdict.retryAfterMilliseconds)
   }
 
   private _choose (): Upstream | undefined {
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -24,8 +24,6 @@
 import { UsageLedger } from './usage/usageLedger.js'
 
 const CRASHES_FOR_QUARANTINE = 3
-/** Objective of requests whose route states none. */
-export const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
 
 /** State and decisions of one gateway. */
 export class ServingState {
@@ -39,9 +37,6 @@
   readonly sharedParts: SharedPartIndex
   readonly overload: OverloadGuard
   private readonly _readSpeeds = new Map<string, ReadSpeed>()
-  private readonly _longestPatience = new Map<string, number>()
-  private _shortestObjectives = new Map<string, number>()
-  private _objectivesRevision = 0
   private readonly _retryBudgets = new Map<string, RetryBudget>()
   private _retryBound: RetryBound
   private readonly _plainRouter: Router
@@ -88,19 +83,6 @@
     return Math.min(...available.map(upstream => upstream.waitingTokens)) / this.readSpeedOf(service).tokensPerMillisecond
   }
 
-  /** Shortest time within which answers of a service are to begin, over all its routes, in milliseconds. */
-  shortestObjective (service: string): number {
-    if (this._objectivesRevision !== this.view.configurationRevision) this._readObjectives()
-    return this._shortestObjectives.get(service) ?? DEFAULT_OBJECTIVE_MILLISECONDS
-  }
-
-  /** Notes the time that a caller grants; returns the longest that callers of the route have granted, in milliseconds. */
-  notePatience (route: string, milliseconds: number): number {
-    const longest = Math.max(milliseconds, this._longestPatience.get(route) ?? 0)
-    this._longestPatience.set(route, longest)
-    return longest
-  }
-
   recordRequest (service: string, now: Timestamp): void {
     this._budgetOf(service).recordRequest(this._retryBound, now)
   }
@@ -109,15 +91,6 @@
     return this._budgetOf(service).tryTake(this._retryBound, this.peers.countPresent(now), now)
   }
 
-  private _readObjectives (): void {
-    this._objectivesRevision = this.view.configurationRevision
-    this._shortestObjectives = new Map()
-    for (const { service, split, objectiveMilliseconds } of this.view.configuration?.routes.values() ?? []) {
-      if (objectiveMilliseconds === undefined) continue
-      for (const name of split?.map(share => share.service) ?? [service]) this._shortestObjectives.set(name, Math.min(objectiveMilliseconds, this._shortestObjectives.get(name) ?? Number.POSITIVE_INFINITY))
-    }
-  }
-
   private _budgetOf (service: string): RetryBudget {
     let budget = this._retryBudgets.get(service)
     if (!budget) {
