--- a/packages/serving/src/routing/generationRouter.ts
+++ b/packages/serving/src/routing/generationRouter.ts
@@ -2,6 +2,10 @@
  * Routes generations: to the upstream with the shortest time to the first token, where reading shared parts of the
  * prompt again counts as time. Gateways agree on the home of a shared part by rendezvous hashing.
  *
+ * What a gateway knows of the load elsewhere is some hundred milliseconds old. If all gateways chose among all upstreams,
+ * all would send to the same one that looked idle. So beyond a number of upstreams each shared part has a few of its
+ * own, and more only while those are busy; then a part is also read at few upstreams.
+ *
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
@@ -36,6 +40,13 @@
 /** Share of the objective that an upstream costs which fails all requests. */
 const FAILURE_COST_OF_OBJECTIVE = 3
 
+/** Up to this number of upstreams a request may go to any of them. */
+const LARGEST_FREE_CHOICE = 16
+/** Upstreams to which the requests with one shared part go at first. */
+const FIRST_CHOICES = 6
+/** Twice as many are considered while all of them would begin later than this. */
+const BUSY_MILLISECONDS = 300
+
 /** Chooses by expected time to the first token. */
 export class GenerationRouter implements Router {
   private readonly _failureDomain: string
@@ -55,6 +66,16 @@
   choose (call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): Upstream | undefined {
     const { generation } = call
     if (!generation) return findCheapest(candidates, upstream => this._waitOf(upstream) + this._penaltyOf(upstream, call))
+    if (candidates.length <= LARGEST_FREE_CHOICE) return this._chooseAmong(candidates, generation, call, now)
+    const ranked = rankByRendezvous(keyOf(generation), candidates)
+    for (let choices = FIRST_CHOICES; choices < ranked.length; choices *= 2) {
+      const chosen = this._chooseAmong(ranked.slice(0, choices), generation, call, now)
+      if (chosen && this._waitOf(chosen) < BUSY_MILLISECONDS) return chosen
+    }
+    return this._chooseAmong(ranked, generation, call, now)
+  }
+
+  private _chooseAmong (candidates: readonly Upstream[], generation: GenerationDemand, call: RoutingCall, now: Timestamp): Upstream | undefined {
     const shared = sharedPartsOf(generation)
     const home = findHome(shared, candidates)
     return findCheapest(candidates, upstream => this._waitOf(upstream) + this._penaltyOf(upstream, call) + this._recomputationOf(upstream, shared, home, now))
@@ -90,6 +111,16 @@
   return generation.parts.slice(0, -1)
 }
 
+/** The part by which gateways agree on upstreams: the last shared one, or the request's own if it shares none. */
+function keyOf (generation: GenerationDemand): string {
+  return sharedPartsOf(generation).at(-1)?.id ?? generation.parts.at(-1)?.id ?? ''
+}
+
+function rankByRendezvous (key: string, candidates: readonly Upstream[]): Upstream[] {
+  const weights = new Map(candidates.map(upstream => [upstream, rendezvousWeight(key, upstream.listed.id)]))
+  return [...candidates].sort((left, right) => weights.get(right)! - weights.get(left)!)
+}
+
 function findHome (shared: readonly PromptPart[], candidates: readonly Upstream[]): Upstream | undefined {
   const last = shared.at(-1)
   if (!last) return undefined
--- a/tests/serving/routers.spec.ts
+++ b/tests/serving/routers.spec.ts
@@ -48,6 +48,31 @@
     assert.notEqual(router.choose(call, upstreams, 0), home)
   })
 
+  it('does not let all gateways send to the same upstream that looks idle', () => {
+    const upstreams = createUpstreams(40)
+    for (const upstream of upstreams.slice(1)) upstream.setWorkOf('others', { requests: 8, waitingTokens: 8000 })
+    const router = GenerationRouter.create('east', SharedPartIndex.create(KEPT_MILLISECONDS))
+    let sent = 0
+    for (let subject = 0; subject < 400; subject++) {
+      const generation = { ...demand(`subject-${subject}`), parts: [{ id: `subject-${subject}`, tokens: 170 }, { id: 'own', tokens: 540 }] }
+      if (router.choose({ generation, objectiveMilliseconds: 800 }, upstreams, 0) === upstreams[0]) sent++
+    }
+    assert.ok(sent <= 100, `${sent} of 400 requests to one of 40 upstreams`)
+  })
+
+  it('goes beyond the upstreams of a part while those are busy', () => {
+    const upstreams = createUpstreams(40)
+    const router = GenerationRouter.create('east', SharedPartIndex.create(KEPT_MILLISECONDS))
+    const call = { generation: demand('hot'), objectiveMilliseconds: 800 }
+    const used = new Set<string>()
+    for (let request = 0; request < 200; request++) {
+      const upstream = router.choose(call, upstreams, 0)!
+      upstream.own.waitingTokens += 9190
+      used.add(upstream.listed.id)
+    }
+    assert.ok(used.size >= 30, `${used.size} upstreams`)
+  })
+
   it('avoids an upstream that fails its requests', () => {
     const upstreams = createUpstreams(3)
     const router = GenerationRouter.create('east', SharedPartIndex.create(KEPT_MILLISECONDS))
