--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -9,7 +9,8 @@
 import type { CallerHead } from '../callers/callerProtocol.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
-import { estimateReadTokens, sharedPartsOf } from '../routing/generationRouter.js'
+import { sharedPartsOf } from '../routing/generationRouter.js'
+import type { RoutingChoice } from '../routing/router.js'
 import type { ServingState } from '../servingState.js'
 import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
@@ -142,12 +143,13 @@
   }
 
   private _start (): void {
-    const upstream = this._choose()
-    if (!upstream) return this._giveUpWithoutUpstream()
+    const choice = this._choose()
+    if (!choice) return this._giveUpWithoutUpstream()
+    const { upstream } = choice
     this._upstream = upstream
     this._retryTaken = false
     this._relay.beginAttempt()
-    this._countWork(upstream)
+    this._countWork(choice)
     this._attempt = UpstreamAttempt.create(this)
     const { head, body, workspace, rank, deadline } = this._request
     const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
@@ -179,7 +181,7 @@
     return createRejection('overloaded', `The upstreams of service ${service.name} would begin with the request only when its time is over, and it has not run. Send it again after the stated time.`, verdict.retryAfterMilliseconds)
   }
 
-  private _choose (): Upstream | undefined {
+  private _choose (): RoutingChoice | undefined {
     const { clock, state } = this._services
     const { service, head, route } = this._request
     const now = clock.now()
@@ -190,7 +192,7 @@
   }
 
   /** Counts the work that the attempt brings to its upstream. */
-  private _countWork (upstream: Upstream): void {
+  private _countWork ({ upstream, readTokens }: RoutingChoice): void {
     const { state, clock, running } = this._services
     const { generation } = this._request.head
     const now = clock.now()
@@ -198,7 +200,7 @@
     upstream.own.requests++
     if (!generation) return
     const shared = sharedPartsOf(generation)
-    this._waitingTokens = estimateReadTokens(generation, state.sharedParts.countCachedTokens(upstream.listed.id, shared, now))
+    this._waitingTokens = readTokens
     upstream.own.waitingTokens += this._waitingTokens
     this._tokensAhead = upstream.waitingTokens
     this._sentAt = now
--- a/packages/serving/src/routing/generationRouter.ts
+++ b/packages/serving/src/routing/generationRouter.ts
@@ -13,7 +13,7 @@
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import { rendezvousWeight } from './rendezvousHash.js'
 import { findCheapest } from './router.js'
-import type { Router, RoutingCall } from './router.js'
+import type { Router, RoutingCall, RoutingChoice } from './router.js'
 import type { SharedPartIndex } from './sharedPartIndex.js'
 
 /** What the costs of a choice weigh. */
@@ -63,9 +63,17 @@
     return new GenerationRouter(failureDomain, index, weights)
   }
 
-  choose (call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): Upstream | undefined {
+  choose (call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): RoutingChoice | undefined {
     const { generation } = call
-    if (!generation) return findCheapest(candidates, upstream => this._waitOf(upstream) + this._penaltyOf(upstream, call))
+    if (!generation) {
+      const upstream = findCheapest(candidates, candidate => this._waitOf(candidate) + this._penaltyOf(candidate, call))
+      return upstream && { upstream, readTokens: 0 }
+    }
+    const upstream = this._chooseForGeneration(generation, candidates, call, now)
+    return upstream && { upstream, readTokens: this._estimateReadTokens(generation, upstream, candidates, now) }
+  }
+
+  private _chooseForGeneration (generation: GenerationDemand, candidates: readonly Upstream[], call: RoutingCall, now: Timestamp): Upstream | undefined {
     if (candidates.length <= LARGEST_FREE_CHOICE) return this._chooseAmong(candidates, generation, call, now)
     const ranked = rankByRendezvous(keyOf(generation), candidates)
     for (let choices = FIRST_CHOICES; choices < ranked.length; choices *= 2) {
@@ -81,6 +89,13 @@
     return findCheapest(candidates, upstream => this._waitOf(upstream) + this._penaltyOf(upstream, call) + this._recomputationOf(upstream, shared, home, now))
   }
 
+  private _estimateReadTokens (generation: GenerationDemand, upstream: Upstream, candidates: readonly Upstream[], now: Timestamp): number {
+    const shared = sharedPartsOf(generation)
+    const isHome = upstream === findHome(shared, candidates)
+    const cached = isHome ? sumTokens(shared) : this._index.countCachedTokens(upstream.listed.id, shared, now)
+    return Math.max(0, generation.promptTokens - cached)
+  }
+
   private _waitOf (upstream: Upstream): number {
     const beyondBatch = Math.max(0, upstream.requests - upstream.listed.capacity)
     return upstream.waitingTokens / this._weights.prefillTokensPerMillisecond +
@@ -101,11 +116,6 @@
   }
 }
 
-/** Tokens that a request is expected to make its upstream read. */
-export function estimateReadTokens (generation: GenerationDemand, cachedTokens: number): number {
-  return Math.max(0, generation.promptTokens - cachedTokens)
-}
-
 /** The parts of a prompt that other requests may share: all but the last. */
 export function sharedPartsOf (generation: GenerationDemand): readonly PromptPart[] {
   return generation.parts.slice(0, -1)
--- a/packages/serving/src/routing/plainRouter.ts
+++ b/packages/serving/src/routing/plainRouter.ts
@@ -6,7 +6,7 @@
 import type { SeededRandom, Timestamp } from '@plumstage/common'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import { findCheapest } from './router.js'
-import type { Router, RoutingCall } from './router.js'
+import type { Router, RoutingCall, RoutingChoice } from './router.js'
 
 /** Cost of leaving the failure domain, in shares of an upstream's capacity. */
 const OTHER_DOMAIN_COST = 0.25
@@ -30,8 +30,9 @@
     return new PlainRouter(failureDomain, random)
   }
 
-  choose (_call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): Upstream | undefined {
-    return findCheapest(candidates, upstream => this._costOf(upstream, now))
+  choose (_call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): RoutingChoice | undefined {
+    const upstream = findCheapest(candidates, candidate => this._costOf(candidate, now))
+    return upstream && { upstream, readTokens: 0 }
   }
 
   private _costOf (upstream: Upstream, now: Timestamp): number {
--- a/packages/serving/src/routing/router.ts
+++ b/packages/serving/src/routing/router.ts
@@ -13,9 +13,16 @@
   objectiveMilliseconds: number
 }
 
+/** Where a request goes. */
+export interface RoutingChoice {
+  upstream: Upstream
+  /** Prompt tokens that the upstream is expected to read for it. */
+  readTokens: number
+}
+
 /** Chooses among the upstreams that may be given new work. */
 export interface Router {
-  choose (call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): Upstream | undefined
+  choose (call: RoutingCall, candidates: readonly Upstream[], now: Timestamp): RoutingChoice | undefined
 }
 
 /** Returns the candidate with the lowest cost; undefined when there is none. */
--- a/tests/serving/routers.spec.ts
+++ b/tests/serving/routers.spec.ts
@@ -23,17 +23,31 @@
   it('sends a shared part to the same upstream from every gateway', () => {
     const upstreams = createUpstreams(6)
     for (let subject = 0; subject < 40; subject++) {
-      const homes = ['east', 'west'].map(domain => GenerationRouter.create(domain, SharedPartIndex.create(KEPT_MILLISECONDS)).choose({ generation: demand(`subject-${subject}`), objectiveMilliseconds: 800 }, upstreams, 0)?.listed.id)
+      const homes = ['east', 'west'].map(domain => GenerationRouter.create(domain, SharedPartIndex.create(KEPT_MILLISECONDS)).choose({ generation: demand(`subject-${subject}`), objectiveMilliseconds: 800 }, upstreams, 0)?.upstream.listed.id)
       assert.equal(homes[0], homes[1])
     }
   })
 
+  it('expects the home of a part to have it, and others only if this gateway has sent it there', () => {
+    const upstreams = createUpstreams(4)
+    const index = SharedPartIndex.create(KEPT_MILLISECONDS)
+    const router = GenerationRouter.create('east', index)
+    const call = { generation: demand('page'), objectiveMilliseconds: 800 }
+    const atHome = router.choose(call, upstreams, 0)!
+    assert.equal(atHome.readTokens, 2890)
+    atHome.upstream.own.waitingTokens = 100_000
+    const elsewhere = router.choose(call, upstreams, 0)!
+    assert.equal(elsewhere.readTokens, 9190)
+    index.recordSent(elsewhere.upstream.listed.id, call.generation.parts.slice(0, 2), 0)
+    assert.equal(router.choose(call, upstreams, 0)!.readTokens, 2890)
+  })
+
   it('spreads many shared parts over all upstreams', () => {
     const upstreams = createUpstreams(6)
     const router = GenerationRouter.create('east', SharedPartIndex.create(KEPT_MILLISECONDS))
     const counts = new Map<string, number>()
     for (let subject = 0; subject < 600; subject++) {
-      const id = router.choose({ generation: demand(`subject-${subject}`), objectiveMilliseconds: 800 }, upstreams, 0)!.listed.id
+      const id = router.choose({ generation: demand(`subject-${subject}`), objectiveMilliseconds: 800 }, upstreams, 0)!.upstream.listed.id
       counts.set(id, (counts.get(id) ?? 0) + 1)
     }
     assert.ok([...counts.values()].every(count => count > 50 && count < 150), JSON.stringify([...counts]))
@@ -43,9 +57,9 @@
     const upstreams = createUpstreams(4)
     const router = GenerationRouter.create('east', SharedPartIndex.create(KEPT_MILLISECONDS))
     const call = { generation: demand('hot'), objectiveMilliseconds: 800 }
-    const home = router.choose(call, upstreams, 0)!
+    const home = router.choose(call, upstreams, 0)!.upstream
     home.setWorkOf('another gateway', { requests: 10, waitingTokens: 60_000 })
-    assert.notEqual(router.choose(call, upstreams, 0), home)
+    assert.notEqual(router.choose(call, upstreams, 0)?.upstream, home)
   })
 
   it('does not let all gateways send to the same upstream that looks idle', () => {
@@ -55,7 +69,7 @@
     let sent = 0
     for (let subject = 0; subject < 400; subject++) {
       const generation = { ...demand(`subject-${subject}`), parts: [{ id: `subject-${subject}`, tokens: 170 }, { id: 'own', tokens: 540 }] }
-      if (router.choose({ generation, objectiveMilliseconds: 800 }, upstreams, 0) === upstreams[0]) sent++
+      if (router.choose({ generation, objectiveMilliseconds: 800 }, upstreams, 0)?.upstream === upstreams[0]) sent++
     }
     assert.ok(sent <= 100, `${sent} of 400 requests to one of 40 upstreams`)
   })
@@ -66,7 +80,7 @@
     const call = { generation: demand('hot'), objectiveMilliseconds: 800 }
     const used = new Set<string>()
     for (let request = 0; request < 200; request++) {
-      const upstream = router.choose(call, upstreams, 0)!
+      const upstream = router.choose(call, upstreams, 0)!.upstream
       upstream.own.waitingTokens += 9190
       used.add(upstream.listed.id)
     }
@@ -77,9 +91,9 @@
     const upstreams = createUpstreams(3)
     const router = GenerationRouter.create('east', SharedPartIndex.create(KEPT_MILLISECONDS))
     const call = { generation: demand('page'), objectiveMilliseconds: 800 }
-    const home = router.choose(call, upstreams, 0)!
+    const home = router.choose(call, upstreams, 0)!.upstream
     for (let failure = 0; failure < 3; failure++) home.health.recordFailure(0)
-    assert.notEqual(router.choose(call, upstreams, 0), home)
+    assert.notEqual(router.choose(call, upstreams, 0)?.upstream, home)
   })
 })
 
@@ -88,9 +102,9 @@
     const near = Upstream.create(list('1', 'east', 6), 0)
     const far = Upstream.create(list('2', 'west', 6), 0)
     const router = PlainRouter.create('east', SeededRandom.create(SEED))
-    assert.equal(router.choose({ objectiveMilliseconds: 120 }, [near, far], 0), near)
+    assert.equal(router.choose({ objectiveMilliseconds: 120 }, [near, far], 0)?.upstream, near)
     near.own.requests = 4
-    assert.equal(router.choose({ objectiveMilliseconds: 120 }, [near, far], 0), far)
+    assert.equal(router.choose({ objectiveMilliseconds: 120 }, [near, far], 0)?.upstream, far)
   })
 })
 
