--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -10,52 +10,9 @@
 import type { Timestamp } from '@plumstage/common'
 import type { ScalingBounds } from '@plumstage/records'
 import type { UpstreamOrder } from '../duties/cloud.js'
-import type { Demand } from './demandMeter.js'
-
-/** Upstreams of one kind in one failure domain. */
-export interface FleetCount {
-  failureDomain: string
-  reclaimable: boolean
-  /** Upstreams that take new work. */
-  serving: number
-  /** Upstreams that are about to go. */
-  leaving: number
-}
-
-/** What the planner is told. */
-export interface FleetObservation {
-  service: string
-  scaling: ScalingBounds
-  demand: Demand
-  counts: readonly FleetCount[]
-  /** Prompt tokens that an upstream has been seen to get through in a second; undefined when that is not known. */
-  seenTokensPerSecond?: number
-}
-
-/** How the planner sizes a service. */
-export interface FleetSizing {
-  /** Work that one upstream does in a second, in prompt tokens, unless it is seen to do more. */
-  tokensPerSecond: number
-  /** Most work that is taken to be done in a second whatever is seen, in prompt tokens. */
-  mostTokensPerSecond: number
-  /** Prompt tokens that take as long as one output token. */
-  outputTokenWeight: number
-  /** Share of the time that an upstream is to be busy. */
-  utilization: number
-  /** Fewest upstreams that are to serve. */
-  fewest: number
-  /** Share of the upstreams found at first that are taken to be needed before any demand is known. */
-  initialShare: number
-  /**
-   * Reclaimable upstreams in each failure domain beyond those that carry the load while one domain has none, as a
-   * multiple of the square root of the number that is needed: the fluctuation of the load grows like that.
-   */
-  reclaimableReserve: number
-  /** Share of the needed upstreams that is to be left when the domain with the most reclaimable ones goes next. */
-  survivingShare: number
-}
-
-export const DEFAULT_FLEET_SIZING: FleetSizing = { tokensPerSecond: 45_000, mostTokensPerSecond: 75_000, outputTokenWeight: 6, utilization: 0.6, fewest: 4, initialShare: 0.5, reclaimableReserve: 0.7, survivingShare: 1 }
+import { DEFAULT_FLEET_SIZING } from './fleetSizing.js'
+import type { FleetCount, FleetObservation, FleetSizing } from './fleetSizing.js'
+import { UpstreamNeed } from './upstreamNeed.js'
 
 /** Time in which a domain that refused an order is not asked again. */
 const UNAVAILABLE_MILLISECONDS = 3000
@@ -63,16 +20,6 @@
 const SCARCE_MILLISECONDS = 5000
 /** Time beyond the boot time after which an order that has not shown is repeated. */
 const ORDER_MARGIN_MILLISECONDS = 2500
-/** The number of upstreams falls only when the lower number has sufficed for this long. */
-const SHRINK_AFTER_MILLISECONDS = 10_000
-/** Share of the upstreams by which the number then falls. */
-const SHRINK_STEP = 0.2
-/** Upstreams that were there at the start appear in the list one by one; it counts as whole when it has not grown for this long. */
-const FIRST_LIST_MILLISECONDS = 1500
-/** The first list is waited for at most this long. */
-const LONGEST_FIRST_LIST_MILLISECONDS = 4000
-/** Time for which the first number of upstreams is kept while callers ask for nothing. */
-const IDLE_START_MILLISECONDS = 30_000
 const MILLISECONDS_PER_SECOND = 1000
 /** Ends of the keys under which the state of each kind in a failure domain is kept. */
 const RECLAIMABLE_KEY = '/reclaimable'
@@ -96,20 +43,12 @@
 export class FleetPlanner {
   private readonly _sizing: FleetSizing
   private readonly _subjects = new Map<string, SubjectState>()
-  private _needed = 0
-  private _found = 0
-  private _foundAt: Timestamp
-  private readonly _startedAt: Timestamp
-  private _hasDemand = false
-  /** Whether the first list of upstreams has been taken as whole. */
-  private _listWhole = false
-  private _sufficientSince: Timestamp | undefined
+  private readonly _need: UpstreamNeed
   private _scarceUntil: Timestamp = Number.NEGATIVE_INFINITY
 
   private constructor (sizing: FleetSizing, now: Timestamp) {
     this._sizing = sizing
-    this._startedAt = now
-    this._foundAt = now
+    this._need = UpstreamNeed.create(now, sizing)
   }
 
   static create (now: Timestamp, sizing: FleetSizing = DEFAULT_FLEET_SIZING): FleetPlanner {
@@ -119,9 +58,8 @@
   /** Returns the orders that are to be given now. */
   plan (observation: FleetObservation, now: Timestamp): UpstreamOrder[] {
     this._noteReclaims(observation, now)
-    this._noteFound(observation, now)
-    if (!this._isListWhole(now)) return []
-    const needed = this._neededAt(observation, now)
+    const needed = this._need.estimate(observation, now)
+    if (needed === undefined) return []
     const reclaimable = this._orderReclaimable(observation, needed, now)
     const isComing = this._isComing(observation.scaling, now) || (now >= this._scarceUntil && reclaimable.length > 0)
     return [...reclaimable, ...this._orderOthers(observation, needed, isComing, now)]
@@ -140,40 +78,6 @@
     if (order.reclaimable) this._scarceUntil = now + SCARCE_MILLISECONDS
   }
 
-  private _isListWhole (now: Timestamp): boolean {
-    this._listWhole ||= this._hasDemand || now >= Math.min(this._startedAt + LONGEST_FIRST_LIST_MILLISECONDS, this._foundAt + FIRST_LIST_MILLISECONDS)
-    return this._listWhole
-  }
-
-  /** Part of the upstreams that are there at first counts as needed until callers ask for something. */
-  private _noteFound ({ counts, demand }: FleetObservation, now: Timestamp): void {
-    this._hasDemand ||= demand.promptTokensPerSecond + demand.outputTokensPerSecond > 0
-    const found = counts.reduce((sum, count) => sum + count.serving, 0)
-    if (this._listWhole || found <= this._found) return
-    this._found = found
-    this._foundAt = now
-    this._needed = Math.max(this._needed, Math.ceil(this._found * this._sizing.initialShare))
-  }
-
-  /** Number of upstreams that the load needs, grown at once and shrunk slowly. */
-  private _neededAt ({ demand, seenTokensPerSecond = 0 }: FleetObservation, now: Timestamp): number {
-    const { outputTokenWeight, utilization, fewest, mostTokensPerSecond } = this._sizing
-    const tokensPerSecond = Math.min(mostTokensPerSecond, Math.max(this._sizing.tokensPerSecond, seenTokensPerSecond))
-    const work = demand.promptTokensPerSecond + outputTokenWeight * demand.outputTokensPerSecond
-    const needed = Math.max(fewest, Math.ceil(work / (tokensPerSecond * utilization)))
-    if (needed >= this._needed) {
-      this._sufficientSince = undefined
-      this._needed = needed
-      return needed
-    }
-    if (!this._hasDemand && now < this._startedAt + IDLE_START_MILLISECONDS) return this._needed
-    this._sufficientSince ??= now
-    if (now < this._sufficientSince + SHRINK_AFTER_MILLISECONDS) return this._needed
-    this._sufficientSince = undefined
-    this._needed = Math.max(needed, this._needed - Math.max(1, Math.floor(this._needed * SHRINK_STEP)))
-    return this._needed
-  }
-
   private _orderReclaimable (observation: FleetObservation, needed: number, now: Timestamp): UpstreamOrder[] {
     const { scaling, counts, service } = observation
     if (scaling.reclaimablePriceFraction === undefined) return []
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -9,7 +9,7 @@
 import type { ServingState } from '../servingState.js'
 import type { Demand } from './demandMeter.js'
 import { FleetPlanner } from './fleetPlanner.js'
-import type { FleetCount } from './fleetPlanner.js'
+import type { FleetCount } from './fleetSizing.js'
 
 const ROUND_MILLISECONDS = 400
 const CALL_TIMEOUT_MILLISECONDS = 2000
