--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -6,7 +6,7 @@
 import type { Clock, Instrumentation, Timer, Timestamp } from '@plumstage/common'
 import type { RouteRecord, ServiceRecord } from '@plumstage/records'
 import type { CallerExchange } from '../callers/callerExchange.js'
-import type { CallerHead } from '../callers/callerProtocol.js'
+import type { CallerHead, GenerationDemand } from '../callers/callerProtocol.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
 import { sharedPartsOf } from '../routing/generationRouter.js'
@@ -74,6 +74,7 @@
   private _sentAt: Timestamp = 0
   private _retryTaken = false
   private _usageRecorded = false
+  private _demandRecorded = false
   private _deadlineTimer: Timer | undefined
   private _done = false
 
@@ -205,7 +206,14 @@
     this._tokensAhead = upstream.waitingTokens
     this._sentAt = now
     state.sharedParts.recordSent(upstream.listed.id, shared, now)
-    state.demand.record(this._request.service.name, this._waitingTokens, generation.expectedOutputTokens ?? generation.maximumOutputTokens, now)
+    this._recordDemand(generation, now)
+  }
+
+  /** Further attempts are not further demand: counted again, a wave of retries would order upstreams for itself. */
+  private _recordDemand (generation: GenerationDemand, now: Timestamp): void {
+    if (this._demandRecorded) return
+    this._demandRecorded = true
+    this._services.state.demand.record(this._request.service.name, this._waitingTokens, generation.expectedOutputTokens ?? generation.maximumOutputTokens, now)
   }
 
   private _release (): Upstream {
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -77,6 +77,14 @@
     assert.ok(Number(answer.headers.get('retry-after')) > 0)
   })
 
+  it('counts the demand of a request once, however often it is tried', async () => {
+    scriptFirst(refuse(), answerWhole('second'))
+    const answer = await deployment.call('/search/x', { headers: { 'Plumstage-Model': 'm', 'Plumstage-Token-Count': '600,100' } })
+    assert.deepEqual([answer.status, received()], [200, 2])
+    const { state } = deployment.gateways[0]
+    assert.equal(state.demand.demandOf('front', deployment.clock.now()).outputTokensPerSecond, 100)
+  })
+
   it('tries another upstream once when the first refuses, and not more often than the route allows', async () => {
     scriptFirst(refuse(), answerWhole('second'))
     assert.equal((await deployment.call('/page/x')).body, 'second')
