--- a/packages/common/src/listener.ts
+++ b/packages/common/src/listener.ts
@@ -6,6 +6,7 @@
 import type { Server as HttpServer } from 'node:http'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { PlumstageError } from './errors.js'
+import { splitAddress } from './networkAddress.js'
 
 /** An address can't be listened on. */
 export const ListenError = PlumstageError.subclass('ListenError', { props: { code: 'listen_failed' } })
@@ -31,11 +32,10 @@
       sockets.add(socket)
       socket.once('close', () => sockets.delete(socket))
     })
-    const separator = address.lastIndexOf(':')
-    const host = address.slice(0, separator).replace(/^\[|\]$/g, '')
+    const { host, port } = splitAddress(address)
     await new Promise<void>((resolve, reject) => {
       server.once('error', cause => reject(new ListenError(`The address ${address} can't be listened on. Choose a free port of this instance.`, { cause })))
-      server.listen(Number(address.slice(separator + 1)), host, resolve)
+      server.listen(port, host, resolve)
     })
     return new Listener(server, sockets)
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { BoundedEventLog, Instrumentation, LeaseClock, SeededRandom, SteadyClock, SystemClock, createProcessIncarnation, describeError, getLogger, setLogLevel } from '@plumstage/common'
+import { BoundedEventLog, Instrumentation, LeaseClock, SeededRandom, SteadyClock, SystemClock, createProcessIncarnation, describeError, getLogger, setLogLevel, splitAddress } from '@plumstage/common'
 import { CallerAdapter, CloudAdapter, DeploymentAdapter, StoreAdapter, UpstreamAdapter, readSettingsFile, settingsPath } from '@plumstage/platform'
 import { ServingGateway } from '@plumstage/serving'
 import type { ServingSettings } from '@plumstage/serving'
@@ -33,7 +33,7 @@
     callerProtocol: CallerAdapter.create(),
     upstreamProtocol: UpstreamAdapter.create(),
     cloud: settings.addresses.cloud === undefined ? undefined : CloudAdapter.create(settings.addresses.cloud),
-    metricsAddress: options.metricsPort === 0 ? undefined : `${settings.peerAddress.split(':')[0]}:${options.metricsPort}`,
+    metricsAddress: options.metricsPort === 0 ? undefined : `${splitAddress(settings.peerAddress).host}:${options.metricsPort}`,
     droppedLogLines: () => events?.droppedLines ?? 0
   })
   SettingsWatch.create(path, clock, instrumentation, changed => gateway.applySettings(changed)).start()
--- a/packages/gateway/src/operators/gatewayMetrics.ts
+++ b/packages/gateway/src/operators/gatewayMetrics.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { Counter, Histogram } from 'prom-client'
 import type { ActionEvent, Instrumentation, Timestamp } from '@plumstage/common'
+import { MetricRegistry } from '@plumstage/serving/metricRegistry'
 
 const FIRST_BYTES_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.4, 2.5, 5, 10, 30]
 const MILLISECONDS_PER_SECOND = 1000
@@ -21,7 +22,7 @@
 
 /** Counts what happens on a gateway. */
 export class GatewayMetrics {
-  private readonly _registry = new Registry()
+  private readonly _registry = MetricRegistry.create()
   private readonly _requests: Counter
   private readonly _refusals: Counter
   private readonly _attempts: Counter
@@ -29,16 +30,16 @@
   private readonly _acceptedAt = new Map<string, Timestamp>()
 
   private constructor (sources: MetricSources) {
-    const registers = [this._registry]
+    const { registers } = this._registry
     this._requests = new Counter({ name: 'plumstage_requests_total', help: 'Requests that ended, by outcome and reason.', labelNames: ['outcome', 'reason'], registers })
     this._refusals = new Counter({ name: 'plumstage_refused_calls_total', help: 'Calls that were refused before they became requests, by code.', labelNames: ['code'], registers })
     this._attempts = new Counter({ name: 'plumstage_attempts_total', help: 'Attempts that ended, by ending.', labelNames: ['ending'], registers })
     this._firstBytes = new Histogram({ name: 'plumstage_first_bytes_seconds', help: 'Time from acceptance to the first bytes of a streamed answer.', buckets: FIRST_BYTES_BUCKETS_SECONDS, registers })
-    this._addGauge('plumstage_waiting_requests', 'Requests that wait for an upstream.', sources.waiting)
-    this._addGauge('plumstage_running_requests', 'Requests that run on an upstream.', sources.running)
-    this._addGauge('plumstage_configuration_revision', 'Revision of the configuration in force.', sources.configurationRevision)
-    this._addGauge('plumstage_key_value_service_followed', 'Whether the key-value service is being followed.', () => Number(sources.following()))
-    this._addGauge('plumstage_present_members', 'Other gateways that are not called dead.', sources.presentMembers)
+    this._registry.addGauge('plumstage_waiting_requests', 'Requests that wait for an upstream.', sources.waiting)
+    this._registry.addGauge('plumstage_running_requests', 'Requests that run on an upstream.', sources.running)
+    this._registry.addGauge('plumstage_configuration_revision', 'Revision of the configuration in force.', sources.configurationRevision)
+    this._registry.addGauge('plumstage_key_value_service_followed', 'Whether the key-value service is being followed.', () => Number(sources.following()))
+    this._registry.addGauge('plumstage_present_members', 'Other gateways that are not called dead.', sources.presentMembers)
   }
 
   static create (sources: MetricSources, instrumentation: Instrumentation): GatewayMetrics {
@@ -52,11 +53,7 @@
   }
 
   async format (): Promise<string> {
-    return await this._registry.metrics()
-  }
-
-  private _addGauge (name: string, help: string, read: () => number): void {
-    const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect: () => gauge.set(read()) })
+    return await this._registry.format()
   }
 
   private _count (event: ActionEvent): void {
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { Counter, Histogram } from 'prom-client'
 import type { ActionEvent, Instrumentation } from '@plumstage/common'
+import { MetricRegistry } from './metricRegistry.js'
 
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 15]
 const MILLISECONDS_PER_SECOND = 1000
@@ -21,7 +22,7 @@
 
 /** Counts what happens on a gateway. */
 export class ServingMetrics {
-  private readonly _registry = new Registry()
+  private readonly _registry = MetricRegistry.create()
   private readonly _requests: Counter
   private readonly _rejections: Counter
   private readonly _attemptFailures: Counter
@@ -29,18 +30,18 @@
   private readonly _duration: Histogram
 
   private constructor (sources: ServingMetricSources) {
-    const registers = [this._registry]
+    const { registers } = this._registry
     this._requests = new Counter({ name: 'plumstage_requests_total', help: 'Requests that ended, by outcome, status and route.', labelNames: ['outcome', 'status', 'route'], registers })
     this._rejections = new Counter({ name: 'plumstage_rejected_requests_total', help: 'Requests that were rejected before an attempt, by reason.', labelNames: ['reason'], registers })
     this._attemptFailures = new Counter({ name: 'plumstage_failed_attempts_total', help: 'Attempts that failed, by failure.', labelNames: ['failure'], registers })
     this._firstEvent = new Histogram({ name: 'plumstage_first_event_seconds', help: 'Time from acceptance to the first event of a stream.', buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._duration = new Histogram({ name: 'plumstage_request_seconds', help: 'Time from acceptance to the end of a request.', labelNames: ['route'], buckets: LATENCY_BUCKETS_SECONDS, registers })
-    this._addGauge('plumstage_running_requests', 'Requests that run at an upstream.', sources.running)
-    this._addGauge('plumstage_configuration_revision', 'Store revision of the configuration in force.', sources.configurationRevision)
-    this._addGauge('plumstage_upstreams_revision', 'Store revision of the last known change to the list of upstreams.', sources.upstreamsRevision)
-    this._addGauge('plumstage_present_gateways', 'Gateways that are heard, this one included.', sources.presentGateways)
-    this._addGauge('plumstage_dropped_log_lines', 'Log lines that the reader did not take in time.', sources.droppedLogLines)
-    this._addGauge('plumstage_store_followed', 'Whether the store answers.', () => Number(sources.following()))
+    this._registry.addGauge('plumstage_running_requests', 'Requests that run at an upstream.', sources.running)
+    this._registry.addGauge('plumstage_configuration_revision', 'Store revision of the configuration in force.', sources.configurationRevision)
+    this._registry.addGauge('plumstage_upstreams_revision', 'Store revision of the last known change to the list of upstreams.', sources.upstreamsRevision)
+    this._registry.addGauge('plumstage_present_gateways', 'Gateways that are heard, this one included.', sources.presentGateways)
+    this._registry.addGauge('plumstage_dropped_log_lines', 'Log lines that the reader did not take in time.', sources.droppedLogLines)
+    this._registry.addGauge('plumstage_store_followed', 'Whether the store answers.', () => Number(sources.following()))
   }
 
   static create (sources: ServingMetricSources, instrumentation: Instrumentation): ServingMetrics {
@@ -54,11 +55,7 @@
   }
 
   async format (): Promise<string> {
-    return await this._registry.metrics()
-  }
-
-  private _addGauge (name: string, help: string, read: () => number): void {
-    const gauge: Gauge = new Gauge({ name, help, registers: [this._registry], collect: () => gauge.set(read()) })
+    return await this._registry.format()
   }
 
   private _count ({ kind, attributes }: ActionEvent): void {
--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -7,7 +7,7 @@
 import { createSocket } from 'node:dgram'
 import type { RemoteInfo, Socket } from 'node:dgram'
 import { request } from 'undici'
-import { describeError, getLogger } from '@plumstage/common'
+import { describeError, getLogger, splitAddress } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import type { DeploymentView, ViewChange } from '../deployment/deploymentView.js'
 import { readDeploymentSnapshot } from '../deployment/snapshotSchema.js'
@@ -157,8 +157,3 @@
     void this.pull(peer.address).finally(() => { this._pulling = false })
   }
 }
-
-function splitAddress (address: string): { host: string, port: number } {
-  const separator = address.lastIndexOf(':')
-  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) }
-}
--- a/packages/serving/src/peers/peerTable.ts
+++ b/packages/serving/src/peers/peerTable.ts
@@ -26,6 +26,14 @@
   isAbsent: boolean
 }
 
+/** How much of the deployment a gateway knows of. */
+export interface PeerSurvey {
+  /** Gateways that are present, this one included. */
+  gateways: number
+  /** Fraction of the gateways that are taken to serve whose use of quotas is known here. */
+  heardShare: number
+}
+
 /** Gateways by name. */
 export class PeerTable {
   private readonly _self: GatewayRegistration
@@ -94,11 +102,7 @@
 
   /** Gateways whose reports arrive, and which go on serving. */
   listPresent (now: Timestamp): Peer[] {
-    return [...this._peers.values()].filter(peer => this.isHeard(peer, now) && !peer.report.leaving)
-  }
-
-  isHeard (peer: Peer, now: Timestamp): boolean {
-    return peer.heardAt > now - this._absentAfter
+    return [...this._peers.values()].filter(peer => this._isHeard(peer, now) && !peer.report.leaving)
   }
 
   /** Returns the gateway at an address if it was ever heard. */
@@ -117,22 +121,21 @@
 
   /** Gateways that are present, this one included. */
   countPresent (now: Timestamp): number {
-    const relayed = this.widestRelay(now)
-    // The relaying gateway itself is not in its sums.
-    return (relayed ? relayed.gateways + 1 : this.listPresent(now).length) + 1
+    return this._countWith(this.widestRelay(now), now)
   }
 
-  /** Fraction of the gateways that are taken to serve whose use of quotas is known here. */
-  heardShare (now: Timestamp): number {
-    const present = this.countPresent(now)
-    if (this.widestRelay(now)) return Math.min(1, present / this.listRegistrations().length)
-    const silent = [...this._peers.values()].filter(peer => !peer.report.leaving && !this.isHeard(peer, now)).length
-    return present / (present + silent)
+  /** How much of the deployment this gateway knows of now. */
+  survey (now: Timestamp): PeerSurvey {
+    const relayed = this.widestRelay(now)
+    const gateways = this._countWith(relayed, now)
+    if (relayed) return { gateways, heardShare: Math.min(1, gateways / this.listRegistrations().length) }
+    const silent = [...this._peers.values()].filter(peer => !peer.report.leaving && !this._isHeard(peer, now)).length
+    return { gateways, heardShare: gateways / (gateways + silent) }
   }
 
   /** Returns the gateways that have fallen silent since the last call. */
   takeAbsent (now: Timestamp): Peer[] {
-    const absent = [...this._peers.values()].filter(peer => !peer.isAbsent && !this.isHeard(peer, now))
+    const absent = [...this._peers.values()].filter(peer => !peer.isAbsent && !this._isHeard(peer, now))
     for (const peer of absent) peer.isAbsent = true
     return absent
   }
@@ -149,6 +152,15 @@
     return gone
   }
 
+  /** The relaying gateway itself is not in its sums. */
+  private _countWith (relayed: RelayedReports | undefined, now: Timestamp): number {
+    return (relayed ? relayed.gateways + 1 : this.listPresent(now).length) + 1
+  }
+
+  private _isHeard (peer: Peer, now: Timestamp): boolean {
+    return peer.heardAt > now - this._absentAfter
+  }
+
   private get _absentAfter (): number {
     return absentAfterMilliseconds(this._registrations.size)
   }
--- a/packages/serving/src/peers/reportTopology.ts
+++ b/packages/serving/src/peers/reportTopology.ts
@@ -17,7 +17,8 @@
 
 interface RelayTrial {
   reportedSince: Timestamp
-  passedOverUntil: Timestamp
+  /** Set when the relay was not heard. */
+  passedOverUntil?: Timestamp
 }
 
 /** Recipients of the reports of one gateway. */
@@ -65,15 +66,15 @@
       if (chosen.length >= RELAYS) break
       if (address === this._peers.self.address || this._isUsable(address, now)) chosen.push(address)
     }
-    for (const address of this._trials.keys()) if (!chosen.includes(address) && this._trials.get(address)!.passedOverUntil <= now) this._trials.delete(address)
+    for (const [address, { passedOverUntil }] of this._trials) if (!chosen.includes(address) && (passedOverUntil ?? now) <= now) this._trials.delete(address)
     return chosen
   }
 
   private _isUsable (address: string, now: Timestamp): boolean {
-    const trial = this._trials.get(address) ?? { reportedSince: now, passedOverUntil: Number.NEGATIVE_INFINITY }
+    const known = this._trials.get(address)
+    if (known?.passedOverUntil !== undefined && known.passedOverUntil > now) return false
+    const trial: RelayTrial = known && known.passedOverUntil === undefined ? known : { reportedSince: now }
     this._trials.set(address, trial)
-    if (trial.passedOverUntil > now) return false
-    if (trial.passedOverUntil !== Number.NEGATIVE_INFINITY) Object.assign(trial, { reportedSince: now, passedOverUntil: Number.NEGATIVE_INFINITY })
     const peer = this._peers.peerAt(address)
     const silentSince = Math.max(trial.reportedSince, peer?.heardAt ?? trial.reportedSince)
     if (peer?.report.leaving !== true && silentSince > now - absentAfterMilliseconds(this._peers.listRegistrations().length)) return true
--- a/packages/serving/src/quotas/useOfOthers.ts
+++ b/packages/serving/src/quotas/useOfOthers.ts
@@ -15,10 +15,17 @@
   offeredUnitsPerSecond: number
 }
 
+/** Sums over the gateways that are heard directly. */
+interface DirectTotals {
+  /** Units since the start of the counting, those of gateways that are gone included. */
+  heardUnits: number
+  offeredUnitsPerSecond: number
+}
+
 /** Use at the other gateways, by workspace. */
 export class UseOfOthers {
   private readonly _runs = new Map<string, Map<string, ReportedUse>>()
-  private readonly _heardUnits = new Map<string, number>()
+  private readonly _direct = new Map<string, DirectTotals>()
   private readonly _relayed = new Map<string, RelayedCount>()
   private _followsRelays = false
 
@@ -40,7 +47,10 @@
     const before = known.get(workspace) ?? { admittedUnits: 0, heardUnits: 0, offeredUnitsPerSecond: 0 }
     const units = wasHeard ? admittedUnits - before.admittedUnits : 0
     known.set(workspace, { admittedUnits, heardUnits: before.heardUnits + units, offeredUnitsPerSecond })
-    this._heardUnits.set(workspace, (this._heardUnits.get(workspace) ?? 0) + units)
+    const totals = this._direct.get(workspace) ?? { heardUnits: 0, offeredUnitsPerSecond: 0 }
+    this._direct.set(workspace, totals)
+    totals.heardUnits += units
+    totals.offeredUnitsPerSecond += offeredUnitsPerSecond - before.offeredUnitsPerSecond
     return this._followsRelays ? 0 : units
   }
 
@@ -55,12 +65,12 @@
   /** Sums over the gateways that are heard directly, without one of them. */
   sumDirect (exceptRun: string): WorkspaceUse[] {
     const except = this._runs.get(exceptRun)
-    return [...this._heardUnits].map(([workspace, units]) => {
+    return [...this._direct].map(([workspace, totals]) => {
       const own = except?.get(workspace)
       return {
         workspace,
-        admittedUnits: Math.max(0, Math.round(units - (own?.heardUnits ?? 0))),
-        offeredUnitsPerSecond: Math.max(0, Math.round(this._directOffers(workspace) - (own?.offeredUnitsPerSecond ?? 0)))
+        admittedUnits: Math.max(0, Math.round(totals.heardUnits - (own?.heardUnits ?? 0))),
+        offeredUnitsPerSecond: Math.max(0, Math.round(totals.offeredUnitsPerSecond - (own?.offeredUnitsPerSecond ?? 0)))
       }
     })
   }
@@ -68,17 +78,12 @@
   /** Units of a workspace that callers lately asked for in a second at the other gateways. */
   offeredUnitsPerSecond (workspace: string): number {
     if (this._followsRelays) return this._relayed.get(workspace)?.offeredUnitsPerSecond ?? 0
-    return this._directOffers(workspace)
+    return this._direct.get(workspace)?.offeredUnitsPerSecond ?? 0
   }
 
   forget (run: string): void {
+    for (const [workspace, use] of this._runs.get(run) ?? []) this._direct.get(workspace)!.offeredUnitsPerSecond -= use.offeredUnitsPerSecond
     this._runs.delete(run)
     for (const count of this._relayed.values()) count.forget(run)
   }
-
-  private _directOffers (workspace: string): number {
-    let units = 0
-    for (const uses of this._runs.values()) units += uses.get(workspace)?.offeredUnitsPerSecond ?? 0
-    return units
-  }
 }
--- a/packages/serving/src/quotas/workspaceQuotas.ts
+++ b/packages/serving/src/quotas/workspaceQuotas.ts
@@ -7,11 +7,14 @@
  */
 import type { Timestamp } from '@plumstage/common'
 import type { WorkspaceQuota } from '@plumstage/records'
-import { OfferedRate } from './offeredRate.js'
+import type { PeerSurvey } from '../peers/peerTable.js'
+import { SlidingSum } from '../slidingSum.js'
 import { UseOfOthers } from './useOfOthers.js'
 import type { WorkspaceUse } from './workspaceUse.js'
 
 const MILLISECONDS_PER_SECOND = 1000
+/** Time over which the rate is taken at which callers ask for units. */
+const OFFER_SPAN_SECONDS = 3
 /** A gateway that starts does not know what was used before. */
 const INITIAL_FILL = 0.5
 /** Other gateways are told at once when a workspace has used this share of its burst since they were told last. */
@@ -32,7 +35,8 @@
   /** Units that the others had been told when the last report was sent. */
   reportedUnits: number
   burstUnits: number
-  offered: OfferedRate
+  /** Units that callers have lately asked for here, admitted or not. */
+  offered: SlidingSum
 }
 
 /** Whether a request is within its workspace's quota. */
@@ -40,14 +44,6 @@
   | { kind: 'admitted' }
   | { kind: 'exceeded', retryAfterMilliseconds: number }
 
-/** What this gateway knows of the other gateways. */
-export interface QuotaPeers {
-  /** Fraction of the gateways whose use is known here. */
-  heardShare: number
-  /** Gateways that are present, this one included. */
-  gateways: number
-}
-
 /** The quotas of all workspaces at one gateway. */
 export class WorkspaceQuotas {
   private readonly _buckets = new Map<string, Bucket>()
@@ -61,7 +57,7 @@
    * Takes the units of a request. The refill is cut down to the share of the gateways that are heard, so that gateways
    * that do not hear each other together keep the quota.
    */
-  take (workspace: string, quota: WorkspaceQuota, units: number, peers: QuotaPeers, now: Timestamp): QuotaVerdict {
+  take (workspace: string, quota: WorkspaceQuota, units: number, peers: PeerSurvey, now: Timestamp): QuotaVerdict {
     const bucket = this._refill(workspace, quota, peers, now)
     bucket.offered.record(units, now)
     const isLow = bucket.units < quota.burstUnits * LOW_SHARE_OF_BURST
@@ -119,7 +115,7 @@
   /** What was admitted here since the start, for a report to the other gateways. */
   takeReport (now: Timestamp): WorkspaceUse[] {
     for (const bucket of this._buckets.values()) bucket.reportedUnits = bucket.admittedUnits
-    return [...this._buckets].map(([workspace, bucket]) => ({ workspace, admittedUnits: Math.max(0, Math.round(bucket.admittedUnits)), offeredUnitsPerSecond: Math.round(bucket.offered.unitsPerSecond(now)) }))
+    return [...this._buckets].map(([workspace, bucket]) => ({ workspace, admittedUnits: Math.max(0, Math.round(bucket.admittedUnits)), offeredUnitsPerSecond: Math.round(bucket.offered.sum(now) / OFFER_SPAN_SECONDS) }))
   }
 
   private _charge (workspace: string, units: number): void {
@@ -127,11 +123,11 @@
     if (bucket) bucket.units -= units
   }
 
-  private _refill (workspace: string, quota: WorkspaceQuota, peers: QuotaPeers, now: Timestamp): Bucket {
+  private _refill (workspace: string, quota: WorkspaceQuota, peers: PeerSurvey, now: Timestamp): Bucket {
     let bucket = this._buckets.get(workspace)
     if (!bucket) {
       const units = quota.burstUnits * INITIAL_FILL * peers.heardShare
-      bucket = { units, ownUnits: units / peers.gateways, ownShare: 1 / peers.gateways, filledAt: now, admittedUnits: 0, reportedUnits: 0, burstUnits: quota.burstUnits, offered: OfferedRate.create() }
+      bucket = { units, ownUnits: units / peers.gateways, ownShare: 1 / peers.gateways, filledAt: now, admittedUnits: 0, reportedUnits: 0, burstUnits: quota.burstUnits, offered: SlidingSum.create(OFFER_SPAN_SECONDS) }
       this._buckets.set(workspace, bucket)
       return bucket
     }
@@ -145,8 +141,8 @@
   }
 
   /** Part of what callers ask for in the workspace that they ask for at this gateway. */
-  private _ownShare (workspace: string, bucket: Bucket, { gateways }: QuotaPeers, now: Timestamp): number {
-    const own = bucket.offered.unitsPerSecond(now)
+  private _ownShare (workspace: string, bucket: Bucket, { gateways }: PeerSurvey, now: Timestamp): number {
+    const own = bucket.offered.sum(now) / OFFER_SPAN_SECONDS
     const all = own + this._others.offeredUnitsPerSecond(workspace)
     const smallest = SMALLEST_PART_OF_EQUAL_SHARE / gateways
     return all <= 0 ? 1 / gateways : Math.max(smallest, own / all)
--- a/packages/serving/src/routing/generationRouter.ts
+++ b/packages/serving/src/routing/generationRouter.ts
@@ -69,31 +69,21 @@
       const upstream = findCheapest(candidates, candidate => this._waitOf(candidate) + this._penaltyOf(candidate, call))
       return upstream && { upstream, readTokens: 0 }
     }
-    const upstream = this._chooseForGeneration(generation, candidates, call, now)
-    return upstream && { upstream, readTokens: this._estimateReadTokens(generation, upstream, candidates, now) }
+    const shared = sharedPartsOf(generation)
+    const home = findHome(shared, candidates)
+    const costOf = (candidate: Upstream): number => this._waitOf(candidate) + this._penaltyOf(candidate, call) + this._recomputationOf(candidate, shared, home, now)
+    const upstream = this._chooseByCost(generation, candidates, costOf)
+    return upstream && { upstream, readTokens: Math.max(0, generation.promptTokens - this._countCachedTokens(upstream, shared, home, now)) }
   }
 
-  private _chooseForGeneration (generation: GenerationDemand, candidates: readonly Upstream[], call: RoutingCall, now: Timestamp): Upstream | undefined {
-    if (candidates.length <= LARGEST_FREE_CHOICE) return this._chooseAmong(candidates, generation, call, now)
+  private _chooseByCost (generation: GenerationDemand, candidates: readonly Upstream[], costOf: (candidate: Upstream) => number): Upstream | undefined {
+    if (candidates.length <= LARGEST_FREE_CHOICE) return findCheapest(candidates, costOf)
     const ranked = rankByRendezvous(keyOf(generation), candidates)
     for (let choices = FIRST_CHOICES; choices < ranked.length; choices *= 2) {
-      const chosen = this._chooseAmong(ranked.slice(0, choices), generation, call, now)
+      const chosen = findCheapest(ranked.slice(0, choices), costOf)
       if (chosen && this._waitOf(chosen) < BUSY_MILLISECONDS) return chosen
     }
-    return this._chooseAmong(ranked, generation, call, now)
-  }
-
-  private _chooseAmong (candidates: readonly Upstream[], generation: GenerationDemand, call: RoutingCall, now: Timestamp): Upstream | undefined {
-    const shared = sharedPartsOf(generation)
-    const home = findHome(shared, candidates)
-    return findCheapest(candidates, upstream => this._waitOf(upstream) + this._penaltyOf(upstream, call) + this._recomputationOf(upstream, shared, home, now))
-  }
-
-  private _estimateReadTokens (generation: GenerationDemand, upstream: Upstream, candidates: readonly Upstream[], now: Timestamp): number {
-    const shared = sharedPartsOf(generation)
-    const isHome = upstream === findHome(shared, candidates)
-    const cached = isHome ? sumTokens(shared) : this._index.countCachedTokens(upstream.listed.id, shared, now)
-    return Math.max(0, generation.promptTokens - cached)
+    return findCheapest(ranked, costOf)
   }
 
   private _waitOf (upstream: Upstream): number {
@@ -109,9 +99,12 @@
   }
 
   /** The home of a part is taken to have it even if this gateway has not sent it there. */
+  private _countCachedTokens (upstream: Upstream, shared: readonly PromptPart[], home: Upstream | undefined, now: Timestamp): number {
+    return upstream === home ? sumTokens(shared) : this._index.countCachedTokens(upstream.listed.id, shared, now)
+  }
+
   private _recomputationOf (upstream: Upstream, shared: readonly PromptPart[], home: Upstream | undefined, now: Timestamp): number {
-    if (upstream === home) return 0
-    const tokens = sumTokens(shared) - this._index.countCachedTokens(upstream.listed.id, shared, now)
+    const tokens = sumTokens(shared) - this._countCachedTokens(upstream, shared, home, now)
     return tokens / this._weights.prefillTokensPerMillisecond * this._weights.recomputation
   }
 }
--- a/tests/serving/gatewayReport.spec.ts
+++ b/tests/serving/gatewayReport.spec.ts
@@ -50,16 +50,16 @@
   it('counts a silent gateway against the share of quotas until it is forgotten', () => {
     const table = PeerTable.create({ address: '10.1.0.9:7600', processorCores: 1 })
     table.apply(REPORT, '10.1.0.1:7600', 0)
-    assert.equal(table.heardShare(1000), 1)
-    assert.equal(table.heardShare(5000), 0.5)
+    assert.equal(table.survey(1000).heardShare, 1)
+    assert.equal(table.survey(5000).heardShare, 0.5)
     table.expire(20_000)
-    assert.equal(table.heardShare(20_000), 1)
+    assert.equal(table.survey(20_000).heardShare, 1)
   })
 
   it('does not count a gateway that said it is leaving', () => {
     const table = PeerTable.create({ address: '10.1.0.9:7600', processorCores: 1 })
     table.apply({ ...REPORT, leaving: true }, '10.1.0.1:7600', 0)
-    assert.equal(table.heardShare(5000), 1)
+    assert.equal(table.survey(5000).heardShare, 1)
     assert.equal(table.countPresent(100), 1)
   })
 })
