Remove an upstream that leaves after a gateway reached the store again within the drain time

Cause: DeploymentView retained every entry that vanished within 2.3 s after a gateway had reached the store again, and the check that ends a retention ran every 500 ms. Change: an entry deleted after the first response since the outage is retained for one heartbeat at most, one that was missing in that response for 1.9 s, and retentions end at their time.

--- a/packages/serving/src/deployment/deploymentView.ts
+++ b/packages/serving/src/deployment/deploymentView.ts
@@ -15,7 +15,12 @@
  * Time after an outage of the store during which deleted entries are retained. Leases of running upstreams may have
  * expired during the outage; the upstreams write their entries again within this time.
  */
-const RETENTION_AFTER_OUTAGE_MILLISECONDS = 2300
+const RETENTION_AFTER_OUTAGE_MILLISECONDS = 1900
+/**
+ * Maximum retention of an entry that was deleted after the store had responded again: its lease may still have expired
+ * because of the outage, but the upstream can already write it again with its next heartbeat.
+ */
+const RETENTION_AFTER_LATE_DELETION_MILLISECONDS = 1200
 
 /** One entry as it is stored. */
 export interface StoredEntry {
@@ -62,6 +67,8 @@
   /** Revision of the last list of upstreams applied from a peer, which includes all changes up to it. */
   private _peerSnapshotRevision = 0
   private _storeRecoveredAt: Timestamp = Number.NEGATIVE_INFINITY
+  /** Whether all changes that the store made during the last outage have been applied. */
+  private _caughtUpSinceRecovery = true
 
   private constructor (decoder: DeploymentDecoder) {
     this._decoder = decoder
@@ -88,6 +95,7 @@
   /** Records that the store has become available again after an outage. */
   recordStoreRecovery (now: Timestamp): void {
     this._storeRecoveredAt = now
+    this._caughtUpSinceRecovery = false
   }
 
   /** Applies a snapshot of all entries of the store. */
@@ -96,6 +104,7 @@
     const change = { configuration: false, upstreams: false }
     for (const [key, known] of [...this._upstreams]) if (!keys.has(key) && known.retainedUntil === undefined) change.upstreams = this._remove(key, now) || change.upstreams
     for (const entry of entries) mergeChange(change, this._put(entry))
+    this._caughtUpSinceRecovery = true
     return change
   }
 
@@ -109,6 +118,7 @@
         if (this._decoder.classify(change.key).kind === 'upstream') this._upstreamsRevision = Math.max(this._upstreamsRevision, change.modRevision)
       }
     }
+    this._caughtUpSinceRecovery = true
     return result
   }
 
@@ -131,6 +141,13 @@
     return { configuration: this._configurationEntry, upstreams: { revision: this._upstreamsRevision, entries } }
   }
 
+  /** When the next retention ends; undefined when no entry is retained. */
+  get nextExpiryAt (): Timestamp | undefined {
+    let next: Timestamp | undefined
+    for (const { retainedUntil } of this._upstreams.values()) if (retainedUntil !== undefined && (next === undefined || retainedUntil < next)) next = retainedUntil
+    return next
+  }
+
   /** Removes entries whose retention has ended; returns whether there were any. */
   expire (now: Timestamp): boolean {
     let expired = false
@@ -187,7 +204,7 @@
   private _remove (key: string, now: Timestamp): boolean {
     const known = this._upstreams.get(key)
     if (!known) return false
-    const retainedUntil = this._storeRecoveredAt + RETENTION_AFTER_OUTAGE_MILLISECONDS
+    const retainedUntil = this._retentionEndOf(now)
     if (retainedUntil > now && known.listed?.state === 'ready') {
       known.retainedUntil = retainedUntil
       return false
@@ -195,6 +212,12 @@
     this._upstreams.delete(key)
     return true
   }
+
+  /** Returns until when an entry that is deleted now would be retained. */
+  private _retentionEndOf (now: Timestamp): Timestamp {
+    const end = this._storeRecoveredAt + RETENTION_AFTER_OUTAGE_MILLISECONDS
+    return this._caughtUpSinceRecovery ? Math.min(end, now + RETENTION_AFTER_LATE_DELETION_MILLISECONDS) : end
+  }
 }
 
 function mergeChange (target: ViewChange, change: ViewChange): void {
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -255,7 +255,7 @@
   private async _expireEntries (): Promise<void> {
     const { clock } = this._environment
     while (!this._context.cancelled) {
-      await this._context.sleepUntil(clock.now() + EXPIRY_CHECK_MILLISECONDS)
+      await this._context.sleepUntil(Math.min(clock.now() + EXPIRY_CHECK_MILLISECONDS, this.state.view.nextExpiryAt ?? Number.POSITIVE_INFINITY))
       if (this.state.view.expire(clock.now())) this._applyChange({ configuration: false, upstreams: true })
     }
   }
--- a/tests/serving/deploymentView.spec.ts
+++ b/tests/serving/deploymentView.spec.ts
@@ -65,6 +65,21 @@
     assert.deepEqual(idsOf(view), ['a'])
   })
 
+  it('removes an upstream that leaves after the store was reached again soon enough that it gets no new work', () => {
+    const view = DeploymentView.create(DECODER)
+    view.applyStoreSnapshot([entry('a', 1), entry('b', 2), entry('c', 3)], 0)
+    view.recordStoreRecovery(13_700)
+    view.applyStoreChanges([{ kind: 'delete', key: 'a', modRevision: 4 }], 13_700)
+    view.applyStoreChanges([{ kind: 'delete', key: 'b', modRevision: 5 }], 14_000)
+    assert.deepEqual(idsOf(view), ['a', 'b', 'c'])
+    assert.equal(view.nextExpiryAt, 15_200)
+    view.expire(15_200)
+    assert.deepEqual(idsOf(view), ['a', 'c'])
+    view.expire(15_600)
+    assert.deepEqual(idsOf(view), ['c'])
+    assert.equal(view.nextExpiryAt, undefined)
+  })
+
   it('applies a newer list of upstreams from a peer, and ignores older changes from its own watch', () => {
     const view = DeploymentView.create(DECODER)
     view.applyStoreSnapshot([entry('a', 1)], 0)
