--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -72,6 +72,9 @@
   private _waitingTokens = 0
   /** Prompt tokens that the upstream had to prefill when the attempt was dispatched, including those of this request. */
   private _prefillBacklogTokens = 0
+  /** Prompt tokens of this request that the upstream of the current attempt is expected to prefill. */
+  private _prefillTokens = 0
+  private _firstEventMilliseconds: number | undefined
   private _dispatchedAt: Timestamp = 0
   /** Whether the retry budget was charged for the next attempt when this one received a server error. */
   private _retryTaken = false
@@ -204,6 +207,7 @@
     if (!generation) return
     const sharedPrefix = sharedPrefixOf(generation)
     this._waitingTokens = prefillTokens
+    this._prefillTokens = prefillTokens
     upstream.localLoad.waitingTokens += this._waitingTokens
     this._prefillBacklogTokens = upstream.waitingTokens
     this._dispatchedAt = now
@@ -237,7 +241,8 @@
     this._removeWaitingTokens()
     this._services.state.prefillRateOf(this._request.service.name).record(this._prefillBacklogTokens, this._services.clock.now() - this._dispatchedAt)
     this._recordUsage()
-    this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, milliseconds: this._elapsedMilliseconds() }, this._request.head.requestId)
+    this._firstEventMilliseconds ??= this._elapsedMilliseconds()
+    this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._prefillTokens, backlogTokens: Math.round(this._prefillBacklogTokens), requests: this._upstream?.requests }, this._request.head.requestId)
   }
 
   private _recordUsage (): void {
@@ -326,7 +331,7 @@
     this._deadlineTimer?.cancel()
     const { route, workspace, service, acceptedAt, deadline } = this._request
     const configurationRevision = this._services.state.view.configurationRevision
-    this._services.instrumentation.emit('request-ended', { outcome, status, route: route.name, service: service.name, workspace, attempts: this._progress.attempts, events: this._relay.eventCount, milliseconds: this._elapsedMilliseconds(), allowedMilliseconds: Math.round(deadline - acceptedAt), upstream: this._upstream?.listed.id, configurationRevision }, this._request.head.requestId)
+    this._services.instrumentation.emit('request-ended', { outcome, status, route: route.name, service: service.name, workspace, attempts: this._progress.attempts, events: this._relay.eventCount, quotaUnits: this._request.quotaUnits, firstEventMilliseconds: this._firstEventMilliseconds, milliseconds: this._elapsedMilliseconds(), allowedMilliseconds: Math.round(deadline - acceptedAt), upstream: this._upstream?.listed.id, configurationRevision }, this._request.head.requestId)
   }
 
   private _emitFailedAttempt (outcome: AttemptOutcome, upstream: Upstream): void {
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -79,17 +79,20 @@
     const now = services.clock.now()
     const digest = digestRequest(head, body)
     const allowed = admission.checkQuarantine(digest, now)
-    if (allowed.isErr()) return this._reject(exchange, allowed.error, incoming, head)
+    if (allowed.isErr()) return this._reject(exchange, allowed.error, incoming, head, admitted)
     const charged = admission.chargeQuota(admitted, head, now)
-    if (charged.isErr()) return this._reject(exchange, charged.error, incoming, head)
+    if (charged.isErr()) return this._reject(exchange, charged.error, incoming, head, admitted)
     RequestTask.create(services, { ...admitted, head, quotaUnits: charged.value, body, digest, acceptedAt }, exchange).run()
   }
 
-  private _reject (exchange: CallerExchange, rejection: Rejection, incoming: IncomingMessage, head?: CallerHead): void {
+  private _reject (exchange: CallerExchange, rejection: Rejection, incoming: IncomingMessage, head?: CallerHead, admission?: Admission): void {
     const { services } = this._options
     if (exchange.started) return
     const { configurationRevision } = services.state.view
-    services.instrumentation.emit('request-rejected', { reason: rejection.kind, status: rejection.status, message: rejection.message, retryAfterMilliseconds: rejection.retryAfterMilliseconds, target: head?.target ?? incoming.url, configurationRevision }, head?.requestId)
+    const { kind: reason, status, message, retryAfterMilliseconds, quota } = rejection
+    const origin = { target: head?.target ?? incoming.url, route: admission?.route.name, workspace: admission?.workspace }
+    const usage = { quotaUnits: quota?.units, quotaUnitsPerSecond: quota?.unitsPerSecond, quotaBurstUnits: quota?.burstUnits }
+    services.instrumentation.emit('request-rejected', { reason, status, message, retryAfterMilliseconds, ...origin, ...usage, configurationRevision }, head?.requestId)
     exchange.reject(rejection)
   }
 }
--- a/packages/serving/src/callers/rejection.ts
+++ b/packages/serving/src/callers/rejection.ts
@@ -38,6 +38,13 @@
   'upstream-failed': 502
 }
 
+/** What a request would have used of a quota that had not enough left, and the limits of the quota. */
+export interface QuotaExcess {
+  units: number
+  unitsPerSecond: number
+  burstUnits: number
+}
+
 /** The response to a rejected request. */
 export interface Rejection {
   kind: RejectionKind
@@ -46,6 +53,8 @@
   retryAfterMilliseconds?: number
   /** What happened and what to do about it. */
   message: string
+  /** Only set if a quota was exceeded. */
+  quota?: QuotaExcess
 }
 
 /** Creates a rejection with the status of its kind. */
--- a/packages/serving/src/callers/requestAdmission.ts
+++ b/packages/serving/src/callers/requestAdmission.ts
@@ -72,7 +72,8 @@
     const decision = this._state.quotas.consume(admission.workspace, quota, units, this._state.peers.measureCoverage(now), now)
     if (decision.kind === 'admitted') return ok(units)
     const retryAfterMilliseconds = Math.min(MAXIMUM_QUOTA_RETRY_AFTER_MILLISECONDS, decision.retryAfterMilliseconds)
-    return err(createRejection('quota-exceeded', `Workspace ${admission.workspace} has exceeded its quota, and the request was not executed. Send it again after the indicated delay.`, retryAfterMilliseconds))
+    const rejection = createRejection('quota-exceeded', `Workspace ${admission.workspace} has exceeded its quota, and the request was not executed. Send it again after the indicated delay.`, retryAfterMilliseconds)
+    return err({ ...rejection, quota: { units, unitsPerSecond: quota.unitsPerSecond, burstUnits: quota.burstUnits } })
   }
 
   /** Rejects a request that has crashed upstreams before. */
--- a/packages/timeline/src/bin/timelineMain.ts
+++ b/packages/timeline/src/bin/timelineMain.ts
@@ -1,19 +1,24 @@
 #!/usr/bin/env node
 /**
- * `plumstage-timeline`: merges the event logs of all processes into one timeline.
+ * `plumstage-timeline`: merges the event logs of all processes into one timeline, or groups the requests in them by
+ * their outcome.
  *
  * @module
  */
 import { readFile, writeFile } from 'node:fs/promises'
-import { Command, Option } from 'commander'
+import { Command, InvalidArgumentError, Option } from 'commander'
 import { describeError } from '@plumstage/common'
 import type { ActionEvent } from '@plumstage/common'
 import { parseEvents } from '../eventReader.js'
+import { formatOutcomeLines, formatOutcomeTable, groupOutcomes } from '../requestOutcomes.js'
 import { filterEvents, mergeEvents } from '../timeline.js'
+import type { Timeline } from '../timeline.js'
 import { TIMELINE_FORMATS, formatTimeline } from '../timelineFormat.js'
 import type { TimelineFormat } from '../timelineFormat.js'
 
 const EXIT_FAILURE = 1
+const DEFAULT_WINDOW_SECONDS = 10
+const MILLISECONDS_PER_SECOND = 1000
 
 interface TimelineOptions {
   format: TimelineFormat
@@ -23,20 +28,41 @@
   kind?: string
 }
 
-async function run (files: readonly string[], options: TimelineOptions): Promise<void> {
+interface OutcomesOptions {
+  format: 'table' | 'json'
+  window: number
+}
+
+async function printTimeline (files: readonly string[], options: TimelineOptions): Promise<void> {
+  const merged = await readTimeline(files)
+  const text = formatTimeline({ events: filterEvents(merged.events, options), missing: merged.missing }, options.format)
+  if (options.output === undefined) process.stdout.write(text)
+  else await writeFile(options.output, text)
+}
+
+async function printOutcomes (files: readonly string[], options: OutcomesOptions): Promise<void> {
+  const { events } = await readTimeline(files)
+  const groups = groupOutcomes(events, options.window * MILLISECONDS_PER_SECOND)
+  process.stdout.write(options.format === 'json' ? formatOutcomeLines(groups) : formatOutcomeTable(groups))
+}
+
+async function readTimeline (files: readonly string[]): Promise<Timeline> {
   const events: ActionEvent[] = []
   for (const file of files) {
     const parsed = parseEvents(file, await readFile(file, 'utf8'))
     events.push(...parsed.events)
     for (const line of parsed.unreadable) process.stderr.write(`plumstage-timeline: ${line.file}:${line.line} is not a valid event and was skipped\n`)
   }
-  const merged = mergeEvents(events)
-  const text = formatTimeline({ events: filterEvents(merged.events, options), missing: merged.missing }, options.format)
-  if (options.output === undefined) process.stdout.write(text)
-  else await writeFile(options.output, text)
+  return mergeEvents(events)
+}
+
+function parseSeconds (text: string): number {
+  const seconds = Number(text)
+  if (!(seconds > 0)) throw new InvalidArgumentError('Give a number of seconds above 0.')
+  return seconds
 }
 
-new Command('plumstage-timeline')
+const program = new Command('plumstage-timeline')
   .description('Merges the event logs of all processes into one timeline.')
   .argument('<files...>', 'event logs, one or more per process')
   .addOption(new Option('--format <format>', 'output format').choices([...TIMELINE_FORMATS]).default('text'))
@@ -44,8 +70,17 @@
   .option('--request <id>', 'only the events of one request')
   .option('--process <name>', 'only the events of one process')
   .option('--kind <prefix>', 'only events whose kind starts with this prefix')
-  .action(run)
-  .parseAsync()
+  .enablePositionalOptions()
+  .action(printTimeline)
+
+program.command('outcomes')
+  .description('Groups the requests that ended by time, route and outcome.')
+  .argument('<files...>', 'event logs, one or more per process')
+  .addOption(new Option('--format <format>', 'output format').choices(['table', 'json']).default('table'))
+  .option('--window <seconds>', 'length of the time windows', parseSeconds, DEFAULT_WINDOW_SECONDS)
+  .action(printOutcomes)
+
+program.parseAsync()
   .catch((error: unknown) => {
     process.stderr.write(`plumstage-timeline: ${describeError(error)}. Name existing event logs.\n`)
     process.exitCode = EXIT_FAILURE
