Use a part of the tolerance of quotas instead of refusing requests within them

Cause: gateways know one another's usage with a delay, and erred on the side of refusing. Without a tolerance in the settings nothing changes.

--- a/packages/serving/src/quotas/workspaceQuotas.ts
+++ b/packages/serving/src/quotas/workspaceQuotas.ts
@@ -10,6 +10,8 @@
 import type { PeerCoverage } from '../peers/peerTable.js'
 import { SlidingSum } from '../slidingSum.js'
 import { PeerQuotaUsage } from './peerQuotaUsage.js'
+import { widenQuota } from './quotaTolerance.js'
+import type { QuotaTolerance } from './quotaTolerance.js'
 import type { WorkspaceUsage } from './workspaceUsage.js'
 
 const MILLISECONDS_PER_SECOND = 1000
@@ -48,9 +50,15 @@
 export class WorkspaceQuotas {
   private readonly _buckets = new Map<string, Bucket>()
   private readonly _peerUsage = PeerQuotaUsage.create()
+  /** Units beyond the quotas that the platform tolerates. */
+  tolerance: QuotaTolerance
 
-  static create (): WorkspaceQuotas {
-    return new WorkspaceQuotas()
+  private constructor (tolerance: QuotaTolerance) {
+    this.tolerance = tolerance
+  }
+
+  static create (tolerance: QuotaTolerance): WorkspaceQuotas {
+    return new WorkspaceQuotas(tolerance)
   }
 
   /**
@@ -58,11 +66,14 @@
    * is known here, so that all gateways together stay within the quota even if they can't reach one another.
    */
   consume (workspace: string, quota: WorkspaceQuota, units: number, peers: PeerCoverage, now: Timestamp): QuotaDecision {
-    const bucket = this._refill(workspace, quota, peers, now)
+    const limits = widenQuota(quota, this.tolerance)
+    const bucket = this._refill(workspace, limits, peers, now)
     bucket.offeredUnits.record(units, now)
     const isLow = bucket.units < quota.burstUnits * LOW_SHARE_OF_BURST
+    const overdraft = limits.overdraftUnits * peers.reachableShare
+    const localOverdraft = overdraft / peers.gateways
     // Requests for more units than are left are admitted, so that large ones are not refused more often than small ones.
-    if (bucket.units <= 0 || (isLow && bucket.localUnits <= 0)) return { kind: 'exceeded', retryAfterMilliseconds: computeRetryDelay(bucket, quota) }
+    if (bucket.units <= -overdraft || (isLow && bucket.localUnits <= -localOverdraft)) return { kind: 'exceeded', retryAfterMilliseconds: computeRetryDelay(bucket, limits, { overdraft, localOverdraft }) }
     bucket.units -= units
     bucket.localUnits -= units
     bucket.admittedUnits += units
@@ -150,7 +161,7 @@
 }
 
 /** Returns the time until the next request is admitted, in milliseconds: until the deficit and one unit are refilled. */
-function computeRetryDelay (bucket: Bucket, quota: WorkspaceQuota): number {
-  const deficit = Math.max(0, -bucket.units, -bucket.localUnits / bucket.localShare)
+function computeRetryDelay (bucket: Bucket, quota: WorkspaceQuota, { overdraft, localOverdraft }: { overdraft: number, localOverdraft: number }): number {
+  const deficit = Math.max(0, -bucket.units - overdraft, (-bucket.localUnits - localOverdraft) / bucket.localShare)
   return (1 + deficit) / quota.unitsPerSecond * MILLISECONDS_PER_SECOND
 }
--- a/packages/serving/src/servingSettings.ts
+++ b/packages/serving/src/servingSettings.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RetryBound } from './admission/retryBudget.js'
+import type { QuotaTolerance } from './quotas/quotaTolerance.js'
 
 /** Addresses of the platform's store and cloud. */
 export interface PlatformAddresses {
@@ -37,6 +38,8 @@
   usageDelayMilliseconds: number
   /** Limit of the retry budget. */
   retryBound: RetryBound
+  /** Units beyond the workspaces' quotas that the platform tolerates. */
+  quotaTolerance: QuotaTolerance
   /** How long a prefix segment is assumed to stay in an upstream's prefix cache. */
   prefixReuseMilliseconds: number
   /** Whether the duty holder reports usage to the platform. */
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -30,7 +30,7 @@
   readonly view: DeploymentView
   readonly upstreams = UpstreamTable.create()
   readonly peers: PeerTable
-  readonly quotas = WorkspaceQuotas.create()
+  readonly quotas: WorkspaceQuotas
   readonly usage: UsageLedger
   readonly demand = DemandMeter.create()
   readonly quarantine = QuarantineTable.create(CRASHES_FOR_QUARANTINE)
@@ -45,6 +45,7 @@
   private constructor (settings: ServingSettings, decoder: DeploymentDecoder, random: SeededRandom) {
     this.view = DeploymentView.create(decoder)
     this.peers = PeerTable.create({ address: settings.peerAddress, processorCores: settings.processorCores })
+    this.quotas = WorkspaceQuotas.create(settings.quotaTolerance)
     this.usage = UsageLedger.create(settings.usageWindowMilliseconds)
     this.prefixCache = PrefixCacheIndex.create(settings.prefixReuseMilliseconds)
     this._retryBound = settings.retryBound
@@ -60,6 +61,7 @@
   /** Applies changed settings without a restart. */
   applySettings (settings: ServingSettings): void {
     this._retryBound = settings.retryBound
+    this.quotas.tolerance = settings.quotaTolerance
     this.prefixCache.retentionMilliseconds = settings.prefixReuseMilliseconds
   }
 
--- a/tests/platform/support/platformDeployment.ts
+++ b/tests/platform/support/platformDeployment.ts
@@ -10,7 +10,7 @@
 import { Instrumentation, LeaseClock, MonotonicClock, SeededRandom, setLogLevel } from '@plumstage/common'
 import type { ActionEvent } from '@plumstage/common'
 import { CallerAdapter, CloudAdapter, DeploymentAdapter, StoreAdapter, UpstreamAdapter } from '@plumstage/platform'
-import { ServingGateway } from '@plumstage/serving'
+import { NO_QUOTA_TOLERANCE, ServingGateway } from '@plumstage/serving'
 import type { ServingSettings } from '@plumstage/serving'
 import { StoreStandin } from './storeStandin.js'
 import { UpstreamStandin } from './upstreamStandin.js'
@@ -200,6 +200,7 @@
       dutyLeaseMilliseconds: 3000,
       usageWindowMilliseconds: 1000,
       usageDelayMilliseconds: 10_000,
+      quotaTolerance: NO_QUOTA_TOLERANCE,
       retryBound: { ratio: 0.2, slack: 50, windowMilliseconds: 10_000 },
       prefixReuseMilliseconds: 9000,
       reportsUsage: true,
--- a/tests/support/reportNetwork.ts
+++ b/tests/support/reportNetwork.ts
@@ -5,7 +5,7 @@
  */
 import { SeededRandom } from '@plumstage/common'
 import { DeploymentAdapter } from '@plumstage/platform'
-import { ReportExchange, ReportTopology, ServingState, decodeReport, encodeReport } from '@plumstage/serving'
+import { NO_QUOTA_TOLERANCE, ReportExchange, ReportTopology, ServingState, decodeReport, encodeReport } from '@plumstage/serving'
 import type { ServingSettings } from '@plumstage/serving'
 
 const STEP_MILLISECONDS = 50
@@ -26,6 +26,7 @@
   dutyLeaseMilliseconds: 3000,
   usageWindowMilliseconds: 5000,
   usageDelayMilliseconds: 10_000,
+  quotaTolerance: NO_QUOTA_TOLERANCE,
   retryBound: { ratio: 0, slack: 1, windowMilliseconds: 10_000 },
   prefixReuseMilliseconds: 9000,
   reportsUsage: false,
