Learn the prefill rate of upstreams, and size the fleet by it

Cause: the planner clamped the rate of an upstream to 45 to 75 tokens in a millisecond, weighed an output token as six and kept four upstreams at least. Observed on three sites: 62 to 77, 24 to 30 and 35 to 48. Change: PrefillModel fits a line through the time to the first event over a request's own prompt tokens; gateways share rate and samples in their reports; router, overload guard and planner use the same estimate. Needed is what prefill and what places of the batch ask for, whichever is more, with the prompts that wait; while the rate is not known, a fleet that serves is neither extended nor reduced. It grows when more is needed for 1.2 s and shrinks to the highest number of the last 5 s. A planner that takes over gives up no reclaimable upstreams for 5 s. Before the first list is complete, a minimum of reclaimable ones is ordered, so that the on-demand ones can go sooner.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -194,7 +194,7 @@
     const available = state.upstreams.listAvailable(service.name, now)
     const untried = available.filter(upstream => !this._failedUpstreams.has(upstream))
     const objectiveMilliseconds = route.objectiveMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS
-    return state.routerOf(service).choose({ generation: head.generation, objectiveMilliseconds }, untried.length > 0 ? untried : available, now)
+    return state.routerOf(service).choose({ generation: head.generation, objectiveMilliseconds, prefillTokensPerMillisecond: state.capacities.capacityOf(service.name, now).tokensPerMillisecond }, untried.length > 0 ? untried : available, now)
   }
 
   /** Adds the request to the load of the upstream. */
@@ -239,7 +239,7 @@
 
   private _recordFirstEvent (): void {
     this._removeWaitingTokens()
-    this._services.state.prefillRateOf(this._request.service.name).record(this._prefillBacklogTokens, this._services.clock.now() - this._dispatchedAt)
+    this._services.state.capacities.recordFirstEvent(this._request.service.name, this._prefillTokens, this._services.clock.now() - this._dispatchedAt)
     this._recordUsage()
     this._firstEventMilliseconds ??= this._elapsedMilliseconds()
     this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._prefillTokens, backlogTokens: Math.round(this._prefillBacklogTokens), requests: this._upstream?.requests }, this._request.head.requestId)
--- a/packages/serving/src/fleet/fleetPlanner.ts
+++ b/packages/serving/src/fleet/fleetPlanner.ts
@@ -50,9 +50,13 @@
   private readonly _orderStates = new Map<string, OrderState>()
   private readonly _estimator: UpstreamCountEstimator
   private _shortageUntil: Timestamp = Number.NEGATIVE_INFINITY
+  /** Until when no reclaimable upstreams are given up, because reclaims before this planner's time are not known. */
+  private readonly _retainUntil: Timestamp
+  private _neededUpstreams: number | undefined
 
   private constructor (sizing: FleetSizing, now: Timestamp) {
     this._sizing = sizing
+    this._retainUntil = now + SHORTAGE_MILLISECONDS
     this._estimator = UpstreamCountEstimator.create(now, sizing)
   }
 
@@ -60,11 +64,17 @@
     return new FleetPlanner(sizing, now)
   }
 
+  /** Number of upstreams that the service needs by the last plan; undefined before there was one. */
+  get neededUpstreams (): number | undefined {
+    return this._neededUpstreams
+  }
+
   /** Returns the orders to place now. */
   plan (observation: FleetObservation, now: Timestamp): UpstreamOrder[] {
     this._recordReclaims(observation, now)
     const needed = this._estimator.estimate(observation, now)
-    if (needed === undefined) return []
+    this._neededUpstreams = needed
+    if (needed === undefined) return this._planFirstReclaimable(observation, now)
     const reclaimable = this._planReclaimable(observation, needed, now)
     const hasPendingReclaimable = this._hasPendingReclaimable(observation.scaling, now) || (now >= this._shortageUntil && reclaimable.length > 0)
     return [...reclaimable, ...this._planOnDemand(observation, needed, hasPendingReclaimable, now)]
@@ -83,6 +93,17 @@
     if (order.reclaimable) this._shortageUntil = now + SHORTAGE_MILLISECONDS
   }
 
+  /**
+   * Orders a minimum of reclaimable upstreams while the list of existing upstreams still grows, if it has only on-demand
+   * ones so far, so that those can be given up sooner.
+   */
+  private _planFirstReclaimable (observation: FleetObservation, now: Timestamp): UpstreamOrder[] {
+    const serving = observation.counts.filter(count => count.serving > 0)
+    if (serving.length === 0 || serving.some(count => count.reclaimable)) return []
+    return this._planReclaimable(observation, this._sizing.minimumUpstreams, now)
+      .filter(order => order.desired > (this._orderStateOf(order.failureDomain, true).desired ?? 0))
+  }
+
   private _planReclaimable (observation: FleetObservation, needed: number, now: Timestamp): UpstreamOrder[] {
     const { scaling, counts, service } = observation
     if (scaling.reclaimablePriceFraction === undefined) return []
@@ -110,9 +131,12 @@
     return Math.max(countOf(counts, failureDomain, true).serving, this._orderStateOf(failureDomain, true).desired ?? 0)
   }
 
-  /** Keeps the existing reclaimable upstreams during a shortage, when they could not be replaced. */
+  /**
+   * Keeps the existing reclaimable upstreams during a shortage, when they could not be replaced. A planner that has just
+   * taken over does not know of a shortage yet.
+   */
   private _retainDuringShortage (desired: number, serving: number, now: Timestamp): number {
-    return now < this._shortageUntil ? Math.max(desired, serving) : desired
+    return now < Math.max(this._shortageUntil, this._retainUntil) ? Math.max(desired, serving) : desired
   }
 
   /**
--- a/packages/serving/src/fleet/fleetSizing.ts
+++ b/packages/serving/src/fleet/fleetSizing.ts
@@ -22,20 +22,26 @@
   scaling: ScalingBounds
   demand: Demand
   counts: readonly FleetCount[]
-  /** Observed prefill rate of one upstream, in prompt tokens per second; undefined when it is not known. */
+  /** Observed prefill rate of one upstream, in prompt tokens per second; undefined while too little was observed. */
   observedTokensPerSecond?: number
+  /** Prompt tokens that wait at all upstreams. */
+  waitingTokens: number
+  /** Requests that occupy a place at an upstream. */
+  activeRequests: number
+  /** Requests that one upstream executes at the same time. */
+  placesPerUpstream: number
 }
 
 /** Parameters by which the planner sizes a service. */
 export interface FleetSizing {
-  /** Minimum rate that is assumed for one upstream, in prompt tokens per second; a higher observed rate replaces it. */
-  minimumTokensPerSecond: number
-  /** Maximum rate that is assumed for one upstream, whatever is observed, in prompt tokens per second. */
-  maximumTokensPerSecond: number
-  /** Prompt tokens that take as long as one output token. */
-  outputTokenWeight: number
-  /** Target share of the time that an upstream is busy. */
+  /** Rate that is assumed for one upstream that has to be ordered before any rate was observed, in prompt tokens per second. */
+  initialTokensPerSecond: number
+  /** Target share of the observed prefill rate that is used. */
   utilization: number
+  /** Target share of an upstream's places that are occupied. */
+  occupancy: number
+  /** Time within which waiting prompt tokens should be prefilled in addition to new ones. */
+  backlogSeconds: number
   /** Minimum number of upstreams of the service. */
   minimumUpstreams: number
   /** Share of the upstreams found at the start that is assumed to be needed until there is demand. */
@@ -49,4 +55,13 @@
   survivingShare: number
 }
 
-export const DEFAULT_FLEET_SIZING: FleetSizing = { minimumTokensPerSecond: 45_000, maximumTokensPerSecond: 75_000, outputTokenWeight: 6, utilization: 0.6, minimumUpstreams: 4, initialShare: 0.5, reclaimableReserve: 0.7, survivingShare: 1 }
+export const DEFAULT_FLEET_SIZING: FleetSizing = {
+  initialTokensPerSecond: 40_000,
+  utilization: 0.9,
+  occupancy: 0.8,
+  backlogSeconds: 2,
+  minimumUpstreams: 2,
+  initialShare: 0.5,
+  reclaimableReserve: 0.7,
+  survivingShare: 1
+}
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -5,11 +5,12 @@
  */
 import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
 import type { DutyTask } from '@plumstage/coordination'
+import type { ScalingBounds } from '@plumstage/records'
 import type { Cloud, UpstreamOrder } from '../duties/cloud.js'
 import type { ServingState } from '../servingState.js'
 import type { Demand } from './demandMeter.js'
 import { FleetPlanner } from './fleetPlanner.js'
-import type { FleetCount } from './fleetSizing.js'
+import type { FleetCount, FleetObservation } from './fleetSizing.js'
 
 const PLANNING_INTERVAL_MILLISECONDS = 400
 const ORDER_TIMEOUT_MILLISECONDS = 2000
@@ -53,12 +54,37 @@
       if (!service.scaling) continue
       const planner = this._planners.get(service.name) ?? FleetPlanner.create(clock.now())
       this._planners.set(service.name, planner)
-      const observation = { service: service.name, scaling: service.scaling, demand: this._demandOf(service.name), counts: this._countUpstreams(service.name), observedTokensPerSecond: state.prefillRateOf(service.name).tokensPerMillisecond * MILLISECONDS_PER_SECOND }
+      const observation = this._observe(service.name, service.scaling)
+      const neededBefore = planner.neededUpstreams
+      const orders = planner.plan(observation, clock.now())
+      if (planner.neededUpstreams !== neededBefore) this._emitNeeded(planner, observation)
       // Orders are placed in parallel, so that one without a response does not delay the others.
-      await Promise.all(planner.plan(observation, clock.now()).map(async order => await this._placeOrder(context, planner, order)))
+      await Promise.all(orders.map(async order => await this._placeOrder(context, planner, order)))
     }
   }
 
+  private _observe (service: string, scaling: ScalingBounds): FleetObservation {
+    const { state, clock } = this._options
+    const upstreams = state.upstreams.listOfService(service).filter(upstream => !upstream.isLeaving)
+    const { tokensPerMillisecond, isKnown } = state.capacities.capacityOf(service, clock.now())
+    return {
+      service,
+      scaling,
+      demand: this._demandOf(service),
+      counts: this._countUpstreams(service),
+      observedTokensPerSecond: isKnown ? tokensPerMillisecond * MILLISECONDS_PER_SECOND : undefined,
+      waitingTokens: upstreams.reduce((sum, upstream) => sum + upstream.waitingTokens, 0),
+      activeRequests: upstreams.reduce((sum, upstream) => sum + upstream.requests, 0),
+      placesPerUpstream: Math.min(...upstreams.map(upstream => upstream.listed.capacity))
+    }
+  }
+
+  private _emitNeeded (planner: FleetPlanner, { service, demand, waitingTokens, activeRequests, observedTokensPerSecond }: FleetObservation): void {
+    const { promptTokensPerSecond, outputTokensPerSecond } = demand
+    const rate = observedTokensPerSecond === undefined ? undefined : Math.round(observedTokensPerSecond)
+    this._options.instrumentation.emit('fleet-sized', { service, neededUpstreams: planner.neededUpstreams, promptTokensPerSecond, outputTokensPerSecond, waitingTokens: Math.round(waitingTokens), activeRequests, observedTokensPerSecond: rate })
+  }
+
   private async _placeOrder (context: CallContext, planner: FleetPlanner, order: UpstreamOrder): Promise<void> {
     const { duty, cloud, holder, clock, instrumentation } = this._options
     const heldDuty = duty.getHeldDuty()
--- a/packages/serving/src/fleet/upstreamCountEstimator.ts
+++ b/packages/serving/src/fleet/upstreamCountEstimator.ts
@@ -7,10 +7,10 @@
 import type { Timestamp } from '@plumstage/common'
 import type { FleetObservation, FleetSizing } from './fleetSizing.js'
 
+/** The number of upstreams is increased only after more have been needed for this long. */
+const GROW_AFTER_MILLISECONDS = 1200
 /** The number of upstreams is reduced only after fewer have been sufficient for this long. */
-const SHRINK_AFTER_MILLISECONDS = 10_000
-/** Share of the upstreams by which the number is then reduced. */
-const SHRINK_STEP_SHARE = 0.2
+const SHRINK_AFTER_MILLISECONDS = 5000
 /**
  * Upstreams that exist at the start appear in the list one by one; the list counts as complete when it has not grown
  * for this long.
@@ -21,6 +21,12 @@
 /** Time from the start for which the initial number of upstreams is kept while there is no demand. */
 const INITIAL_COUNT_RETENTION_MILLISECONDS = 30_000
 
+/** Number of upstreams that the load required at one moment. */
+interface RecentNeed {
+  at: Timestamp
+  needed: number
+}
+
 /** Estimates the number of upstreams of one service. */
 export class UpstreamCountEstimator {
   private readonly _sizing: FleetSizing
@@ -31,8 +37,10 @@
   private _hasDemand = false
   /** Whether the initial list of upstreams counts as complete. */
   private _initialListComplete = false
-  /** Since when fewer upstreams than `_requiredUpstreams` have been sufficient; undefined when they are not. */
-  private _sufficientSince: Timestamp | undefined
+  private _recentNeeds: RecentNeed[] = []
+  /** Numbers that were needed for a moment, within the time after which the fleet shrinks. */
+  private _requirements: RecentNeed[] = []
+  private _demandSince: Timestamp = 0
 
   private constructor (now: Timestamp, sizing: FleetSizing) {
     this._sizing = sizing
@@ -57,6 +65,7 @@
 
   /** Counts a share of the upstreams that exist at the start as needed until there is demand. */
   private _recordInitialUpstreams ({ counts, demand }: FleetObservation, now: Timestamp): void {
+    if (!this._hasDemand) this._demandSince = now
     this._hasDemand ||= demand.promptTokensPerSecond + demand.outputTokensPerSecond > 0
     const serving = counts.reduce((sum, count) => sum + count.serving, 0)
     if (this._initialListComplete || serving <= this._initialUpstreams) return
@@ -65,22 +74,42 @@
     this._requiredUpstreams = Math.max(this._requiredUpstreams, Math.ceil(this._initialUpstreams * this._sizing.initialShare))
   }
 
-  /** Returns the number of upstreams that the demand requires; it grows immediately and shrinks slowly. */
-  private _estimateFromDemand ({ demand, observedTokensPerSecond = 0 }: FleetObservation, now: Timestamp): number {
-    const { outputTokenWeight, utilization, minimumUpstreams, maximumTokensPerSecond } = this._sizing
-    const tokensPerSecond = Math.min(maximumTokensPerSecond, Math.max(this._sizing.minimumTokensPerSecond, observedTokensPerSecond))
-    const work = demand.promptTokensPerSecond + outputTokenWeight * demand.outputTokensPerSecond
-    const needed = Math.max(minimumUpstreams, Math.ceil(work / (tokensPerSecond * utilization)))
-    if (needed >= this._requiredUpstreams) {
-      this._sufficientSince = undefined
-      this._requiredUpstreams = needed
-      return needed
-    }
-    if (!this._hasDemand && now < this._startedAt + INITIAL_COUNT_RETENTION_MILLISECONDS) return this._requiredUpstreams
-    this._sufficientSince ??= now
-    if (now < this._sufficientSince + SHRINK_AFTER_MILLISECONDS) return this._requiredUpstreams
-    this._sufficientSince = undefined
-    this._requiredUpstreams = Math.max(needed, this._requiredUpstreams - Math.max(1, Math.floor(this._requiredUpstreams * SHRINK_STEP_SHARE)))
+  /**
+   * Counts the upstreams that prefill the prompts in time. The observed rate includes the time that they spend on output
+   * tokens. Until it is known, a fleet that serves is not extended.
+   */
+  private _countForPrefill ({ demand, waitingTokens, counts, observedTokensPerSecond }: FleetObservation): number {
+    const { utilization, backlogSeconds, initialTokensPerSecond } = this._sizing
+    const tokensPerSecond = demand.promptTokensPerSecond + waitingTokens / backlogSeconds
+    const needed = Math.ceil(tokensPerSecond / ((observedTokensPerSecond ?? initialTokensPerSecond) * utilization))
+    const isServing = counts.some(count => count.serving > 0)
+    return observedTokensPerSecond === undefined && isServing ? Math.min(needed, this._requiredUpstreams) : needed
+  }
+
+  /** Returns the lowest of the numbers that were needed recently: a burst is over before another upstream has booted. */
+  private _sustainedNeed (needed: number, now: Timestamp): number {
+    this._recentNeeds = this._recentNeeds.filter(recent => recent.at > now - GROW_AFTER_MILLISECONDS)
+    this._recentNeeds.push({ at: now, needed })
+    return Math.min(...this._recentNeeds.map(recent => recent.needed))
+  }
+
+  /** Counts the upstreams that have a place for each request that is executed at the same time. */
+  private _countForPlaces ({ activeRequests, placesPerUpstream }: FleetObservation): number {
+    return placesPerUpstream > 0 ? Math.ceil(activeRequests / (placesPerUpstream * this._sizing.occupancy)) : 0
+  }
+
+  /**
+   * Returns the number of upstreams that the demand requires: it grows when more are needed for a moment, and shrinks to
+   * the highest number that was needed recently.
+   */
+  private _estimateFromDemand (observation: FleetObservation, now: Timestamp): number {
+    if (!this._hasDemand && now < this._startedAt + INITIAL_COUNT_RETENTION_MILLISECONDS) return Math.max(this._sizing.minimumUpstreams, this._requiredUpstreams)
+    const needed = this._sustainedNeed(Math.max(this._sizing.minimumUpstreams, this._countForPrefill(observation), this._countForPlaces(observation)), now)
+    this._requirements = this._requirements.filter(requirement => requirement.at > now - SHRINK_AFTER_MILLISECONDS)
+    this._requirements.push({ at: now, needed })
+    const highest = Math.max(...this._requirements.map(requirement => requirement.needed))
+    const isObservedLongEnough = this._hasDemand && now >= this._demandSince + SHRINK_AFTER_MILLISECONDS
+    this._requiredUpstreams = isObservedLongEnough ? highest : Math.max(this._requiredUpstreams, highest)
     return this._requiredUpstreams
   }
 }
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -38,6 +38,10 @@
   service: string
   promptTokensPerSecond: number
   outputTokensPerSecond: number
+  /** Rate at which one upstream prefills prompts, as measured by this gateway. */
+  prefillTokensPerSecond: number
+  /** Number of samples that the rate is based on; 0 when it is an assumption. */
+  prefillSamples: number
 }
 
 /** Sums over the gateways that report directly to a relay, except the recipient. */
--- a/packages/serving/src/peers/reportExchange.ts
+++ b/packages/serving/src/peers/reportExchange.ts
@@ -5,13 +5,14 @@
  */
 import type { Timestamp } from '@plumstage/common'
 import type { ServingState } from '../servingState.js'
-import type { GatewayReport, RelayedReports, ReportedLoad } from './gatewayReport.js'
+import type { GatewayReport, RelayedReports, ReportedDemand, ReportedLoad } from './gatewayReport.js'
 import type { Peer } from './peerTable.js'
 
 /** Reports include the counts of this many windows before the current one, whose usage may not have been reported to the cloud yet. */
 const REPORTED_WINDOWS = 1
 /** One in this many reports lists known addresses. */
 const REPORTS_PER_ADDRESS_LIST = 8
+const MILLISECONDS_PER_SECOND = 1000
 const MAXIMUM_REPORTED_SUSPICIONS = 40
 const MAXIMUM_KNOWN_ADDRESSES = 8
 /** An aggregate is applied if it covers at least this fraction of the gateways that the widest one covers. */
@@ -41,7 +42,7 @@
 
   /** Creates the next report, which is the same for all recipients. */
   createReport (leaving: boolean, now: Timestamp, timeOfDay: Timestamp): GatewayReport {
-    const { view, upstreams, quotas, usage, demand, quarantine, peers } = this._state
+    const { view, upstreams, quotas, usage, quarantine, peers } = this._state
     return {
       ...this._sender,
       sequence: ++this._sequence,
@@ -52,11 +53,18 @@
       uses: quotas.createReport(now),
       windows: usage.listLocal(usage.windowAt(timeOfDay) - REPORTED_WINDOWS),
       suspicions: quarantine.list(now).slice(-MAXIMUM_REPORTED_SUSPICIONS),
-      demands: demand.list(now),
+      demands: this._createDemands(now),
       knownAddresses: this._sequence % REPORTS_PER_ADDRESS_LIST === 0 ? peers.listAddresses().slice(0, MAXIMUM_KNOWN_ADDRESSES) : []
     }
   }
 
+  private _createDemands (now: Timestamp): ReportedDemand[] {
+    return this._state.demand.list(now).map(demand => {
+      const { tokensPerMillisecond, samples } = this._state.capacities.measuredRateOf(demand.service)
+      return { ...demand, prefillTokensPerSecond: Math.round(tokensPerMillisecond * MILLISECONDS_PER_SECOND), prefillSamples: Math.round(samples) }
+    })
+  }
+
   /** Creates the aggregate that a relay adds for one recipient; undefined when the recipient has not reported to it. */
   createAggregate (recipientAddress: string, now: Timestamp): RelayedReports | undefined {
     const { upstreams, quotas, peers } = this._state
--- a/packages/serving/src/routing/generationRouter.ts
+++ b/packages/serving/src/routing/generationRouter.ts
@@ -15,8 +15,6 @@
 
 /** Parameters of the routing cost. */
 export interface GenerationWeights {
-  /** Prompt tokens that an engine prefills per millisecond. */
-  prefillTokensPerMillisecond: number
   /** Cost of a millisecond spent on prefilling uncached shared segments, relative to a millisecond of waiting. */
   recomputation: number
   /** Cost of an upstream in another failure domain, in milliseconds. */
@@ -26,7 +24,6 @@
 }
 
 export const DEFAULT_GENERATION_WEIGHTS: GenerationWeights = {
-  prefillTokensPerMillisecond: 40,
   recomputation: 2,
   otherDomainMilliseconds: 5,
   perRequestMilliseconds: 1
@@ -67,29 +64,29 @@
   choose (request: RoutingRequest, candidates: readonly Upstream[], now: Timestamp): RoutingChoice | undefined {
     const { generation } = request
     if (!generation) {
-      const upstream = findCheapest(candidates, candidate => this._expectedWait(candidate) + this._penaltyOf(candidate, request))
+      const upstream = findCheapest(candidates, candidate => this._expectedWait(candidate, request) + this._penaltyOf(candidate, request))
       return upstream && { upstream, prefillTokens: 0 }
     }
     const sharedPrefix = sharedPrefixOf(generation)
     const preferred = findPreferredUpstream(sharedPrefix, candidates)
-    const costOf = (candidate: Upstream): number => this._expectedWait(candidate) + this._penaltyOf(candidate, request) + this._recomputationCost(candidate, sharedPrefix, preferred, now)
-    const upstream = this._chooseByCost(generation, candidates, costOf)
+    const costOf = (candidate: Upstream): number => this._expectedWait(candidate, request) + this._penaltyOf(candidate, request) + this._recomputationCost(candidate, request, sharedPrefix, preferred, now)
+    const upstream = this._chooseByCost(generation, request, candidates, costOf)
     return upstream && { upstream, prefillTokens: Math.max(0, generation.promptTokens - this._countCachedTokens(upstream, sharedPrefix, preferred, now)) }
   }
 
-  private _chooseByCost (generation: GenerationDemand, candidates: readonly Upstream[], costOf: (candidate: Upstream) => number): Upstream | undefined {
+  private _chooseByCost (generation: GenerationDemand, request: RoutingRequest, candidates: readonly Upstream[], costOf: (candidate: Upstream) => number): Upstream | undefined {
     if (candidates.length <= MAXIMUM_UNRESTRICTED_UPSTREAMS) return findCheapest(candidates, costOf)
     const ranked = rankByRendezvous(routingKeyOf(generation), candidates)
     for (let count = INITIAL_CANDIDATES; count < ranked.length; count *= 2) {
       const chosen = findCheapest(ranked.slice(0, count), costOf)
-      if (chosen && this._expectedWait(chosen) < BUSY_THRESHOLD_MILLISECONDS) return chosen
+      if (chosen && this._expectedWait(chosen, request) < BUSY_THRESHOLD_MILLISECONDS) return chosen
     }
     return findCheapest(ranked, costOf)
   }
 
-  private _expectedWait (upstream: Upstream): number {
+  private _expectedWait (upstream: Upstream, { prefillTokensPerMillisecond }: RoutingRequest): number {
     const excessRequests = Math.max(0, upstream.requests - upstream.listed.capacity)
-    return upstream.waitingTokens / this._weights.prefillTokensPerMillisecond +
+    return upstream.waitingTokens / prefillTokensPerMillisecond +
       upstream.requests * this._weights.perRequestMilliseconds +
       excessRequests * BEYOND_BATCH_MILLISECONDS
   }
@@ -107,9 +104,9 @@
     return upstream === preferred ? sumTokens(sharedPrefix) : this._index.countCachedTokens(upstream.listed.id, sharedPrefix, now)
   }
 
-  private _recomputationCost (upstream: Upstream, sharedPrefix: readonly PromptSegment[], preferred: Upstream | undefined, now: Timestamp): number {
+  private _recomputationCost (upstream: Upstream, { prefillTokensPerMillisecond }: RoutingRequest, sharedPrefix: readonly PromptSegment[], preferred: Upstream | undefined, now: Timestamp): number {
     const tokens = sumTokens(sharedPrefix) - this._countCachedTokens(upstream, sharedPrefix, preferred, now)
-    return tokens / this._weights.prefillTokensPerMillisecond * this._weights.recomputation
+    return tokens / prefillTokensPerMillisecond * this._weights.recomputation
   }
 }
 
--- a/packages/serving/src/routing/router.ts
+++ b/packages/serving/src/routing/router.ts
@@ -11,6 +11,8 @@
 export interface RoutingRequest {
   generation?: GenerationDemand
   objectiveMilliseconds: number
+  /** Prompt tokens that one upstream of the service prefills per millisecond. */
+  prefillTokensPerMillisecond: number
 }
 
 /** The upstream chosen for a request. */
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -8,6 +8,7 @@
 import { OverloadGuard } from './admission/overloadGuard.js'
 import { RetryBudget } from './admission/retryBudget.js'
 import type { RetryBound } from './admission/retryBudget.js'
+import { ServiceCapacities } from './capacity/serviceCapacities.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
 import { DeploymentView } from './deployment/deploymentView.js'
 import { DemandMeter } from './fleet/demandMeter.js'
@@ -16,7 +17,6 @@
 import { QuarantineTable } from './recovery/quarantineTable.js'
 import { GenerationRouter } from './routing/generationRouter.js'
 import { PlainRouter } from './routing/plainRouter.js'
-import { PrefillRate } from './routing/prefillRate.js'
 import type { Router } from './routing/router.js'
 import { PrefixCacheIndex } from './routing/prefixCacheIndex.js'
 import type { ServingSettings } from './servingSettings.js'
@@ -36,7 +36,7 @@
   readonly quarantine = QuarantineTable.create(CRASHES_FOR_QUARANTINE)
   readonly prefixCache: PrefixCacheIndex
   readonly overload: OverloadGuard
-  private readonly _prefillRates = new Map<string, PrefillRate>()
+  readonly capacities: ServiceCapacities
   private readonly _retryBudgets = new Map<string, RetryBudget>()
   private _retryBound: RetryBound
   private readonly _plainRouter: Router
@@ -46,6 +46,7 @@
     this.view = DeploymentView.create(decoder)
     this.peers = PeerTable.create({ address: settings.peerAddress, processorCores: settings.processorCores })
     this.quotas = WorkspaceQuotas.create(settings.quotaTolerance)
+    this.capacities = ServiceCapacities.create(this.peers)
     this.usage = UsageLedger.create(settings.usageWindowMilliseconds)
     this.prefixCache = PrefixCacheIndex.create(settings.prefixReuseMilliseconds)
     this._retryBound = settings.retryBound
@@ -70,16 +71,6 @@
     return service?.type === 'model-engine' ? this._generationRouter : this._plainRouter
   }
 
-  /** Returns the measured prefill rate of a service's upstreams. */
-  prefillRateOf (service: string): PrefillRate {
-    let rate = this._prefillRates.get(service)
-    if (!rate) {
-      rate = PrefillRate.create()
-      this._prefillRates.set(service, rate)
-    }
-    return rate
-  }
-
   /**
    * Estimates the time until the least loaded upstream of a service starts the prefill of another prompt, in
    * milliseconds; 0 when no upstream is available.
@@ -87,7 +78,7 @@
   expectedWaitMilliseconds (service: string, now: Timestamp): number {
     const available = this.upstreams.listAvailable(service, now)
     if (available.length === 0) return 0
-    return Math.min(...available.map(upstream => upstream.waitingTokens)) / this.prefillRateOf(service).tokensPerMillisecond
+    return Math.min(...available.map(upstream => upstream.waitingTokens)) / this.capacities.capacityOf(service, now).tokensPerMillisecond
   }
 
   /** Counts a request in the retry budget of its service. */
