--- a/packages/serving/src/quotas/workspaceQuotas.ts
+++ b/packages/serving/src/quotas/workspaceQuotas.ts
@@ -23,6 +23,10 @@
 const URGENT_SHARE_OF_BURST = 0.1
 /** Below this share of the burst, a gateway admits no more than its share of the refill. */
 const LOW_SHARE_OF_BURST = 0.5
+/** A request for at most this share of the burst is small. */
+const SMALL_SHARE_OF_BURST = 0.005
+/** Small requests may overdraw a bucket further than others, so that they do not wait for a few large ones to be refilled. */
+const SMALL_REQUEST_OVERDRAFT_FACTOR = 1.5
 /** Minimum local share of the refill, as a part of an equal share, so that a first request is not refused. */
 const MINIMUM_PART_OF_EQUAL_SHARE = 0.25
 
@@ -70,7 +74,8 @@
     const bucket = this._refill(workspace, limits, peers, now)
     bucket.offeredUnits.record(units, now)
     const isLow = bucket.units < quota.burstUnits * LOW_SHARE_OF_BURST
-    const overdraft = limits.overdraftUnits * peers.reachableShare
+    const isSmall = units <= quota.burstUnits * SMALL_SHARE_OF_BURST
+    const overdraft = limits.overdraftUnits * peers.reachableShare * (isSmall ? SMALL_REQUEST_OVERDRAFT_FACTOR : 1)
     const localOverdraft = overdraft / peers.gateways
     // Requests for more units than are left are admitted, so that large ones are not refused more often than small ones.
     if (bucket.units <= -overdraft || (isLow && bucket.localUnits <= -localOverdraft)) return { kind: 'exceeded', retryAfterMilliseconds: computeRetryDelay(bucket, limits, { overdraft, localOverdraft }) }
--- a/tests/serving/workspaceQuotas.spec.ts
+++ b/tests/serving/workspaceQuotas.spec.ts
@@ -52,6 +52,16 @@
     })
   }
 
+  it('admits small requests while a workspace that is over its quota has its large ones refused', () => {
+    const quotas = WorkspaceQuotas.create(TOLERANCE)
+    let now = 0
+    while (quotas.consume('press', QUOTA, 200, ALONE, now).kind === 'admitted') now += STEP_MILLISECONDS
+    for (let request = 0; request < 20; request++) {
+      assert.equal(quotas.consume('press', QUOTA, 2, ALONE, now).kind, 'admitted')
+      assert.equal(quotas.consume('press', QUOTA, 200, ALONE, now).kind, 'exceeded')
+    }
+  })
+
   it('refunds the units of a request that was not executed, and states a retry delay', () => {
     const quotas = WorkspaceQuotas.create(NO_QUOTA_TOLERANCE)
     quotas.consume('press', QUOTA, 2000, ALONE, 0)
