--- a/packages/serving/src/peers/reportExchange.ts
+++ b/packages/serving/src/peers/reportExchange.ts
@@ -40,6 +40,11 @@
     return new ReportExchange(sender, state)
   }
 
+  /** Number of reports created since the start, which tells peers how long this gateway has run. */
+  get sequence (): number {
+    return this._sequence
+  }
+
   /** Creates the next report, which is the same for all recipients. */
   createReport (leaving: boolean, now: Timestamp, timeOfDay: Timestamp): GatewayReport {
     const { view, upstreams, quotas, usage, quarantine, peers } = this._state
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -17,6 +17,7 @@
 import { DeploymentTask } from './deployment/deploymentTask.js'
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
+import { DutyVacancy } from './duties/dutyVacancy.js'
 import { FleetTask } from './fleet/fleetTask.js'
 import { decodeRegistration } from './peers/gatewayRegistration.js'
 import { GossipTask } from './peers/gossipTask.js'
@@ -89,6 +90,7 @@
   private readonly _exchange: ReportExchange
   /** Name of the gateway that holds the cloud duty; undefined when none does. */
   private _dutyHolder: string | undefined
+  private readonly _vacancy: DutyVacancy
   private _stopping = false
 
   private constructor (settings: ServingSettings, environment: ServingEnvironment) {
@@ -98,8 +100,9 @@
     this._context = CallContext.create(clock)
     this.state = ServingState.create(settings, environment.decoder, environment.random)
     this._keys = StoreKeys.create()
+    this._vacancy = DutyVacancy.create(clock.now())
     this._exchange = ReportExchange.create({ name: settings.name, incarnation: instrumentation.incarnation, failureDomain: settings.failureDomain }, this.state)
-    this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._dutyHolder === undefined && !this._stopping, leaseClock, instrumentation, dutyLeaseTimingOf(settings))
+    this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
     this._deploymentTask = DeploymentTask.create({
       store,
       view: this.state.view,
@@ -292,11 +295,23 @@
 
   /** Updates the duty holder and the registrations of gateways from all entries of the store. */
   private _observeSnapshot (entries: readonly KeyValueEntry[]): void {
-    this._dutyHolder = undefined
+    if (!entries.some(entry => entry.key === this._keys.dutyKey)) this._setDutyHolder(undefined)
     this.state.peers.retainRegistrations(new Set(entries.map(entry => this._keys.gatewayNameOf(entry.key)).filter(name => name !== undefined)))
     for (const entry of entries) this._observeEntry(entry)
   }
 
+  private _setDutyHolder (holder: string | undefined): void {
+    this._dutyHolder = holder
+    this._vacancy.setHeld(holder !== undefined, this._environment.clock.now())
+  }
+
+  /** Whether to try to acquire the cloud duty now. */
+  private _seeksDuty (): boolean {
+    const now = this._environment.clock.now()
+    const hasSenior = this.state.peers.listPresent(now).some(peer => peer.report.sequence > this._exchange.sequence)
+    return !this._stopping && this._vacancy.isOpenTo(hasSenior ? 'junior' : 'senior', now)
+  }
+
   private _observeChanges (changes: readonly KeyValueChange[]): void {
     for (const change of changes) {
       if (change.kind === 'put') this._observeEntry(change.entry)
@@ -305,7 +320,7 @@
   }
 
   private _observeEntry (entry: KeyValueEntry): void {
-    if (entry.key === this._keys.dutyKey) this._dutyHolder = parseDutyHolder(entry.value)
+    if (entry.key === this._keys.dutyKey) this._setDutyHolder(parseDutyHolder(entry.value))
     const name = this._keys.gatewayNameOf(entry.key)
     if (name === undefined) return
     const registration = decodeRegistration(entry.value)
@@ -314,7 +329,7 @@
   }
 
   private _observeDeletion (key: string): void {
-    if (key === this._keys.dutyKey) this._dutyHolder = undefined
+    if (key === this._keys.dutyKey) this._setDutyHolder(undefined)
     const name = this._keys.gatewayNameOf(key)
     if (name !== undefined) this.state.peers.register(name, undefined)
   }
