Give the load of a request and the registry of gateways classes of their own

Change: RequestLoad holds what one request adds to its upstream's load, its demand and its sample of the prefill rate; GatewayRegistry follows registrations and the holder of the duty in the store.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -6,14 +6,14 @@
 import type { Clock, Instrumentation, Timer, Timestamp } from '@plumstage/common'
 import type { RouteRecord, ServiceRecord } from '@plumstage/records'
 import type { CallerExchange } from '../callers/callerExchange.js'
-import type { CallerHead, GenerationDemand } from '../callers/callerProtocol.js'
+import type { CallerHead } from '../callers/callerProtocol.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
-import { sharedPrefixOf } from '../routing/generationRouter.js'
 import type { RoutingChoice } from '../routing/router.js'
 import type { ServingState } from '../servingState.js'
 import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
+import { RequestLoad } from './requestLoad.js'
 import { ResponseRelay } from './responseRelay.js'
 import { decideAfterFailure, mayRetryServerError } from './attemptPolicy.js'
 import type { AttemptFailure, RequestProgress } from './attemptPolicy.js'
@@ -66,20 +66,14 @@
   private readonly _exchange: CallerExchange
   private readonly _relay: ResponseRelay
   private readonly _progress: RequestProgress
+  private readonly _load: RequestLoad
   private readonly _failedUpstreams = new Set<Upstream>()
   private _attempt: UpstreamAttempt | undefined
   private _upstream: Upstream | undefined
-  private _waitingTokens = 0
-  /** Prompt tokens that the upstream had to prefill when the attempt was dispatched, including those of this request. */
-  private _prefillBacklogTokens = 0
-  /** Prompt tokens of this request that the upstream of the current attempt is expected to prefill. */
-  private _prefillTokens = 0
   private _firstEventMilliseconds: number | undefined
-  private _dispatchedAt: Timestamp = 0
   /** Whether the retry budget was charged for the next attempt when this one received a server error. */
   private _retryTaken = false
   private _usageRecorded = false
-  private _demandRecorded = false
   private _deadlineTimer: Timer | undefined
   private _done = false
 
@@ -88,6 +82,7 @@
     this._request = request
     this._exchange = exchange
     this._relay = ResponseRelay.create(exchange, services.protocol, request.route, request.head.lastEventId, () => this._recordFirstEvent())
+    this._load = RequestLoad.create(services.state, request.service.name, request.head.generation)
     this._progress = { route: request.route, attempts: 0, mayHaveRun: false, started: false }
   }
 
@@ -155,7 +150,8 @@
     this._upstream = upstream
     this._retryTaken = false
     this._relay.beginAttempt()
-    this._addLoad(choice)
+    this._services.running.add(upstream, this)
+    this._load.add(choice, this._services.clock.now())
     this._attempt = UpstreamAttempt.create(this)
     const { head, body, workspace, rank, deadline } = this._request
     const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
@@ -197,52 +193,20 @@
     return state.routerOf(service).choose({ generation: head.generation, objectiveMilliseconds, prefillTokensPerMillisecond: state.capacities.capacityOf(service.name, now).tokensPerMillisecond }, untried.length > 0 ? untried : available, now)
   }
 
-  /** Adds the request to the load of the upstream. */
-  private _addLoad ({ upstream, prefillTokens }: RoutingChoice): void {
-    const { state, clock, running } = this._services
-    const { generation } = this._request.head
-    const now = clock.now()
-    running.add(upstream, this)
-    upstream.localLoad.requests++
-    if (!generation) return
-    const sharedPrefix = sharedPrefixOf(generation)
-    this._waitingTokens = prefillTokens
-    this._prefillTokens = prefillTokens
-    upstream.localLoad.waitingTokens += this._waitingTokens
-    this._prefillBacklogTokens = upstream.waitingTokens
-    this._dispatchedAt = now
-    state.prefixCache.recordSent(upstream.listed.id, sharedPrefix, now)
-    this._recordDemand(generation, now)
-  }
-
-  /** Counts the request only once: counting each attempt would let a wave of retries order additional upstreams. */
-  private _recordDemand (generation: GenerationDemand, now: Timestamp): void {
-    if (this._demandRecorded) return
-    this._demandRecorded = true
-    this._services.state.demand.record(this._request.service.name, this._waitingTokens, generation.expectedOutputTokens ?? generation.maximumOutputTokens, now)
-  }
-
   /** Removes the request from the load of its upstream, and counts the attempt if it was dispatched. */
   private _removeLoad (): Upstream {
     const upstream = this._upstream!
     this._services.running.remove(upstream, this)
-    upstream.localLoad.requests--
-    this._removeWaitingTokens()
+    this._load.remove()
     if (this._attempt?.dispatched) this._progress.attempts++
     return upstream
   }
 
-  private _removeWaitingTokens (): void {
-    if (this._upstream) this._upstream.localLoad.waitingTokens -= this._waitingTokens
-    this._waitingTokens = 0
-  }
-
   private _recordFirstEvent (): void {
-    this._removeWaitingTokens()
-    this._services.state.capacities.recordFirstEvent(this._request.service.name, this._prefillTokens, this._services.clock.now() - this._dispatchedAt)
+    this._load.recordFirstEvent(this._services.clock.now())
     this._recordUsage()
     this._firstEventMilliseconds ??= this._elapsedMilliseconds()
-    this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._prefillTokens, backlogTokens: Math.round(this._prefillBacklogTokens), requests: this._upstream?.requests }, this._request.head.requestId)
+    this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._load.prefillTokens, backlogTokens: this._load.backlogTokens, requests: this._upstream?.requests }, this._request.head.requestId)
   }
 
   private _recordUsage (): void {
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -5,8 +5,8 @@
  */
 import { CallContext, Listener, describeError, getLogger } from '@plumstage/common'
 import type { Clock, Instrumentation, SeededRandom, Timer, Timestamp } from '@plumstage/common'
-import { DutyTask, parseDutyHolder } from '@plumstage/coordination'
-import type { DutyLeaseTiming, KeyValueChange, KeyValueEntry, KeyValueService } from '@plumstage/coordination'
+import { DutyTask } from '@plumstage/coordination'
+import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
 import { RunningRequests } from './attempts/runningRequests.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
 import type { CallerProtocol } from './callers/callerProtocol.js'
@@ -17,9 +17,8 @@
 import { DeploymentTask } from './deployment/deploymentTask.js'
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
-import { DutyVacancy } from './duties/dutyVacancy.js'
 import { FleetTask } from './fleet/fleetTask.js'
-import { decodeRegistration } from './peers/gatewayRegistration.js'
+import { GatewayRegistry } from './peers/gatewayRegistry.js'
 import { GossipTask } from './peers/gossipTask.js'
 import { MembershipTask } from './peers/membershipTask.js'
 import type { Peer } from './peers/peerTable.js'
@@ -88,9 +87,7 @@
   private _gossip!: GossipTask
   private _internalListenersOpened: Promise<void> = Promise.resolve()
   private readonly _exchange: ReportExchange
-  /** Name of the gateway that holds the cloud duty; undefined when none does. */
-  private _dutyHolder: string | undefined
-  private readonly _vacancy: DutyVacancy
+  private readonly _registry: GatewayRegistry
   private _stopping = false
 
   private constructor (settings: ServingSettings, environment: ServingEnvironment) {
@@ -100,7 +97,7 @@
     this._context = CallContext.create(clock)
     this.state = ServingState.create(settings, environment.decoder, environment.random)
     this._keys = StoreKeys.create()
-    this._vacancy = DutyVacancy.create(clock.now())
+    this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._exchange = ReportExchange.create({ name: settings.name, incarnation: instrumentation.incarnation, failureDomain: settings.failureDomain }, this.state)
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
     this._deploymentTask = DeploymentTask.create({
@@ -109,7 +106,7 @@
       clock,
       instrumentation,
       countGateways: () => this.state.peers.listRegistrations().length,
-      observer: { onSnapshot: entries => this._observeSnapshot(entries), onChanges: changes => this._observeChanges(changes) },
+      observer: this._registry,
       onChange: change => this._applyChange(change)
     })
     this._callerServer = CallerServer.create({
@@ -191,7 +188,7 @@
       view: this.state.view,
       createReport: () => this._exchange.createReport(this._stopping, clock.now(), this._environment.timeOfDay()),
       createAggregate: address => this._exchange.createAggregate(address, clock.now()),
-      dutyHolder: () => this._dutyHolder,
+      dutyHolder: () => this._registry.dutyHolder,
       isReportUrgent: () => this.state.quotas.isReportUrgent,
       onReport: peer => this._exchange.apply(peer, clock.now()),
       onPeersUnresponsive: peers => this._exchange.clearLoads(peers),
@@ -293,45 +290,10 @@
     }))
   }
 
-  /** Updates the duty holder and the registrations of gateways from all entries of the store. */
-  private _observeSnapshot (entries: readonly KeyValueEntry[]): void {
-    if (!entries.some(entry => entry.key === this._keys.dutyKey)) this._setDutyHolder(undefined)
-    this.state.peers.retainRegistrations(new Set(entries.map(entry => this._keys.gatewayNameOf(entry.key)).filter(name => name !== undefined)))
-    for (const entry of entries) this._observeEntry(entry)
-  }
-
-  private _setDutyHolder (holder: string | undefined): void {
-    this._dutyHolder = holder
-    this._vacancy.setHeld(holder !== undefined, this._environment.clock.now())
-  }
-
   /** Whether to try to acquire the cloud duty now. */
   private _seeksDuty (): boolean {
-    const now = this._environment.clock.now()
-    const hasSenior = this.state.peers.listPresent(now).some(peer => peer.report.sequence > this._exchange.sequence)
-    return !this._stopping && this._vacancy.isOpenTo(hasSenior ? 'junior' : 'senior', now)
-  }
-
-  private _observeChanges (changes: readonly KeyValueChange[]): void {
-    for (const change of changes) {
-      if (change.kind === 'put') this._observeEntry(change.entry)
-      else this._observeDeletion(change.key)
-    }
-  }
-
-  private _observeEntry (entry: KeyValueEntry): void {
-    if (entry.key === this._keys.dutyKey) this._setDutyHolder(parseDutyHolder(entry.value))
-    const name = this._keys.gatewayNameOf(entry.key)
-    if (name === undefined) return
-    const registration = decodeRegistration(entry.value)
-    if (registration.isErr()) return this._log.warn(`${entry.key}: ${registration.error.message}`)
-    this.state.peers.register(name, registration.value)
-  }
-
-  private _observeDeletion (key: string): void {
-    if (key === this._keys.dutyKey) this._setDutyHolder(undefined)
-    const name = this._keys.gatewayNameOf(key)
-    if (name !== undefined) this.state.peers.register(name, undefined)
+    const hasSenior = this.state.peers.listPresent(this._environment.clock.now()).some(peer => peer.report.sequence > this._exchange.sequence)
+    return !this._stopping && this._registry.isDutyOpenTo(hasSenior ? 'junior' : 'senior')
   }
 
   private _removeExpiredPeers (peers: readonly Peer[]): void {
