Let a fleet that stays without demand shrink, and name the estimator's needs

Cause: read in the diff: since the fleet shrinks to the highest recent need, a service without any demand kept the share of its first upstreams for good; before, it was let go after 30 s. Change: without demand the same retention ends after 30 s; private names of the estimator and of the quotas say more. Result: the new test fails on the code before and passes.

--- a/packages/serving/src/fleet/upstreamCountEstimator.ts
+++ b/packages/serving/src/fleet/upstreamCountEstimator.ts
@@ -22,9 +22,9 @@
 const INITIAL_COUNT_RETENTION_MILLISECONDS = 30_000
 
 /** Number of upstreams that the load required at one moment. */
-interface RecentNeed {
+interface UpstreamNeed {
   at: Timestamp
-  needed: number
+  upstreams: number
 }
 
 /** Estimates the number of upstreams of one service. */
@@ -37,9 +37,11 @@
   private _hasDemand = false
   /** Whether the initial list of upstreams counts as complete. */
   private _initialListComplete = false
-  private _recentNeeds: RecentNeed[] = []
-  /** Numbers that were needed for a moment, within the time after which the fleet shrinks. */
-  private _requirements: RecentNeed[] = []
+  /** What each plan needed, within the time after which the fleet grows. */
+  private _momentaryNeeds: UpstreamNeed[] = []
+  /** What was needed throughout that time, within the time after which the fleet shrinks. */
+  private _sustainedNeeds: UpstreamNeed[] = []
+  /** When the first demand was seen, or the last plan without any. */
   private _demandSince: Timestamp = 0
 
   private constructor (now: Timestamp, sizing: FleetSizing) {
@@ -88,9 +90,9 @@
 
   /** Returns the lowest of the numbers that were needed recently: a burst is over before another upstream has booted. */
   private _sustainedNeed (needed: number, now: Timestamp): number {
-    this._recentNeeds = this._recentNeeds.filter(recent => recent.at > now - GROW_AFTER_MILLISECONDS)
-    this._recentNeeds.push({ at: now, needed })
-    return Math.min(...this._recentNeeds.map(recent => recent.needed))
+    this._momentaryNeeds = this._momentaryNeeds.filter(need => need.at > now - GROW_AFTER_MILLISECONDS)
+    this._momentaryNeeds.push({ at: now, upstreams: needed })
+    return Math.min(...this._momentaryNeeds.map(need => need.upstreams))
   }
 
   /** Counts the upstreams that have a place for each request that is executed at the same time. */
@@ -99,16 +101,17 @@
   }
 
   /**
-   * Returns the number of upstreams that the demand requires: it grows when more are needed for a moment, and shrinks to
+   * Returns the number of upstreams that the demand requires: it grows when more are needed for a while, and shrinks to
    * the highest number that was needed recently.
    */
   private _estimateFromDemand (observation: FleetObservation, now: Timestamp): number {
     if (!this._hasDemand && now < this._startedAt + INITIAL_COUNT_RETENTION_MILLISECONDS) return Math.max(this._sizing.minimumUpstreams, this._requiredUpstreams)
     const needed = this._sustainedNeed(Math.max(this._sizing.minimumUpstreams, this._countForPrefill(observation), this._countForPlaces(observation)), now)
-    this._requirements = this._requirements.filter(requirement => requirement.at > now - SHRINK_AFTER_MILLISECONDS)
-    this._requirements.push({ at: now, needed })
-    const highest = Math.max(...this._requirements.map(requirement => requirement.needed))
-    const isObservedLongEnough = this._hasDemand && now >= this._demandSince + SHRINK_AFTER_MILLISECONDS
+    this._sustainedNeeds = this._sustainedNeeds.filter(need => need.at > now - SHRINK_AFTER_MILLISECONDS)
+    this._sustainedNeeds.push({ at: now, upstreams: needed })
+    const highest = Math.max(...this._sustainedNeeds.map(need => need.upstreams))
+    const observedSince = Math.min(this._demandSince, this._startedAt + INITIAL_COUNT_RETENTION_MILLISECONDS)
+    const isObservedLongEnough = now >= observedSince + SHRINK_AFTER_MILLISECONDS
     this._requiredUpstreams = isObservedLongEnough ? highest : Math.max(this._requiredUpstreams, highest)
     return this._requiredUpstreams
   }
--- a/packages/serving/src/quotas/workspaceQuotas.ts
+++ b/packages/serving/src/quotas/workspaceQuotas.ts
@@ -11,7 +11,7 @@
 import { SlidingSum } from '../slidingSum.js'
 import { PeerQuotaUsage } from './peerQuotaUsage.js'
 import { widenQuota } from './quotaTolerance.js'
-import type { QuotaTolerance } from './quotaTolerance.js'
+import type { QuotaTolerance, WidenedQuota } from './quotaTolerance.js'
 import type { WorkspaceUsage } from './workspaceUsage.js'
 
 const MILLISECONDS_PER_SECOND = 1000
@@ -45,6 +45,12 @@
   offeredUnits: SlidingSum
 }
 
+/** Units by which a request may overdraw a bucket: over all gateways, and of the local share. */
+interface Overdraft {
+  total: number
+  local: number
+}
+
 /** Whether a request is within the quota of its workspace. */
 export type QuotaDecision =
   | { kind: 'admitted' }
@@ -74,11 +80,9 @@
     const bucket = this._refill(workspace, limits, peers, now)
     bucket.offeredUnits.record(units, now)
     const isLow = bucket.units < quota.burstUnits * LOW_SHARE_OF_BURST
-    const isSmall = units <= quota.burstUnits * SMALL_SHARE_OF_BURST
-    const overdraft = limits.overdraftUnits * peers.reachableShare * (isSmall ? SMALL_REQUEST_OVERDRAFT_FACTOR : 1)
-    const localOverdraft = overdraft / peers.gateways
+    const overdraft = computeOverdraft(limits, units, peers)
     // Requests for more units than are left are admitted, so that large ones are not refused more often than small ones.
-    if (bucket.units <= -overdraft || (isLow && bucket.localUnits <= -localOverdraft)) return { kind: 'exceeded', retryAfterMilliseconds: computeRetryDelay(bucket, limits, { overdraft, localOverdraft }) }
+    if (bucket.units <= -overdraft.total || (isLow && bucket.localUnits <= -overdraft.local)) return { kind: 'exceeded', retryAfterMilliseconds: computeRetryDelay(bucket, limits, overdraft) }
     bucket.units -= units
     bucket.localUnits -= units
     bucket.admittedUnits += units
@@ -165,8 +169,14 @@
   }
 }
 
+function computeOverdraft (quota: WidenedQuota, units: number, peers: PeerCoverage): Overdraft {
+  const isSmall = units <= quota.burstUnits * SMALL_SHARE_OF_BURST
+  const total = quota.overdraftUnits * peers.reachableShare * (isSmall ? SMALL_REQUEST_OVERDRAFT_FACTOR : 1)
+  return { total, local: total / peers.gateways }
+}
+
 /** Returns the time until the next request is admitted, in milliseconds: until the deficit and one unit are refilled. */
-function computeRetryDelay (bucket: Bucket, quota: WorkspaceQuota, { overdraft, localOverdraft }: { overdraft: number, localOverdraft: number }): number {
-  const deficit = Math.max(0, -bucket.units - overdraft, (-bucket.localUnits - localOverdraft) / bucket.localShare)
+function computeRetryDelay (bucket: Bucket, quota: WorkspaceQuota, overdraft: Overdraft): number {
+  const deficit = Math.max(0, -bucket.units - overdraft.total, (-bucket.localUnits - overdraft.local) / bucket.localShare)
   return (1 + deficit) / quota.unitsPerSecond * MILLISECONDS_PER_SECOND
 }
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -90,6 +90,12 @@
     assert.ok(fleet.serving(true) + fleet.serving(false) <= 12, `${fleet.serving(true)} and ${fleet.serving(false)}`)
   })
 
+  it('shrinks a fleet that stays without demand', () => {
+    const fleet = new FleetModel(20)
+    fleet.run(60_000)
+    assert.ok(fleet.serving(true) + fleet.serving(false) <= 6, `${fleet.serving(true)} and ${fleet.serving(false)}`)
+  })
+
   it('replaces initial on-demand upstreams by reclaimable ones without a gap in serving', () => {
     const fleet = new FleetModel(4)
     fleet.run(3600)
