Log and count what upstreams state about their request limits

Nothing tells which limit a gateway knew when it sent, how old that knowledge was and whether the send was a retry, so the three hypotheses could not be told apart afterwards. Change: the adapter decodes the statement of a response; StatedLimit keeps it for each upstream incarnation; events when it changes, when its value can't be read, and for each attempt at an upstream that states a limit; a counter by kind of attempt and a gauge of such upstreams. No decision depends on it yet.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -9,6 +9,7 @@
 import type { CallerHead } from '../callers/callerProtocol.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
+import type { LimitStatement } from '../limits/statedLimit.js'
 import type { RoutingChoice } from '../routing/router.js'
 import type { ServingState } from '../servingState.js'
 import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
@@ -29,6 +30,8 @@
 /** Maximum of a request's urgency; lower values are more urgent. */
 const MAXIMUM_URGENCY = 9
 const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
+/** Values of upstreams that can't be read are cut to this length in the log. */
+const MAXIMUM_LOGGED_VALUE_LENGTH = 40
 
 /** Dependencies of request tasks. */
 export interface RequestServices {
@@ -59,6 +62,9 @@
   deadline: Timestamp
 }
 
+/** Whether an attempt is the first of its request, repeats it, or continues its stream after the events so far. */
+type AttemptKind = 'first' | 'retry' | 'continuation'
+
 /** Processes one request, from the first attempt to the end of the response. */
 export class RequestTask implements AttemptReceiver {
   private readonly _services: RequestServices
@@ -70,6 +76,7 @@
   private readonly _failedUpstreams = new Set<Upstream>()
   private _attempt: UpstreamAttempt | undefined
   private _upstream: Upstream | undefined
+  private _attemptStartedAt: Timestamp = 0
   private _firstEventMilliseconds: number | undefined
   /** Whether the retry budget was charged for the next attempt when this one received a server error. */
   private _retryTaken = false
@@ -113,6 +120,7 @@
     const matchesRequest = head.requestId === this._request.head.requestId
     if (head.requestId !== undefined && !matchesRequest) return fail('broken', `the response belongs to request ${head.requestId}`)
     if (head.otherInstance) return fail('other-instance', 'the address belongs to another instance')
+    if (matchesRequest && (head.signed || head.notRun)) this._applyLimit(head.limit)
     if (head.notRun) return fail('not-run', `the upstream refused the request with status ${status}`)
     if (status < FIRST_REDIRECT_STATUS && !(matchesRequest && head.signed)) return fail('broken', 'the response is not signed for this request')
     if (!head.signed) return fail('broken', `the response with status ${status} is not signed by the upstream`)
@@ -151,7 +159,9 @@
     this._retryTaken = false
     this._relay.beginAttempt()
     this._services.running.add(upstream, this)
-    this._load.add(choice, this._services.clock.now())
+    this._attemptStartedAt = this._services.clock.now()
+    this._load.add(choice, this._attemptStartedAt)
+    this._emitLimitedAttempt(upstream)
     this._attempt = UpstreamAttempt.create(this)
     const { head, body, workspace, rank, deadline } = this._request
     const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
@@ -298,6 +308,27 @@
     this._services.instrumentation.emit('request-ended', { outcome, status, route: route.name, service: service.name, workspace, attempts: this._progress.attempts, events: this._relay.eventCount, quotaUnits: this._request.quotaUnits, firstEventMilliseconds: this._firstEventMilliseconds, milliseconds: this._elapsedMilliseconds(), allowedMilliseconds: Math.round(deadline - acceptedAt), upstream: this._upstream?.listed.id, configurationRevision }, this._request.head.requestId)
   }
 
+  private _applyLimit (statement: LimitStatement): void {
+    const { clock, instrumentation } = this._services
+    const { listed, limit } = this._upstream!
+    if (statement.kind === 'unreadable') instrumentation.emit('upstream-limit-unreadable', { upstream: listed.id, value: statement.text.slice(0, MAXIMUM_LOGGED_VALUE_LENGTH) }, this._request.head.requestId)
+    if (!limit.applyResponse(statement, this._attemptStartedAt, clock.now())) return
+    instrumentation.emit('upstream-limit-changed', { upstream: listed.id, service: listed.service, requestsPerSecond: limit.requestsPerSecond, source: 'response' }, this._request.head.requestId)
+  }
+
+  /** Records a send to an upstream that states a limit, with what this gateway knows of the limit. */
+  private _emitLimitedAttempt (upstream: Upstream): void {
+    const known = upstream.limit.latest
+    if (known?.requestsPerSecond === undefined) return
+    const { instrumentation } = this._services
+    instrumentation.emit('limited-attempt-started', { upstream: upstream.listed.id, requestsPerSecond: known.requestsPerSecond, limitAgeMilliseconds: Math.round(this._attemptStartedAt - known.statedAt), attemptKind: this._attemptKind }, this._request.head.requestId)
+  }
+
+  private get _attemptKind (): AttemptKind {
+    if (this._relay.lastEventId !== undefined) return 'continuation'
+    return this._failedUpstreams.size === 0 ? 'first' : 'retry'
+  }
+
   private _emitFailedAttempt (outcome: AttemptOutcome, upstream: Upstream): void {
     if (outcome.kind === 'complete') return
     const { failure, detail } = outcome
--- a/packages/serving/src/attempts/upstreamProtocol.ts
+++ b/packages/serving/src/attempts/upstreamProtocol.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CallerHead } from '../callers/callerProtocol.js'
+import type { LimitStatement } from '../limits/statedLimit.js'
 
 /** Headers of an upstream's response, names in lower case. */
 export type ResponseHeaders = Record<string, string | string[] | undefined>
@@ -33,6 +34,8 @@
   otherInstance: boolean
   /** Whether the upstream has signed its response. */
   signed: boolean
+  /** What the upstream states about the requests per second that it accepts from all gateways together. */
+  limit: LimitStatement
 }
 
 /** Encodes requests to upstreams and decodes the heads of their responses. */
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -16,6 +16,7 @@
   configurationRevision: () => number
   upstreamsRevision: () => number
   presentGateways: () => number
+  limitedUpstreams: () => number
   droppedLogLines: () => number
   isFollowingStore: () => boolean
 }
@@ -26,6 +27,7 @@
   private readonly _requests: Counter
   private readonly _rejections: Counter
   private readonly _attemptFailures: Counter
+  private readonly _limitedAttempts: Counter
   private readonly _firstEvent: Histogram
   private readonly _duration: Histogram
 
@@ -34,12 +36,14 @@
     this._requests = new Counter({ name: 'plumstage_requests_total', help: 'Requests that ended, by outcome, status and route.', labelNames: ['outcome', 'status', 'route'], registers })
     this._rejections = new Counter({ name: 'plumstage_rejected_requests_total', help: 'Requests that were rejected before an attempt, by reason.', labelNames: ['reason'], registers })
     this._attemptFailures = new Counter({ name: 'plumstage_failed_attempts_total', help: 'Attempts that failed, by failure.', labelNames: ['failure'], registers })
+    this._limitedAttempts = new Counter({ name: 'plumstage_limited_attempts_total', help: 'Attempts sent to upstreams that state a request limit, by kind.', labelNames: ['kind'], registers })
     this._firstEvent = new Histogram({ name: 'plumstage_first_event_seconds', help: 'Time from acceptance to the first event of a stream.', buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._duration = new Histogram({ name: 'plumstage_request_seconds', help: 'Time from acceptance to the end of a request.', labelNames: ['route'], buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._registry.addGauge('plumstage_running_requests', 'Requests that run at an upstream.', sources.running)
     this._registry.addGauge('plumstage_configuration_revision', 'Store revision of the configuration in force.', sources.configurationRevision)
     this._registry.addGauge('plumstage_upstreams_revision', 'Store revision of the last known change to the list of upstreams.', sources.upstreamsRevision)
     this._registry.addGauge('plumstage_present_gateways', 'Gateways that are heard, this one included.', sources.presentGateways)
+    this._registry.addGauge('plumstage_limited_upstreams', 'Upstreams that state a request limit, as known to this gateway.', sources.limitedUpstreams)
     this._registry.addGauge('plumstage_dropped_log_lines', 'Log lines that the reader did not take in time.', sources.droppedLogLines)
     this._registry.addGauge('plumstage_store_followed', 'Whether the store answers.', () => Number(sources.isFollowingStore()))
   }
@@ -64,6 +68,7 @@
       this._requests.inc({ outcome: String(attributes?.outcome), status: String(attributes?.status), route: String(attributes?.route) })
       this._duration.observe({ route: String(attributes?.route) }, Number(attributes?.milliseconds) / MILLISECONDS_PER_SECOND)
     } else if (kind === 'request-rejected') this._rejections.inc({ reason: String(attributes?.reason) })
+    else if (kind === 'limited-attempt-started') this._limitedAttempts.inc({ kind: String(attributes?.attemptKind) })
     else if (kind === 'attempt-failed') this._attemptFailures.inc({ failure: String(attributes?.failure) })
     else if (kind === 'first-event') this._firstEvent.observe(Number(attributes?.milliseconds) / MILLISECONDS_PER_SECOND)
   }
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -232,6 +232,7 @@
         configurationRevision: () => this.state.view.configurationRevision,
         upstreamsRevision: () => this.state.view.upstreamsRevision,
         presentGateways: () => this.state.peers.countPresent(clock.now()),
+        limitedUpstreams: () => this.state.upstreams.list().filter(upstream => upstream.limit.requestsPerSecond !== undefined).length,
         droppedLogLines,
         isFollowingStore: () => this._deploymentTask.isFollowingStore
       }, instrumentation), metricsAddress))
--- a/packages/serving/src/upstreams/upstreamTable.ts
+++ b/packages/serving/src/upstreams/upstreamTable.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
+import { StatedLimit } from '../limits/statedLimit.js'
 import type { ListedUpstream } from './listedUpstream.js'
 import { UpstreamHealth } from './upstreamHealth.js'
 
@@ -17,6 +18,8 @@
 /** One incarnation of an upstream. */
 export class Upstream {
   readonly health = UpstreamHealth.create()
+  /** The request limit that it states. */
+  readonly limit = StatedLimit.create()
   /** Load by this gateway's requests. */
   readonly localLoad: UpstreamLoad = { requests: 0, waitingTokens: 0 }
   /** When the platform removes it; undefined when that is not known. */
--- /dev/null
+++ b/tests/platform/upstreamAdapter.spec.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { UpstreamAdapter } from '@plumstage/platform'
+import type { LimitStatement } from '@plumstage/serving'
+
+function readLimit (value: string | string[] | undefined): LimitStatement {
+  return UpstreamAdapter.create().readHead(200, { 'server-limit': value }).limit
+}
+
+describe('upstream adapter', () => {
+  it('reads the request limit of a response', () => {
+    assert.deepEqual(readLimit(undefined), { kind: 'none' })
+    assert.deepEqual(readLimit('1'), { kind: 'limit', requestsPerSecond: 1 })
+    assert.deepEqual(readLimit(' 0.25 '), { kind: 'limit', requestsPerSecond: 0.25 })
+    assert.deepEqual(readLimit('0'), { kind: 'limit', requestsPerSecond: 0 })
+  })
+
+  it('uses the lowest of several values that can be read', () => {
+    assert.deepEqual(readLimit(['5', '2']), { kind: 'limit', requestsPerSecond: 2 })
+    assert.deepEqual(readLimit('4, 3, x'), { kind: 'limit', requestsPerSecond: 3 })
+  })
+
+  it('does not take a value that can\'t be read for a limit, nor for none', () => {
+    for (const value of ['', '-1', 'many', 'NaN', 'Infinity', '1e999', '9'.repeat(400), '0x10']) assert.equal(readLimit(value).kind, 'unreadable', value)
+  })
+})
