--- /dev/null
+++ b/tests/platform/support/gatewayProcesses.ts
@@ -0,0 +1,119 @@
+/**
+ * Gateways of the users' platform as processes of their own, each on a loopback address of its own.
+ *
+ * @module
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import type { ActionEvent } from '@plumstage/common'
+
+const ENTRY = fileURLToPath(new URL('../../../packages/entry/dist/bin/entryMain.js', import.meta.url))
+const CALLER_PORT = 8080
+const READINESS_PORT = 8081
+const PEER_PORTS = [7600, 7615]
+const READY_POLL_MILLISECONDS = 50
+const OK = 200
+const MAXIMUM_OCTET = 250
+
+interface GatewayProcess {
+  child: ChildProcess
+  output: string
+}
+
+/** The processes of one deployment; `stop` ends them. */
+export class GatewayProcesses {
+  private readonly _storeAddress: string
+  private readonly _folder = mkdtempSync(join(tmpdir(), 'gateways-'))
+  /** The first three octets of the addresses, so that deployments of parallel tests do not collide. */
+  private readonly _network = `127.${randomOctet()}.${randomOctet()}`
+  private readonly _processes = new Map<number, GatewayProcess>()
+  private readonly _count: number
+
+  private constructor (storeAddress: string, count: number) {
+    this._storeAddress = storeAddress
+    this._count = count
+  }
+
+  /** Starts gateways with the numbers from 1 to `count` and waits until all are ready. */
+  static async create (storeAddress: string, count: number): Promise<GatewayProcesses> {
+    const processes = new GatewayProcesses(storeAddress, count)
+    await Promise.all(processes.numbers.map(async number => await processes.start(number)))
+    return processes
+  }
+
+  get numbers (): number[] {
+    return Array.from({ length: this._count }, (_, index) => index + 1)
+  }
+
+  callerUrlOf (number: number): string {
+    return `http://${this._addressOf(number)}:${CALLER_PORT}`
+  }
+
+  /** Starts a gateway, also one that was killed, and waits until it is ready. */
+  async start (number: number): Promise<void> {
+    const path = join(this._folder, `gateway-${number}.json`)
+    writeFileSync(path, JSON.stringify(this._settingsOf(number)))
+    const child = spawn(process.execPath, [ENTRY], { env: { ...process.env, PLUMSTAGE_SETTINGS: path }, stdio: ['ignore', 'pipe', 'inherit'] })
+    const started: GatewayProcess = { child, output: '' }
+    child.stdout.on('data', (chunk: Buffer) => { started.output += chunk.toString() })
+    this._processes.set(number, started)
+    while (!await this._isReady(number)) await new Promise(resolve => setTimeout(resolve, READY_POLL_MILLISECONDS))
+  }
+
+  /** Sends a signal: SIGKILL, SIGTERM, SIGSTOP to freeze the process, or SIGCONT to resume it. */
+  signal (number: number, signal: NodeJS.Signals): void {
+    this._processes.get(number)?.child.kill(signal)
+  }
+
+  /** Events of one kind that a gateway has logged since its last start. */
+  listEvents (number: number, kind: string): ActionEvent[] {
+    const lines = this._processes.get(number)!.output.split('\n').slice(0, -1)
+    return lines.filter(line => line.startsWith('{')).map(line => JSON.parse(line) as ActionEvent).filter(event => event.kind === kind)
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all([...this._processes.values()].map(async ({ child }) => {
+      if (child.exitCode !== null || child.signalCode !== null) return
+      const exited = new Promise(resolve => child.once('exit', resolve))
+      child.kill('SIGKILL')
+      await exited
+    }))
+    rmSync(this._folder, { recursive: true })
+  }
+
+  private _addressOf (number: number): string {
+    return `${this._network}.${number}`
+  }
+
+  private async _isReady (number: number): Promise<boolean> {
+    try {
+      const response = await fetch(`http://${this._addressOf(number)}:${READINESS_PORT}/v1/readyz`)
+      await response.arrayBuffer()
+      return response.status === OK
+    } catch {
+      return false
+    }
+  }
+
+  private _settingsOf (number: number): object {
+    const ip = this._addressOf(number)
+    return {
+      node_name: `edge-${number}`,
+      ip,
+      zone: 'east',
+      listen: { front: `${ip}:${CALLER_PORT}`, readiness: `${ip}:${READINESS_PORT}` },
+      port_range: PEER_PORTS,
+      seeds: this.numbers.map(other => `${this._addressOf(other)}:${CALLER_PORT}`),
+      platform: { address: this._storeAddress },
+      bounds: { retry_ratio: 0.2, retry_slack: 50, retry_window_s: 10 }
+    }
+  }
+}
+
+function randomOctet (): number {
+  return 1 + Math.floor(Math.random() * MAXIMUM_OCTET)
+}
--- a/tests/platform/support/platformDeployment.ts
+++ b/tests/platform/support/platformDeployment.ts
@@ -60,6 +60,16 @@
   tenants: [{ name: 'notaries', api_keys: [TOKEN], unit: 'tokens', uncached_tokens: 10, rate_per_s: 5, burst: 2000 }]
 }
 
+/** Returns the configuration as the operators write it, with some fields replaced. */
+export function formatConfiguration (fields: Partial<typeof CONFIGURATION>): string {
+  return JSON.stringify({ ...CONFIGURATION, ...fields })
+}
+
+/** Returns the entry that an upstream writes to the store, with some fields replaced. */
+export function formatUpstreamEntry (upstream: UpstreamStandin, service: string, fields: Record<string, unknown>): string {
+  return JSON.stringify({ service, address: upstream.address, zone: 'east', capacity: 6, state: 'ready', warmup_left_ms: 0, seq: 1, ...fields })
+}
+
 /** A running deployment. */
 export class PlatformDeployment {
   readonly clock = MonotonicClock.create()
@@ -84,7 +94,7 @@
 
   /** Writes the configuration with some fields replaced, and returns its revision. */
   configure (fields: Partial<typeof CONFIGURATION>): number {
-    return this.store.put('op/config', JSON.stringify({ ...CONFIGURATION, ...fields }))
+    return this.store.put('op/config', formatConfiguration(fields))
   }
 
   get routes (): typeof CONFIGURATION.routes {
@@ -99,7 +109,7 @@
   }
 
   putUpstreamEntry (upstream: UpstreamStandin, fields: Record<string, unknown> = {}, service = 'front'): void {
-    this.store.put(`servers/${upstream.id}`, JSON.stringify({ service, address: upstream.address, zone: 'east', capacity: 6, state: 'ready', warmup_left_ms: 0, seq: 1, ...fields }))
+    this.store.put(`servers/${upstream.id}`, formatUpstreamEntry(upstream, service, fields))
   }
 
   async addGateway (): Promise<ServingGateway> {
--- /dev/null
+++ b/tests/platform/support/processDeployment.ts
@@ -0,0 +1,51 @@
+/**
+ * Test fixture: gateways as separate processes before a store and upstreams in the process of the test.
+ *
+ * @module
+ */
+import { GatewayProcesses } from './gatewayProcesses.js'
+import { TOKEN, formatConfiguration, formatUpstreamEntry } from './platformDeployment.js'
+import { StoreStandin } from './storeStandin.js'
+import { UpstreamStandin } from './upstreamStandin.js'
+import type { ResponseScript } from './upstreamStandin.js'
+
+const SERVICE = 'front'
+/** No quota restricts the load. */
+const WORKSPACES = [{ name: 'notaries', api_keys: [TOKEN], unit: 'tokens', uncached_tokens: 10, rate_per_s: 0, burst: 0 }]
+
+/** A running deployment; `stop` ends it. */
+export class ProcessDeployment {
+  readonly store: StoreStandin
+  readonly upstreams: UpstreamStandin[] = []
+  gateways!: GatewayProcesses
+
+  private constructor (store: StoreStandin) {
+    this.store = store
+  }
+
+  /** Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. */
+  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>): Promise<ProcessDeployment> {
+    const deployment = new ProcessDeployment(await StoreStandin.create())
+    deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES }))
+    for (const fields of entries) await deployment.addUpstream(fields)
+    deployment.gateways = await GatewayProcesses.create(deployment.store.address, gatewayCount)
+    return deployment
+  }
+
+  async addUpstream (fields: Record<string, unknown>, script?: ResponseScript): Promise<UpstreamStandin> {
+    const upstream = await UpstreamStandin.create(`i-${this.upstreams.length + 1}`, script)
+    this.upstreams.push(upstream)
+    this.putEntry(upstream, fields)
+    return upstream
+  }
+
+  putEntry (upstream: UpstreamStandin, fields: Record<string, unknown>): void {
+    this.store.put(`servers/${upstream.id}`, formatUpstreamEntry(upstream, SERVICE, fields))
+  }
+
+  async stop (): Promise<void> {
+    await this.gateways.stop()
+    await Promise.all(this.upstreams.map(async upstream => await upstream.stop()))
+    await this.store.stop()
+  }
+}
--- a/tests/platform/support/upstreamStandin.ts
+++ b/tests/platform/support/upstreamStandin.ts
@@ -87,9 +87,9 @@
   return `HTTP/1.1 ${status}\r\nPlumstage-Attempt-Id: ${request.requestId}\r\nPlumstage-Server-Stamp: signed-by-${upstream.id}\r\n${extra}`
 }
 
-/** Responds with a body of known length. */
-export function respond (body: string, status = '200 OK'): ResponseScript {
-  return (request, upstream) => request.socket.write(`${formatResponseHead(request, upstream, status)}Content-Length: ${body.length}${HEAD_END}${body}`)
+/** Responds with a body of known length. `extra` holds further header lines. */
+export function respond (body: string, status = '200 OK', extra = ''): ResponseScript {
+  return (request, upstream) => request.socket.write(`${formatResponseHead(request, upstream, status, extra)}Content-Length: ${body.length}${HEAD_END}${body}`)
 }
 
 /** Refuses the request without executing it. */
@@ -97,11 +97,14 @@
   return request => request.socket.write(`HTTP/1.1 503 Service Unavailable\r\nPlumstage-Attempt-Id: ${request.requestId}\r\nPlumstage-Not-Executed: 1\r\nContent-Length: 0${HEAD_END}`)
 }
 
-/** Streams events `first` to `last`, then ends the stream cleanly or resets the connection in the middle of the next event. */
-export function streamEvents (first: number, last: number, ending: 'end' | 'reset'): ResponseScript {
+/**
+ * Streams events `first` to `last`, then ends the stream cleanly or resets the connection in the middle of the next event.
+ * `extra` holds further header lines.
+ */
+export function streamEvents (first: number, last: number, ending: 'end' | 'reset', extra = ''): ResponseScript {
   return (request, upstream) => {
     const { socket } = request
-    socket.write(`${formatResponseHead(request, upstream)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked${HEAD_END}`)
+    socket.write(`${formatResponseHead(request, upstream, '200 OK', extra)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked${HEAD_END}`)
     for (let id = first; id <= last; id++) socket.write(formatChunk(formatServerSentEvent(id)))
     if (ending === 'end') return void socket.write('0\r\n\r\n')
     socket.write(formatChunk('id: 99'), () => socket.resetAndDestroy())
