Keep the requests of all gateways within the limits that upstreams state

What callers and upstreams saw: an upstream in need that states how many requests per second it accepts got as many as before, 56 and 67 in 4 s where 11 are allowed; with all upstreams limited nothing was refused, 62 and 64 for 23. Evidence: limited-attempt-started lines of the failing test, first attempts only, four times the limit from each gateway alone. Change: LimitHolders divides a limit without messages: all gateways rank the registered ones for the upstream, and the first few hold equal shares, few of them for a low limit, so that shares are used and views that differ add one holder and not one limit. RequestPacer paces each share; every send counts, whatever its reason. Upstreams without room are no candidates for routing or the overload guard; when none has room, the request is rejected at once, and ReturnSchedule gives callers one turn after another. Limits, their changes and ends travel in the gateways' reports, also through relays; a limit belongs to one incarnation; a value that can't be read changes nothing. Why it works: worst case of all holders in 4 s is the limit of one second plus 2, plus 4 s of the limit, below one and a half times 4 s plus 5 at any limit and number of gateways, with room for a holder too many.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -161,6 +161,7 @@
     this._services.running.add(upstream, this)
     this._attemptStartedAt = this._services.clock.now()
     this._load.add(choice, this._attemptStartedAt)
+    this._services.state.limits.recordSend(upstream, this._attemptStartedAt)
     this._emitLimitedAttempt(upstream)
     this._attempt = UpstreamAttempt.create(this)
     const { head, body, workspace, rank, deadline } = this._request
@@ -197,7 +198,7 @@
     const { clock, state } = this._services
     const { service, head, route } = this._request
     const now = clock.now()
-    const available = state.upstreams.listAvailable(service.name, now)
+    const available = state.listUsable(service.name, now)
     const untried = available.filter(upstream => !this._failedUpstreams.has(upstream))
     const objectiveMilliseconds = route.objectiveMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS
     return state.routerOf(service).choose({ generation: head.generation, objectiveMilliseconds, prefillTokensPerMillisecond: state.capacities.capacityOf(service.name, now).tokensPerMillisecond }, untried.length > 0 ? untried : available, now)
@@ -261,7 +262,10 @@
   private _failWithoutUpstream (): void {
     if (this._relay.started) return this._cut('cut-without-upstream')
     if (this._progress.mayHaveRun) return this._reject(createRejection('upstream-failed', 'No upstream is available for another attempt, and the request may have been executed. Check its effect before sending it again.'))
-    this._reject(createRejection('no-upstream', `Service ${this._request.service.name} has no available upstream, and the request was not executed. Send it again after the indicated delay.`, RETRY_AFTER_NO_UPSTREAM_MILLISECONDS))
+    const { clock, state } = this._services
+    const service = this._request.service.name
+    if (state.isLimited(service, clock.now())) return this._reject(createRejection('upstreams-limited', `All upstreams of service ${service} limit their requests and have no room now, and the request was not executed. Send it again after the indicated delay.`, state.bookReturn(service, clock.now())))
+    this._reject(createRejection('no-upstream', `Service ${service} has no available upstream, and the request was not executed. Send it again after the indicated delay.`, RETRY_AFTER_NO_UPSTREAM_MILLISECONDS))
   }
 
   private _expire (): void {
@@ -309,10 +313,11 @@
   }
 
   private _applyLimit (statement: LimitStatement): void {
-    const { clock, instrumentation } = this._services
-    const { listed, limit } = this._upstream!
+    const { clock, state, instrumentation } = this._services
+    const upstream = this._upstream!
+    const { listed, limit } = upstream
     if (statement.kind === 'unreadable') instrumentation.emit('upstream-limit-unreadable', { upstream: listed.id, value: statement.text.slice(0, MAXIMUM_LOGGED_VALUE_LENGTH) }, this._request.head.requestId)
-    if (!limit.applyResponse(statement, this._attemptStartedAt, clock.now())) return
+    if (!state.limits.applyResponse(upstream, statement, this._attemptStartedAt, clock.now())) return
     instrumentation.emit('upstream-limit-changed', { upstream: listed.id, service: listed.service, requestsPerSecond: limit.requestsPerSecond, source: 'response' }, this._request.head.requestId)
   }
 
--- a/packages/serving/src/callers/rejection.ts
+++ b/packages/serving/src/callers/rejection.ts
@@ -16,6 +16,7 @@
   | 'no-configuration'
   | 'no-upstream'
   | 'overloaded'
+  | 'upstreams-limited'
   | 'quarantined'
   | 'not-run'
   | 'timeout'
@@ -32,6 +33,7 @@
   'no-configuration': 503,
   'no-upstream': 503,
   overloaded: 503,
+  'upstreams-limited': 503,
   quarantined: 503,
   'not-run': 503,
   timeout: 504,
--- a/packages/serving/src/limits/statedLimit.ts
+++ b/packages/serving/src/limits/statedLimit.ts
@@ -42,15 +42,22 @@
   /**
    * Applies the statement of a response to a request that was sent at `sentAt`. Responses overtake each other, so one
    * without a statement ends the limit only if its request was sent after the limit was last stated. A value that can't
-   * be read neither changes nor ends a limit. Returns whether the limit has changed.
+   * be read neither changes nor ends a limit. Later responses without a statement renew the knowledge that a limit has
+   * ended. Returns whether the limit has changed.
    */
   applyResponse (statement: LimitStatement, sentAt: Timestamp, now: Timestamp): boolean {
     if (statement.kind === 'limit') return this._replace({ requestsPerSecond: statement.requestsPerSecond, statedAt: now })
-    if (statement.kind === 'unreadable' || this._latest?.requestsPerSecond === undefined) return false
+    if (statement.kind === 'unreadable' || this._latest === undefined) return false
     if (sentAt <= this._latest.statedAt) return false
     return this._replace({ requestsPerSecond: undefined, statedAt: now })
   }
 
+  /** Applies what another gateway knows, if it is newer. Returns whether the limit has changed. */
+  applyReport (observation: LimitObservation): boolean {
+    if (this._latest === undefined ? observation.requestsPerSecond === undefined : observation.statedAt <= this._latest.statedAt) return false
+    return this._replace(observation)
+  }
+
   private _replace (observation: LimitObservation): boolean {
     const before = this.requestsPerSecond
     this._latest = observation
--- /dev/null
+++ b/packages/serving/src/limits/upstreamLimits.ts
@@ -0,0 +1,134 @@
+/**
+ * Keeps the requests of this gateway within its shares of the limits that upstreams state, and exchanges what is known
+ * of the limits with the other gateways.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import type { PeerTable } from '../peers/peerTable.js'
+import type { Upstream } from '../upstreams/upstreamTable.js'
+import { LimitHolders } from './limitHolders.js'
+import { RequestPacer } from './requestPacer.js'
+import type { LimitShare } from './requestPacer.js'
+import type { LimitStatement } from './statedLimit.js'
+
+/** The end of a limit is reported for this long. */
+const REPORT_END_MILLISECONDS = 60_000
+/** Bounds the size of a report; the limits that were stated last are included. */
+const MAXIMUM_REPORTED_LIMITS = 200
+/**
+ * A report counts as older than it says by this time, which exceeds its way from one gateway to another: else an old
+ * statement would look newer each time a gateway passes it on.
+ */
+const REPORT_DELAY_MILLISECONDS = 100
+
+/** What one gateway tells the others about the limit of an upstream. */
+export interface ReportedLimit {
+  upstream: string
+  incarnation: string
+  /** Undefined when the limit has ended. */
+  requestsPerSecond?: number
+  /** Time since the upstream stated this. */
+  ageMilliseconds: number
+}
+
+interface PacedUpstream {
+  share: LimitShare
+  pacer: RequestPacer
+}
+
+/** The limits of all upstreams at one gateway. */
+export class UpstreamLimits {
+  private readonly _holders: LimitHolders
+  private readonly _paced = new Map<Upstream, PacedUpstream>()
+  /** Whether a limit has begun or ended since the last report. */
+  private _isReportUrgent = false
+
+  private constructor (peers: PeerTable) {
+    this._holders = LimitHolders.create(peers)
+  }
+
+  static create (peers: PeerTable): UpstreamLimits {
+    return new UpstreamLimits(peers)
+  }
+
+  /** Whether the other gateways should receive a report before the regular interval ends. */
+  get isReportUrgent (): boolean {
+    return this._isReportUrgent
+  }
+
+  /** Whether this gateway may send a request to the upstream now. */
+  hasRoom (upstream: Upstream, now: Timestamp): boolean {
+    return this.nextRoomAt(upstream, now) <= now
+  }
+
+  /** When this gateway may send its next request to the upstream; never, if it has no share of the limit. */
+  nextRoomAt (upstream: Upstream, now: Timestamp): Timestamp {
+    const { requestsPerSecond } = upstream.limit
+    if (requestsPerSecond === undefined) return now
+    return this._pace(upstream, requestsPerSecond, now)?.pacer.nextSendAt ?? Number.POSITIVE_INFINITY
+  }
+
+  /** Counts a request that is sent to the upstream, whatever the reason. */
+  recordSend (upstream: Upstream, now: Timestamp): void {
+    this._paced.get(upstream)?.pacer.recordSend(now)
+  }
+
+  /** Applies what a response states. Returns whether the limit has changed. */
+  applyResponse (upstream: Upstream, statement: LimitStatement, sentAt: Timestamp, now: Timestamp): boolean {
+    const before = upstream.limit.requestsPerSecond
+    const isChanged = upstream.limit.applyResponse(statement, sentAt, now)
+    this._recordChange(upstream, before)
+    return isChanged
+  }
+
+  /** Applies what another gateway reports. Returns whether the limit has changed. */
+  applyReport (upstream: Upstream, { requestsPerSecond, ageMilliseconds }: ReportedLimit, now: Timestamp): boolean {
+    const before = upstream.limit.requestsPerSecond
+    const isChanged = upstream.limit.applyReport({ requestsPerSecond, statedAt: now - ageMilliseconds - REPORT_DELAY_MILLISECONDS })
+    this._recordChange(upstream, before)
+    return isChanged
+  }
+
+  /** Returns what to report to the other gateways. */
+  createReport (upstreams: readonly Upstream[], now: Timestamp): ReportedLimit[] {
+    this._isReportUrgent = false
+    const reported = upstreams
+      .filter(({ limit }) => limit.requestsPerSecond !== undefined || (limit.latest !== undefined && limit.latest.statedAt > now - REPORT_END_MILLISECONDS))
+      .map(({ listed, limit }) => ({ upstream: listed.id, incarnation: listed.incarnation, requestsPerSecond: limit.requestsPerSecond, ageMilliseconds: Math.max(0, Math.round(now - limit.latest!.statedAt)) }))
+    if (reported.length <= MAXIMUM_REPORTED_LIMITS) return reported
+    return reported.sort((left, right) => left.ageMilliseconds - right.ageMilliseconds).slice(0, MAXIMUM_REPORTED_LIMITS)
+  }
+
+  /** Forgets an upstream that has been removed. */
+  remove (upstream: Upstream): void {
+    this._paced.delete(upstream)
+    this._holders.forget(upstream.listed.id)
+  }
+
+  private _recordChange (upstream: Upstream, before: number | undefined): void {
+    const after = upstream.limit.requestsPerSecond
+    if ((before === undefined) !== (after === undefined)) this._isReportUrgent = true
+    if (after === undefined) this._paced.delete(upstream)
+  }
+
+  private _pace (upstream: Upstream, requestsPerSecond: number, now: Timestamp): PacedUpstream | undefined {
+    const share = this._holders.shareOf(upstream.listed.id, requestsPerSecond, now)
+    const paced = this._paced.get(upstream)
+    if (!share) {
+      this._paced.delete(upstream)
+      return undefined
+    }
+    if (!paced) return this._startPacing(upstream, share, now)
+    if (share.requestsPerSecond === paced.share.requestsPerSecond && share.burstRequests === paced.share.burstRequests) return paced
+    paced.share = share
+    paced.pacer.update(share, now)
+    return paced
+  }
+
+  private _startPacing (upstream: Upstream, share: LimitShare, now: Timestamp): PacedUpstream {
+    const paced = { share, pacer: RequestPacer.create(share, now) }
+    this._paced.set(upstream, paced)
+    return paced
+  }
+}
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -8,6 +8,7 @@
 import type { Result } from 'neverthrow'
 import { gossip } from '@plumstage/protocol'
 import { describeError } from '@plumstage/common'
+import type { ReportedLimit } from '../limits/upstreamLimits.js'
 import type { WorkspaceUsage } from '../quotas/workspaceUsage.js'
 
 /** Load of one gateway on one upstream. */
@@ -67,6 +68,7 @@
   suspicions: ReportedSuspicion[]
   demands: ReportedDemand[]
   knownAddresses: string[]
+  limits: ReportedLimit[]
   /** Only in the reports of relays. */
   relayed?: RelayedReports
 }
@@ -99,6 +101,7 @@
       suspicions,
       demands,
       knownAddresses,
+      limits: message.limits.filter(isReadable),
       sequence: Number(message.sequence),
       configurationRevision: Number(message.configurationRevision),
       upstreamsRevision: Number(message.upstreamsRevision),
@@ -111,6 +114,11 @@
   }
 }
 
+/** A limit that is not a number of requests would be taken for one that has ended, or for none at all. */
+function isReadable ({ requestsPerSecond }: gossip.UpstreamLimit): boolean {
+  return requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0)
+}
+
 function encodeUsage ({ workspace, admittedUnits, offeredUnitsPerSecond }: WorkspaceUsage): { workspace: string, admittedUnits: bigint, offeredUnitsPerSecond: number } {
   return { workspace, admittedUnits: BigInt(admittedUnits), offeredUnitsPerSecond }
 }
--- a/packages/serving/src/peers/reportExchange.ts
+++ b/packages/serving/src/peers/reportExchange.ts
@@ -47,7 +47,7 @@
 
   /** Creates the next report, which is the same for all recipients. */
   createReport (leaving: boolean, now: Timestamp, timeOfDay: Timestamp): GatewayReport {
-    const { view, upstreams, quotas, usage, quarantine, peers } = this._state
+    const { view, upstreams, limits, quotas, usage, quarantine, peers } = this._state
     return {
       ...this._sender,
       sequence: ++this._sequence,
@@ -55,6 +55,7 @@
       configurationRevision: view.configurationRevision,
       upstreamsRevision: view.upstreamsRevision,
       loads: upstreams.list().filter(upstream => upstream.localLoad.requests > 0).map(({ listed, localLoad: load }) => ({ upstream: listed.id, requests: load.requests, waitingTokens: Math.round(load.waitingTokens) })),
+      limits: limits.createReport(upstreams.list(), now),
       uses: quotas.createReport(now),
       windows: usage.listLocal(usage.windowAt(timeOfDay) - REPORTED_WINDOWS),
       suspicions: quarantine.list(now).slice(-MAXIMUM_REPORTED_SUSPICIONS),
@@ -89,12 +90,21 @@
     const { upstreams, quotas, usage, quarantine } = this._state
     const loads = indexByUpstream(report.loads)
     for (const upstream of upstreams.list()) upstream.setPeerLoad(report.name, loads.get(upstream.listed.id))
+    this._applyLimits(report, now)
     this._applyAggregate(report, isContinuous, now)
     quotas.applyReport(incarnationKey(report), report.uses, isContinuous)
     usage.applyReport(incarnationKey(report), report.windows)
     quarantine.mergeReports(report.suspicions, now)
   }
 
+  /** A limit of another incarnation than the one listed here does not apply. */
+  private _applyLimits ({ limits }: GatewayReport, now: Timestamp): void {
+    for (const reported of limits) {
+      const upstream = this._state.upstreams.get(reported.upstream)
+      if (upstream?.listed.incarnation === reported.incarnation) this._state.limits.applyReport(upstream, reported, now)
+    }
+  }
+
   /** Stops counting the load of peers that have become unresponsive. */
   clearLoads (peers: readonly Peer[]): void {
     for (const { report } of peers) {
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -189,7 +189,7 @@
       createReport: () => this._exchange.createReport(this._stopping, clock.now(), this._environment.timeOfDay()),
       createAggregate: address => this._exchange.createAggregate(address, clock.now()),
       dutyHolder: () => this._registry.dutyHolder,
-      isReportUrgent: () => this.state.quotas.isReportUrgent,
+      isReportUrgent: () => this.state.quotas.isReportUrgent || this.state.limits.isReportUrgent,
       onReport: peer => this._exchange.apply(peer, clock.now()),
       onPeersUnresponsive: peers => this._exchange.clearLoads(peers),
       onPeersExpired: peers => this._removeExpiredPeers(peers),
@@ -275,6 +275,7 @@
     const removed = this.state.upstreams.apply(this.state.view.listUpstreams(), clock.now())
     for (const upstream of removed) {
       this._connections.forget(upstream)
+      this.state.limits.remove(upstream)
       this.state.prefixCache.removeUpstream(upstream.listed.id)
       instrumentation.emit('upstream-removed', { upstream: upstream.listed.id, service: upstream.listed.service, revision: this.state.view.upstreamsRevision })
     }
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -12,6 +12,8 @@
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
 import { DeploymentView } from './deployment/deploymentView.js'
 import { DemandMeter } from './fleet/demandMeter.js'
+import { ReturnSchedule } from './limits/returnSchedule.js'
+import { UpstreamLimits } from './limits/upstreamLimits.js'
 import { PeerTable } from './peers/peerTable.js'
 import { WorkspaceQuotas } from './quotas/workspaceQuotas.js'
 import { QuarantineTable } from './recovery/quarantineTable.js'
@@ -21,6 +23,7 @@
 import { PrefixCacheIndex } from './routing/prefixCacheIndex.js'
 import type { ServingSettings } from './servingSettings.js'
 import { UpstreamTable } from './upstreams/upstreamTable.js'
+import type { Upstream } from './upstreams/upstreamTable.js'
 import { UsageLedger } from './usage/usageLedger.js'
 
 const CRASHES_FOR_QUARANTINE = 3
@@ -30,6 +33,7 @@
   readonly view: DeploymentView
   readonly upstreams = UpstreamTable.create()
   readonly peers: PeerTable
+  readonly limits: UpstreamLimits
   readonly quotas: WorkspaceQuotas
   readonly usage: UsageLedger
   readonly demand = DemandMeter.create()
@@ -37,7 +41,9 @@
   readonly prefixCache: PrefixCacheIndex
   readonly overload: OverloadGuard
   readonly capacities: ServiceCapacities
+  private readonly _random: SeededRandom
   private readonly _retryBudgets = new Map<string, RetryBudget>()
+  private readonly _returnSchedules = new Map<string, ReturnSchedule>()
   private _retryBound: RetryBound
   private readonly _plainRouter: Router
   private readonly _generationRouter: Router
@@ -45,11 +51,13 @@
   private constructor (settings: ServingSettings, decoder: DeploymentDecoder, random: SeededRandom) {
     this.view = DeploymentView.create(decoder)
     this.peers = PeerTable.create({ address: settings.peerAddress, processorCores: settings.processorCores })
+    this.limits = UpstreamLimits.create(this.peers)
     this.quotas = WorkspaceQuotas.create(settings.quotaTolerance)
     this.capacities = ServiceCapacities.create(this.peers)
     this.usage = UsageLedger.create(settings.usageWindowMilliseconds)
     this.prefixCache = PrefixCacheIndex.create(settings.prefixReuseMilliseconds)
     this._retryBound = settings.retryBound
+    this._random = random
     this.overload = OverloadGuard.create(random)
     this._plainRouter = PlainRouter.create(settings.failureDomain, random)
     this._generationRouter = GenerationRouter.create(settings.failureDomain, this.prefixCache)
@@ -71,12 +79,30 @@
     return service?.type === 'model-engine' ? this._generationRouter : this._plainRouter
   }
 
+  /** Upstreams of a service to which this gateway may send a request now. */
+  listUsable (service: string, now: Timestamp): readonly Upstream[] {
+    return this.upstreams.listAvailable(service, now, upstream => this.limits.hasRoom(upstream, now))
+  }
+
+  /** Whether upstreams of a service are available but state limits that leave no room. */
+  isLimited (service: string, now: Timestamp): boolean {
+    return this.upstreams.listAvailable(service, now).length > 0 && this.listUsable(service, now).length === 0
+  }
+
+  /** Chooses when a caller that was rejected for the limits of upstreams may return; the delay in milliseconds. */
+  bookReturn (service: string, now: Timestamp): number {
+    const schedule = this._returnSchedules.get(service) ?? ReturnSchedule.create(this._random)
+    this._returnSchedules.set(service, schedule)
+    const accepted = this.upstreams.listAvailable(service, now).reduce((sum, { limit }) => sum + (limit.requestsPerSecond ?? 0), 0)
+    return schedule.book(accepted, this.peers.countPresent(now), now)
+  }
+
   /**
    * Estimates the time until the least loaded upstream of a service starts the prefill of another prompt, in
    * milliseconds; 0 when no upstream is available.
    */
   expectedWaitMilliseconds (service: string, now: Timestamp): number {
-    const available = this.upstreams.listAvailable(service, now)
+    const available = this.listUsable(service, now)
     if (available.length === 0) return 0
     return Math.min(...available.map(upstream => upstream.waitingTokens)) / this.capacities.capacityOf(service, now).tokensPerMillisecond
   }
--- a/packages/serving/src/upstreams/upstreamTable.ts
+++ b/packages/serving/src/upstreams/upstreamTable.ts
@@ -108,9 +108,11 @@
     return this._byService.get(service) ?? []
   }
 
-  /** Upstreams that may get new requests now; suspended ones only when there are no others. */
-  listAvailable (service: string, now: Timestamp): readonly Upstream[] {
-    const present = this.listOfService(service).filter(upstream => !upstream.isLeaving)
+  /**
+   * Upstreams that may get new requests now and that `hasRoom` accepts; suspended ones only when there are no others.
+   */
+  listAvailable (service: string, now: Timestamp, hasRoom: (upstream: Upstream) => boolean = () => true): readonly Upstream[] {
+    const present = this.listOfService(service).filter(upstream => !upstream.isLeaving && hasRoom(upstream))
     const healthy = present.filter(upstream => !upstream.health.isSuspended(now))
     return healthy.length > 0 ? healthy : present
   }
--- a/tests/platform/upstreamLimits.spec.ts
+++ b/tests/platform/upstreamLimits.spec.ts
@@ -15,6 +15,10 @@
 const REJECTION_MILLISECONDS = 250
 const SERVICE_UNAVAILABLE = 503
 
+async function wait (milliseconds: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
 /** Records each request; states a limit in the response if there is one. */
 function recordAndRespond (log: ArrivalLog, limit: string | undefined, isStream: boolean): ResponseScript {
   const extra = limit === undefined ? '' : `Server-Limit: ${limit}\r\n`
@@ -27,6 +31,41 @@
   }
 }
 
+describe('request limits of upstreams while gateways fail', () => {
+  let deployment: ProcessDeployment
+  before(async () => { deployment = await ProcessDeployment.create(5, Array.from({ length: UPSTREAMS }, () => ({}))) })
+  after(async () => await deployment.stop())
+
+  // Guards against: shares of killed, frozen, restarted and cut-off gateways are used by others and by themselves.
+  it('LIMIT: gateways keep the limit while some are killed, frozen, restarted and cut off from the store', async () => {
+    const { gateways, store } = deployment
+    const logs = deployment.upstreams.map(() => ArrivalLog.create())
+    for (const [index, upstream] of deployment.upstreams.entries()) upstream.script = recordAndRespond(logs[index], index === 0 ? '1' : undefined, false)
+    const serving = new Set(gateways.numbers)
+    const callers = OpenLoopCallers.create({ callerUrlOf: gateway => gateways.callerUrlOf(gateway), listGateways: () => [...serving], target: '/open/x', method: 'GET', requestsPerSecond: REQUESTS_PER_SECOND, seed: SEED })
+    const load = callers.run(14_000)
+    await wait(5000)
+    for (const [killed, frozen] of [[1, 2], [3, 4]]) {
+      serving.delete(killed)
+      serving.delete(frozen)
+      gateways.signal(killed, 'SIGKILL')
+      gateways.signal(frozen, 'SIGSTOP')
+      await wait(800)
+      gateways.signal(frozen, 'SIGCONT')
+      logs[0].forget(String(killed))
+      await gateways.start(killed)
+      serving.add(killed).add(frozen)
+      await wait(800)
+    }
+    store.fault = 'busy'
+    await load
+    store.fault = 'none'
+    const { most, allowed } = logs[0].checkLimit(1)
+    assert.ok(most <= allowed, `${most} requests in 4 s, allowed ${allowed}`)
+    assert.ok(logs[0].count >= 5, `only ${logs[0].count} requests reached the limited upstream`)
+  })
+})
+
 for (const { kind, target, method, gatewayCount } of [
   { kind: 'streams', target: '/manual/x', method: 'POST', gatewayCount: 3 },
   { kind: 'plain requests', target: '/open/x', method: 'GET', gatewayCount: 6 }
