Log which software version streams begin and go on at

The logs can't tell at which version a stream began, at which it went on, and which attempt a caller takes up, so the three hypotheses could not be told apart. Change: the adapters decode the version of an upstream's entry and the id of the attempt that began a resumed stream; an event for each continuation, with version, attempt and whether it is within one response; the same for first events. No decision depends on them yet. Entries of the stand-ins state a version, as those of the platform do. Result: new tests of the decoders pass; nothing is changed for callers.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -163,6 +163,7 @@
     this._load.add(choice, this._attemptStartedAt)
     this._services.state.limits.recordSend(upstream, this._attemptStartedAt)
     this._emitLimitedAttempt(upstream)
+    this._emitContinuation(upstream)
     this._attempt = UpstreamAttempt.create(this)
     const { head, body, workspace, rank, deadline } = this._request
     const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
@@ -217,7 +218,7 @@
     this._load.recordFirstEvent(this._services.clock.now())
     this._recordUsage()
     this._firstEventMilliseconds ??= this._elapsedMilliseconds()
-    this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._load.prefillTokens, backlogTokens: this._load.backlogTokens, requests: this._upstream?.requests }, this._request.head.requestId)
+    this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, softwareVersion: this._upstream?.listed.softwareVersion, resumedRequest: this._request.head.resumedRequestId, resumeAfter: this._request.head.lastEventId, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._load.prefillTokens, backlogTokens: this._load.backlogTokens, requests: this._upstream?.requests }, this._request.head.requestId)
   }
 
   private _recordUsage (): void {
@@ -329,6 +330,13 @@
     instrumentation.emit('limited-attempt-started', { upstream: upstream.listed.id, requestsPerSecond: known.requestsPerSecond, limitAgeMilliseconds: Math.round(this._attemptStartedAt - known.statedAt), attemptKind: this._attemptKind }, this._request.head.requestId)
   }
 
+  /** Records that a stream of which the caller has events goes to an upstream, and which software that runs. */
+  private _emitContinuation ({ listed }: Upstream): void {
+    const resumeAfter = this._relay.lastEventId
+    if (resumeAfter === undefined) return
+    this._services.instrumentation.emit('stream-continued', { upstream: listed.id, softwareVersion: listed.softwareVersion, resumedRequest: this._request.head.resumedRequestId, resumeAfter, withinResponse: this._relay.started }, this._request.head.requestId)
+  }
+
   private get _attemptKind (): AttemptKind {
     if (this._relay.lastEventId !== undefined) return 'continuation'
     return this._failedUpstreams.size === 0 ? 'first' : 'retry'
--- a/packages/serving/src/callers/callerProtocol.ts
+++ b/packages/serving/src/callers/callerProtocol.ts
@@ -39,6 +39,8 @@
   timeoutMilliseconds?: number
   /** Id of the last event that the caller has received of a stream. */
   lastEventId?: number
+  /** Id of the request that brought the first event of the stream that the caller resumes. */
+  resumedRequestId?: string
   generation?: GenerationDemand
   /** Alternating names and values of the headers to forward to an upstream. */
   forwardedHeaders: readonly string[]
--- a/packages/serving/src/upstreams/listedUpstream.ts
+++ b/packages/serving/src/upstreams/listedUpstream.ts
@@ -17,6 +17,8 @@
   /** IP address and port. */
   address: string
   failureDomain: string
+  /** Version of its software; undefined when its entry does not state one. */
+  softwareVersion?: string
   /** Requests that it executes at the same time. */
   capacity: number
   state: ListedState
--- a/tests/platform/callerAdapter.spec.ts
+++ b/tests/platform/callerAdapter.spec.ts
@@ -27,6 +27,11 @@
     assert.deepEqual([head.host, head.path, head.target, head.token], ['ficu.example', '/lohu/2f', '/lohu/2f?x=1', 'abc'])
   })
 
+  it('parses which request began the stream that a caller resumes', () => {
+    const head = read({ resumes: 'r-0', 'last-event-id': '12' })
+    assert.deepEqual([head.resumedRequestId, head.lastEventId], ['r-0', 12])
+  })
+
   it('ignores invalid numbers', () => {
     const head = read({ 'plumstage-deadline-ms': '-5', 'last-event-id': 'x', 'plumstage-token-count': 'many' })
     assert.deepEqual([head.timeoutMilliseconds, head.lastEventId, head.generation], [undefined, undefined, undefined])
--- a/tests/platform/documents.spec.ts
+++ b/tests/platform/documents.spec.ts
@@ -41,14 +41,18 @@
 })
 
 describe('upstream entry', () => {
-  const entry = { service: 'front', address: '10.0.0.1:80', zone: 'east', capacity: 6, state: 'draining', warmup_left_ms: 0, seq: 4, leaves_ms: 2400, spot: true, born: 1_772_000_000_000 }
+  const entry = { service: 'front', address: '10.0.0.1:80', zone: 'east', version: 'v1.1', capacity: 6, state: 'draining', warmup_left_ms: 0, seq: 4, leaves_ms: 2400, spot: true, born: 1_772_000_000_000 }
 
   function readEntry (fields: Record<string, unknown>) {
     return DeploymentAdapter.create().decodeUpstream('i-1', JSON.stringify({ ...entry, ...fields }))
   }
 
   it('is converted to a listed upstream', () => {
-    assert.deepEqual(readEntry({})._unsafeUnwrap(), { id: 'i-1', incarnation: '1772000000000', service: 'front', address: '10.0.0.1:80', failureDomain: 'east', capacity: 6, state: 'leaving', leavesInMilliseconds: 2400, reclaimable: true, warmupMilliseconds: 0 })
+    assert.deepEqual(readEntry({})._unsafeUnwrap(), { id: 'i-1', incarnation: '1772000000000', service: 'front', address: '10.0.0.1:80', failureDomain: 'east', softwareVersion: 'v1.1', capacity: 6, state: 'leaving', leavesInMilliseconds: 2400, reclaimable: true, warmupMilliseconds: 0 })
+  })
+
+  it('may lack a software version, also if it is not text', () => {
+    for (const version of [undefined, null, '', 7]) assert.equal(readEntry({ version })._unsafeUnwrap().softwareVersion, undefined)
   })
 
   it('is rejected if a field is missing, has the wrong type or an unknown value', () => {
--- a/tests/platform/support/platformDeployment.ts
+++ b/tests/platform/support/platformDeployment.ts
@@ -67,7 +67,7 @@
 
 /** Returns the entry that an upstream writes to the store, with some fields replaced. */
 export function formatUpstreamEntry (upstream: UpstreamStandin, service: string, fields: Record<string, unknown>): string {
-  return JSON.stringify({ service, address: upstream.address, zone: 'east', capacity: 6, state: 'ready', warmup_left_ms: 0, seq: 1, ...fields })
+  return JSON.stringify({ service, address: upstream.address, zone: 'east', version: 'v1', capacity: 6, state: 'ready', warmup_left_ms: 0, seq: 1, ...fields })
 }
 
 /** A running deployment. */
