Reproduce streams with events of two software versions

Real gateways as processes, upstreams of two versions, callers that leave, resume, lose their gateway or their upstream.

--- /dev/null
+++ b/tests/platform/streamVersions.spec.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { knownRed } from '../support/knownRed.js'
+import { ProcessDeployment } from './support/processDeployment.js'
+import { StreamCaller, streamSlowly } from './support/streamCaller.js'
+import type { UpstreamStandin } from './support/upstreamStandin.js'
+
+const GATEWAYS = 4
+const VERSIONS = ['v1', 'v1', 'v1', 'v1.1', 'v1.1']
+const EVENTS = 60
+const EVENT_MILLISECONDS = 15
+const LAST_EVENT = EVENTS
+/** More mixed streams break the promise. */
+const ALLOWED_MIXED = 2
+const REJECTION_MILLISECONDS = 700
+const SERVICE_UNAVAILABLE = 503
+
+async function wait (milliseconds: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
+describe('software versions of streams', () => {
+  let deployment: ProcessDeployment
+  beforeEach(async () => {
+    deployment = await ProcessDeployment.create(GATEWAYS, VERSIONS.map(version => ({ version, capacity: 64 })))
+    for (const [index, upstream] of deployment.upstreams.entries()) upstream.script = streamSlowly(VERSIONS[index], LAST_EVENT, EVENT_MILLISECONDS)
+  })
+  afterEach(async () => await deployment.stop())
+
+  function urlOf (gateway: number): string {
+    return deployment.gateways.callerUrlOf(gateway)
+  }
+
+  function createCallers (count: number): StreamCaller[] {
+    return Array.from({ length: count }, (_, index) => StreamCaller.create(`s${index}`))
+  }
+
+  function gatewayOf (index: number): number {
+    return index % GATEWAYS + 1
+  }
+
+  /** Resumes at the next gateway whatever has broken or was left. */
+  async function resume (callers: readonly StreamCaller[], without?: number): Promise<void> {
+    await Promise.all(callers.map(async (caller, index) => {
+      const next = gatewayOf(index + 1) === without ? gatewayOf(index + 2) : gatewayOf(index + 1)
+      if (!caller.isComplete) await caller.send(urlOf(next))
+    }))
+  }
+
+  function assertUnmixed (callers: readonly StreamCaller[]): void {
+    const mixed = callers.filter(caller => caller.isMixed).length
+    assert.ok(mixed <= ALLOWED_MIXED, `${mixed} of ${callers.length} streams hold events of two versions, allowed ${ALLOWED_MIXED}`)
+    assert.ok(callers.every(caller => caller.isContinuous), 'events are missing or repeated')
+  }
+
+  /** At least half of the streams that were taken up go on, because new ones all begin. */
+  function assertMostGoOn (callers: readonly StreamCaller[]): void {
+    const resumed = callers.filter(caller => caller.tries.length > 1)
+    const complete = resumed.filter(caller => caller.isComplete).length
+    assert.ok(complete >= resumed.length / 2, `${complete} of ${resumed.length} streams went on`)
+  }
+
+  function crash (upstream: UpstreamStandin): void {
+    upstream.script = request => request.socket.resetAndDestroy()
+    for (const { socket } of upstream.requests) socket.resetAndDestroy()
+    deployment.store.remove(`servers/${upstream.id}`)
+  }
+
+  const atOtherGateway = 'ORDER: a stream that its caller resumes at another gateway goes on at the version that began it'
+  // Guards against: a caller's next try gets any upstream, because no gateway knows which version began the stream.
+  it(atOtherGateway, knownRed(atOtherGateway), async () => {
+    const callers = createCallers(100)
+    await Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index)), 5 + index % 20)))
+    await resume(callers)
+    assertUnmixed(callers)
+    assertMostGoOn(callers)
+  })
+
+  const twice = 'ORDER: a stream that its caller resumes twice goes on at the version that began it'
+  // Guards against: the record of the beginning is lost once the stream was continued, or under the id of the last try.
+  it(twice, knownRed(twice), async () => {
+    const callers = createCallers(60)
+    await Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index)), 5)))
+    await Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index + 1)), 5)))
+    await Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index + 2)))))
+    assertUnmixed(callers)
+    assertMostGoOn(callers)
+  })
+
+  const withinResponse = 'ORDER: a stream goes on at its version within one response after its upstream has crashed'
+  // Guards against: the gateway itself continues a broken stream at any upstream.
+  it(withinResponse, knownRed(withinResponse), async () => {
+    const callers = createCallers(60)
+    const sent = Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index)))))
+    await wait(400)
+    crash(deployment.upstreams[0])
+    await sent
+    assertUnmixed(callers)
+    const complete = callers.filter(caller => caller.isComplete).length
+    assert.ok(complete >= callers.length * 0.9, `${complete} of ${callers.length} streams are complete`)
+  })
+
+  const afterKill = 'ORDER: a stream goes on at its version after the gateway that began it was killed'
+  // Guards against: the knowledge of the version is lost with the gateway that began the stream.
+  it(afterKill, knownRed(afterKill), async () => {
+    const callers = createCallers(60)
+    const sent = Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index)))))
+    await wait(400)
+    deployment.gateways.signal(1, 'SIGKILL')
+    await sent
+    await resume(callers, 1)
+    assertUnmixed(callers)
+    assertMostGoOn(callers)
+  })
+
+  const noneLeft = 'ORDER: a stream of which no upstream of its version is left is rejected at once'
+  // Guards against: a stream goes on at another version, or its caller waits, when its own version is gone.
+  it(noneLeft, knownRed(noneLeft), async () => {
+    const callers = createCallers(60)
+    await Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index)), 5)))
+    for (const upstream of deployment.upstreams.slice(3)) crash(upstream)
+    await wait(1000)
+    const received = deployment.upstreams.reduce((sum, upstream) => sum + upstream.requests.length, 0)
+    await resume(callers)
+    assertUnmixed(callers)
+    const orphans = callers.filter(caller => caller.versions[0] === 'v1.1')
+    assert.ok(orphans.length > 5, `only ${orphans.length} streams began at the version that is gone`)
+    for (const caller of orphans) {
+      const last = caller.tries.at(-1)!
+      assert.deepEqual([last.end, last.status], ['rejected', SERVICE_UNAVAILABLE])
+      assert.ok(last.milliseconds < REJECTION_MILLISECONDS, `rejected after ${last.milliseconds} ms`)
+    }
+    const sent = deployment.upstreams.reduce((sum, upstream) => sum + upstream.requests.length, 0) - received
+    assert.equal(sent, callers.length - orphans.length)
+  })
+})
