Keep a stream at the software version that began it

Change: at the first event of a resumable stream its software is recorded here and at two or three other gateways, which rendezvous hashing finds by the attempt's id alone; a gateway without the record asks up to 16 others and waits 250 ms at most. Attempts after the first event, moves and resumed streams go only to upstreams of that software; without one the request is rejected at once as not executed, and a move from a leaving upstream is left out. SoftwareHistory knows which versions may have begun a stream within the last minute, kept in one entry of the store; while that is a single one no record is needed, also after all gateways were killed. Without a stated version an upstream equals only itself; another version under the same id is another run. A split route sends a resumed stream to the service that began it. PeerSocket carries both kinds of datagrams; GatewayAddresses collects the gateways only when one came or went. Why it works: a record is at its replicas before the caller gets the first event, is kept as long as the caller may resume, whoever continues the stream, and where nobody knows, nothing is guessed.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -12,10 +12,12 @@
 import type { LimitStatement } from '../limits/statedLimit.js'
 import type { RoutingChoice } from '../routing/router.js'
 import type { ServingState } from '../servingState.js'
+import type { StreamOriginTask } from '../streams/streamOriginTask.js'
 import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import { RequestLoad } from './requestLoad.js'
 import { ResponseRelay } from './responseRelay.js'
+import { StreamContinuity } from './streamContinuity.js'
 import { decideAfterFailure, mayRetryServerError } from './attemptPolicy.js'
 import type { AttemptFailure, RequestProgress } from './attemptPolicy.js'
 import type { RunningRequests } from './runningRequests.js'
@@ -43,6 +45,7 @@
   protocol: UpstreamProtocol
   connections: UpstreamConnections
   running: RunningRequests
+  streamOrigins: StreamOriginTask
 }
 
 /** A request that the gateway has accepted. */
@@ -73,6 +76,7 @@
   private readonly _relay: ResponseRelay
   private readonly _progress: RequestProgress
   private readonly _load: RequestLoad
+  private readonly _continuity: StreamContinuity
   private readonly _failedUpstreams = new Set<Upstream>()
   private _attempt: UpstreamAttempt | undefined
   private _upstream: Upstream | undefined
@@ -90,6 +94,7 @@
     this._exchange = exchange
     this._relay = ResponseRelay.create(exchange, services.protocol, request.route, request.head.lastEventId, () => this._recordFirstEvent())
     this._load = RequestLoad.create(services.state, request.service.name, request.head.generation)
+    this._continuity = StreamContinuity.create(services.streamOrigins, request)
     this._progress = { route: request.route, attempts: 0, mayHaveRun: false, started: false }
   }
 
@@ -103,14 +108,17 @@
     state.recordRequest(service.name, clock.now())
     this._deadlineTimer = clock.schedule(deadline, () => this._expire())
     this._exchange.onDisconnected(() => this._cancelForCaller())
-    const rejection = this._checkOverload()
-    if (rejection) return this._reject(rejection)
-    this._startAttempt()
+    if (this._continuity.isResumed) return void this._resume()
+    this._startIfNotOverloaded()
   }
 
-  /** Continues a resumable stream at another upstream, because its current one is about to be removed. */
+  /**
+   * Continues a resumable stream at another upstream, because its current one is about to be removed. Without another
+   * one of the same software, the stream stays as long as it can.
+   */
   migrate (): void {
     if (this._done || !this._attempt || this._request.route.stream?.resumable !== true) return
+    if (this._listUsable().length === 0) return
     this._attempt.abandon()
     this.onEnded({ kind: 'failed', failure: 'broken', detail: 'the upstream is about to be removed', connectionLost: false })
   }
@@ -151,6 +159,25 @@
     this._cut('cut-after-failure')
   }
 
+  private async _resume (): Promise<void> {
+    const rejection = await this._continuity.resolve()
+    if (this._done) return
+    if (rejection) return this._reject(rejection)
+    this._startIfNotOverloaded()
+  }
+
+  private _startIfNotOverloaded (): void {
+    const rejection = this._checkOverload()
+    if (rejection) return this._reject(rejection)
+    this._startAttempt()
+  }
+
+  /** Upstreams to which an attempt may be sent now. */
+  private _listUsable (): readonly Upstream[] {
+    const { clock, state } = this._services
+    return state.listUsable(this._request.service.name, this._continuity.required, clock.now())
+  }
+
   private _startAttempt (): void {
     const choice = this._chooseUpstream()
     if (!choice) return this._failWithoutUpstream()
@@ -188,7 +215,7 @@
     if (!head.generation) return undefined
     const now = clock.now()
     const remainingMilliseconds = deadline - now
-    const waitMilliseconds = state.expectedWaitMilliseconds(service.name, now)
+    const waitMilliseconds = state.expectedWaitMilliseconds(service.name, this._continuity.required, now)
     const decision = state.overload.decide(waitMilliseconds, remainingMilliseconds)
     if (decision.kind === 'admitted') return undefined
     instrumentation.emit('overloaded', { service: service.name, waitMilliseconds: Math.round(waitMilliseconds), patienceMilliseconds: Math.round(remainingMilliseconds) }, head.requestId)
@@ -199,10 +226,10 @@
     const { clock, state } = this._services
     const { service, head, route } = this._request
     const now = clock.now()
-    const available = state.listUsable(service.name, now)
-    const untried = available.filter(upstream => !this._failedUpstreams.has(upstream))
+    const usable = this._listUsable()
+    const untried = usable.filter(upstream => !this._failedUpstreams.has(upstream))
     const objectiveMilliseconds = route.objectiveMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS
-    return state.routerOf(service).choose({ generation: head.generation, objectiveMilliseconds, prefillTokensPerMillisecond: state.capacities.capacityOf(service.name, now).tokensPerMillisecond }, untried.length > 0 ? untried : available, now)
+    return state.routerOf(service).choose({ generation: head.generation, objectiveMilliseconds, prefillTokensPerMillisecond: state.capacities.capacityOf(service.name, now).tokensPerMillisecond }, untried.length > 0 ? untried : usable, now)
   }
 
   /** Removes the request from the load of its upstream, and counts the attempt if it was dispatched. */
@@ -215,6 +242,7 @@
   }
 
   private _recordFirstEvent (): void {
+    this._continuity.recordFirstEvent(this._upstream!.software)
     this._load.recordFirstEvent(this._services.clock.now())
     this._recordUsage()
     this._firstEventMilliseconds ??= this._elapsedMilliseconds()
@@ -265,7 +293,8 @@
     if (this._progress.mayHaveRun) return this._reject(createRejection('upstream-failed', 'No upstream is available for another attempt, and the request may have been executed. Check its effect before sending it again.'))
     const { clock, state } = this._services
     const service = this._request.service.name
-    if (state.isLimited(service, clock.now())) return this._reject(createRejection('upstreams-limited', `All upstreams of service ${service} limit their requests and have no room now, and the request was not executed. Send it again after the indicated delay.`, state.bookReturn(service, clock.now())))
+    if (state.isLimited(service, this._continuity.required, clock.now())) return this._reject(createRejection('upstreams-limited', `All upstreams of service ${service} limit their requests and have no room now, and the request was not executed. Send it again after the indicated delay.`, state.bookReturn(service, clock.now())))
+    if (this._continuity.required !== undefined) return this._reject(createRejection('stream-software-gone', 'No upstream runs the software that began the stream, so it can\'t be continued, and the request was not executed. Begin a new stream.'))
     this._reject(createRejection('no-upstream', `Service ${service} has no available upstream, and the request was not executed. Send it again after the indicated delay.`, RETRY_AFTER_NO_UPSTREAM_MILLISECONDS))
   }
 
--- /dev/null
+++ b/packages/serving/src/attempts/streamContinuity.ts
@@ -0,0 +1,69 @@
+/**
+ * Keeps a stream at the software that began it, through all attempts of one request and all requests of its caller.
+ *
+ * @module
+ */
+import { createRejection } from '../callers/rejection.js'
+import type { Rejection } from '../callers/rejection.js'
+import type { LookupResult } from '../streams/originLookup.js'
+import type { SoftwareId } from '../streams/software.js'
+import type { StreamOriginTask } from '../streams/streamOriginTask.js'
+import type { AcceptedRequest } from './requestTask.js'
+
+const RETRY_AFTER_UNKNOWN_ORIGIN_MILLISECONDS = 300
+/** For this long, at most, a caller may resume a stream, counted from its first request. */
+const MAXIMUM_STREAM_LIFETIME_MILLISECONDS = 60_000
+/** Callers may resume a little later than their time limit says. */
+const RESUME_MARGIN_MILLISECONDS = 5000
+const UNKNOWN_ORIGIN_MESSAGE = 'It is not known which software began the stream, so it can\'t be continued, and the request was not executed.'
+
+/** The software that one request has to go to. */
+export class StreamContinuity {
+  private readonly _origins: StreamOriginTask
+  private readonly _request: AcceptedRequest
+  private _required: SoftwareId | undefined
+
+  private constructor (origins: StreamOriginTask, request: AcceptedRequest) {
+    this._origins = origins
+    this._request = request
+  }
+
+  static create (origins: StreamOriginTask, request: AcceptedRequest): StreamContinuity {
+    return new StreamContinuity(origins, request)
+  }
+
+  /** Whether the caller has received events of the stream before. */
+  get isResumed (): boolean {
+    const { head, route } = this._request
+    return route.stream !== undefined && (head.lastEventId !== undefined || head.resumedRequestId !== undefined)
+  }
+
+  /** The software that began the stream; undefined before its first event. */
+  get required (): SoftwareId | undefined {
+    return this._required
+  }
+
+  /** Finds the software that began a resumed stream; returns a rejection if that is not known. */
+  async resolve (): Promise<Rejection | undefined> {
+    const { head, service } = this._request
+    const result = await this._origins.find(service.name, head.resumedRequestId)
+    if (result.kind !== 'found') return rejectUnknownOrigin(result)
+    this._required = result.origin.software
+    return undefined
+  }
+
+  /** From its first event on, a stream goes on only at the software that wrote it, here and at any other gateway. */
+  recordFirstEvent (software: SoftwareId): void {
+    this._required = software
+    const { head, route, acceptedAt } = this._request
+    if (route.stream?.resumable !== true) return
+    const lifetime = Math.min(MAXIMUM_STREAM_LIFETIME_MILLISECONDS, head.timeoutMilliseconds ?? MAXIMUM_STREAM_LIFETIME_MILLISECONDS)
+    this._origins.record(head.resumedRequestId ?? head.requestId, { software, expiresAt: acceptedAt + lifetime + RESUME_MARGIN_MILLISECONDS })
+  }
+}
+
+/** A gateway that did not answer may know the stream, or a gateway that can reach it. */
+function rejectUnknownOrigin (result: LookupResult): Rejection {
+  if (result.kind === 'unanswered') return createRejection('stream-origin-unknown', `${UNKNOWN_ORIGIN_MESSAGE} Send it again after the indicated delay.`, RETRY_AFTER_UNKNOWN_ORIGIN_MILLISECONDS)
+  return createRejection('stream-origin-unknown', `${UNKNOWN_ORIGIN_MESSAGE} Begin a new stream.`)
+}
--- a/packages/serving/src/callers/rejection.ts
+++ b/packages/serving/src/callers/rejection.ts
@@ -17,6 +17,10 @@
   | 'no-upstream'
   | 'overloaded'
   | 'upstreams-limited'
+  /** It is not known which software began the stream that the caller resumes. */
+  | 'stream-origin-unknown'
+  /** No upstream runs the software that began the stream that the caller resumes. */
+  | 'stream-software-gone'
   | 'quarantined'
   | 'not-run'
   | 'timeout'
@@ -34,6 +38,8 @@
   'no-upstream': 503,
   overloaded: 503,
   'upstreams-limited': 503,
+  'stream-origin-unknown': 503,
+  'stream-software-gone': 503,
   quarantined: 503,
   'not-run': 503,
   timeout: 504,
--- a/packages/serving/src/callers/requestAdmission.ts
+++ b/packages/serving/src/callers/requestAdmission.ts
@@ -52,7 +52,7 @@
     if (!route) return err(createRejection('no-route', 'No route matches this host and path. Correct them, or ask the operator for a route.'))
     const workspace = findWorkspace(configuration, route, head)
     if (workspace.isErr()) return err(workspace.error)
-    const service = configuration.services.get(chooseService(route, head.requestId))
+    const service = configuration.services.get(chooseService(route, head.resumedRequestId ?? head.requestId))
     if (!service) return err(createRejection('no-upstream', `Route ${route.name} refers to a service that is not configured. The operator has to correct the route.`, RETRY_AFTER_NO_CONFIGURATION_MILLISECONDS))
     const timeoutMilliseconds = Math.min(head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS, route.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS)
     return ok({
@@ -89,7 +89,7 @@
   return err(createRejection('unauthenticated', 'The bearer token belongs to no workspace. Send a valid one.'))
 }
 
-/** Picks one of the services that share a route by weight, always the same for the same request id. */
+/** Picks one of the services that share a route by weight, always the same for the same request id and for the stream that it began. */
 function chooseService (route: RouteRecord, requestId: string): string {
   if (!route.split || route.split.length === 0) return route.service
   const total = route.split.reduce((sum, share) => sum + share.weight, 0)
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -29,7 +29,7 @@
   view: DeploymentView
   clock: Clock
   instrumentation: Instrumentation
-  observer: StoreObserver
+  observers: readonly StoreObserver[]
   /** Number of gateways that watch the store. */
   countGateways: () => number
   onChange (change: ViewChange): void
@@ -65,19 +65,19 @@
   }
 
   private async _readSnapshot (context: CallContext): Promise<void> {
-    const { store, view, clock, observer } = this._options
+    const { store, view, clock, observers } = this._options
     const callContext = context.createChild(clock.now() + SNAPSHOT_TIMEOUT_MILLISECONDS)
     const snapshot = await store.list(callContext, ALL_KEYS)
     callContext.finish()
     if (snapshot.isErr()) return this._recordFailure(snapshot.error)
     this._recordSuccess()
     this._options.onChange(view.applyStoreSnapshot(snapshot.value.entries, clock.now()))
-    observer.onSnapshot(snapshot.value.entries)
+    for (const observer of observers) observer.onSnapshot(snapshot.value.entries)
     this._nextRevision = snapshot.value.revision + 1
   }
 
   private async _watch (context: CallContext): Promise<void> {
-    const { store, view, clock, observer } = this._options
+    const { store, view, clock, observers } = this._options
     for await (const batch of store.watch(context, ALL_KEYS, this._nextRevision)) {
       if (batch.isErr()) {
         if (batch.error.kind === 'compacted') this._nextRevision = 0
@@ -88,7 +88,7 @@
       this._nextRevision = batch.value.revision + 1
       if (batch.value.changes.length === 0) continue
       this._options.onChange(view.applyStoreChanges(batch.value.changes, clock.now()))
-      observer.onChanges(batch.value.changes)
+      for (const observer of observers) observer.onChanges(batch.value.changes)
       await context.sleepUntil(clock.now() + this._batchDelayMilliseconds)
     }
   }
--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -4,15 +4,14 @@
  *
  * @module
  */
-import { createSocket } from 'node:dgram'
-import type { RemoteInfo, Socket } from 'node:dgram'
 import { request } from 'undici'
-import { describeError, getLogger, splitAddress } from '@plumstage/common'
+import { describeError, getLogger } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import type { DeploymentView, ViewChange } from '../deployment/deploymentView.js'
 import { parseDeploymentSnapshot } from '../deployment/snapshotSchema.js'
 import { decodeReport, encodeReport } from './gatewayReport.js'
 import type { GatewayReport, RelayedReports } from './gatewayReport.js'
+import type { PeerSocket } from './peerSocket.js'
 import type { Peer, PeerTable } from './peerTable.js'
 import { ReportTopology } from './reportTopology.js'
 
@@ -29,8 +28,8 @@
 
 /** Dependencies and callbacks of the task. */
 export interface GossipTaskOptions {
-  /** Address on which this gateway receives and sends datagrams. */
-  address: string
+  /** Receives and sends the datagrams of this gateway. */
+  socket: PeerSocket
   /** Cancelled when the gateway shuts down. */
   context: CallContext
   clock: Clock
@@ -52,11 +51,10 @@
   onChange: (change: ViewChange) => void
 }
 
-/** Sends and receives the reports of one gateway on a datagram socket that it owns. */
+/** Sends and receives the reports of one gateway. */
 export class GossipTask {
   private readonly _options: GossipTaskOptions
   private readonly _log = getLogger('peers')
-  private readonly _socket: Socket
   /** When a peer first reported a newer revision; undefined after a pull has started. */
   private _behindSince: Timestamp | undefined
   private _pulling = false
@@ -67,24 +65,15 @@
   private constructor (options: GossipTaskOptions) {
     this._options = options
     this._topology = ReportTopology.create(options.peers)
-    this._socket = createSocket('udp4')
-    this._socket.on('error', error => this._log.warn(`The datagram socket at ${options.address} failed: ${error.message}. Reports resume when it works again.`))
-    this._socket.on('message', (bytes, sender) => this._receive(bytes, sender))
+    options.socket.onReport((bytes, sender) => this._receive(bytes, sender))
   }
 
-  static async create (options: GossipTaskOptions): Promise<GossipTask> {
-    const task = new GossipTask(options)
-    const { host, port } = splitAddress(options.address)
-    await new Promise<void>((resolve, reject) => {
-      task._socket.once('error', reject)
-      task._socket.bind(port, host, () => { task._socket.off('error', reject); resolve() })
-    })
-    return task
+  static create (options: GossipTaskOptions): GossipTask {
+    return new GossipTask(options)
   }
 
   async run (): Promise<void> {
     const { clock, peers, context } = this._options
-    context.onCancel(() => this._socket.close())
     while (!context.cancelled) {
       if (clock.now() >= this._nextReportAt || (clock.now() >= this._nextUrgentAt && this._options.isReportUrgent())) this.sendReport()
       const unresponsive = peers.takeUnresponsive(clock.now())
@@ -97,7 +86,7 @@
 
   /** Sends a report immediately to all recipients that the topology chooses. */
   sendReport (): void {
-    const { clock, dutyHolder, createReport, createAggregate } = this._options
+    const { socket, clock, dutyHolder, createReport, createAggregate } = this._options
     const now = clock.now()
     const interval = this._topology.intervalMilliseconds(now)
     const isRelay = this._topology.isRelay(now)
@@ -107,7 +96,7 @@
     if (recipients.length === 0) return
     const report = createReport()
     const bytes = encodeReport(report)
-    for (const address of recipients) this._send(isRelay ? encodeReport({ ...report, relayed: createAggregate(address) }) : bytes, address)
+    for (const address of recipients) socket.sendReport(isRelay ? encodeReport({ ...report, relayed: createAggregate(address) }) : bytes, address)
   }
 
   /** Applies the snapshot of a peer; returns whether that succeeded. Used when this gateway is behind or the store is unavailable. */
@@ -129,16 +118,11 @@
     }
   }
 
-  private _send (bytes: Uint8Array, address: string): void {
-    const { host, port } = splitAddress(address)
-    this._socket.send(bytes, port, host, error => { if (error) this._log.debug(`A report to ${address} was not sent: ${error.message}.`) })
-  }
-
-  private _receive (bytes: Buffer, sender: RemoteInfo): void {
+  private _receive (bytes: Buffer, sender: string): void {
     const report = decodeReport(bytes)
-    if (report.isErr()) return this._log.warn(`${sender.address}: ${report.error.message}`)
+    if (report.isErr()) return this._log.warn(`${sender}: ${report.error.message}`)
     const { clock, peers } = this._options
-    const peer = peers.apply(report.value, `${sender.address}:${sender.port}`, clock.now())
+    const peer = peers.apply(report.value, sender, clock.now())
     if (!peer) return
     for (const address of report.value.knownAddresses) peers.addKnownAddress(address, clock.now())
     this._options.onReport(peer)
--- /dev/null
+++ b/packages/serving/src/peers/peerSocket.ts
@@ -0,0 +1,74 @@
+/**
+ * The datagram socket on which one gateway exchanges messages with its peers. A first byte that begins no protobuf field
+ * distinguishes messages about streams from reports, also for gateways of earlier releases.
+ *
+ * @module
+ */
+import { createSocket } from 'node:dgram'
+import type { Socket } from 'node:dgram'
+import { getLogger, splitAddress } from '@plumstage/common'
+
+const STREAM_MARK = 0
+
+/** Receives the datagrams of one kind, without the mark, and the address of their sender. */
+export type DatagramHandler = (bytes: Buffer, sender: string) => void
+
+/** Sends and receives the datagrams of one gateway. */
+export class PeerSocket {
+  private readonly _socket: Socket
+  private readonly _log = getLogger('peers')
+  private _closed = false
+  private _onReport: DatagramHandler = () => {}
+  private _onStreamMessage: DatagramHandler = () => {}
+
+  private constructor (address: string) {
+    this._socket = createSocket('udp4')
+    this._socket.on('error', error => this._log.warn(`The datagram socket at ${address} failed: ${error.message}. Messages to peers resume when it works again.`))
+    this._socket.on('message', (bytes, sender) => this._receive(bytes, `${sender.address}:${sender.port}`))
+  }
+
+  /** Binds the socket to `address`. */
+  static async create (address: string): Promise<PeerSocket> {
+    const created = new PeerSocket(address)
+    const { host, port } = splitAddress(address)
+    await new Promise<void>((resolve, reject) => {
+      created._socket.once('error', reject)
+      created._socket.bind(port, host, () => { created._socket.off('error', reject); resolve() })
+    })
+    return created
+  }
+
+  onReport (handler: DatagramHandler): void {
+    this._onReport = handler
+  }
+
+  onStreamMessage (handler: DatagramHandler): void {
+    this._onStreamMessage = handler
+  }
+
+  sendReport (bytes: Uint8Array, address: string): void {
+    this._send(bytes, address)
+  }
+
+  sendStreamMessage (bytes: Uint8Array, address: string): void {
+    this._send(Buffer.concat([Buffer.of(STREAM_MARK), bytes]), address)
+  }
+
+  /** Later messages are not sent. */
+  close (): void {
+    if (this._closed) return
+    this._closed = true
+    this._socket.close()
+  }
+
+  private _send (bytes: Uint8Array, address: string): void {
+    if (this._closed) return
+    const { host, port } = splitAddress(address)
+    this._socket.send(bytes, port, host, error => { if (error) this._log.debug(`A message to ${address} was not sent: ${error.message}.`) })
+  }
+
+  private _receive (bytes: Buffer, sender: string): void {
+    if (bytes[0] === STREAM_MARK) this._onStreamMessage(bytes.subarray(1), sender)
+    else this._onReport(bytes, sender)
+  }
+}
--- a/packages/serving/src/peers/peerTable.ts
+++ b/packages/serving/src/peers/peerTable.ts
@@ -45,6 +45,7 @@
   private readonly _registrations = new Map<string, GatewayRegistration>()
   /** Addresses named by the settings or by peers, with the time when they were last named. */
   private readonly _knownAddresses = new Map<string, Timestamp>()
+  private _addressesVersion = 0
 
   private constructor (self: GatewayRegistration) {
     this._self = self
@@ -59,6 +60,11 @@
     return this._self
   }
 
+  /** Changes whenever a gateway has been registered, heard for the first time or removed. */
+  get addressesVersion (): number {
+    return this._addressesVersion
+  }
+
   /** Adds an address that the settings or a peer named. */
   addKnownAddress (address: string, now: Timestamp): void {
     if (address !== this._self.address) this._knownAddresses.set(address, now)
@@ -66,12 +72,14 @@
 
   /** Stores the registration of a gateway; undefined removes it. */
   register (name: string, registration: GatewayRegistration | undefined): void {
+    this._addressesVersion++
     if (registration === undefined) this._registrations.delete(name)
     else if (registration.address !== this._self.address) this._registrations.set(name, registration)
   }
 
   /** Removes all registrations except those of the named gateways. */
   retainRegistrations (names: ReadonlySet<string>): void {
+    this._addressesVersion++
     for (const name of this._registrations.keys()) if (!names.has(name)) this._registrations.delete(name)
   }
 
@@ -82,6 +90,7 @@
     const isSameIncarnation = known?.report.incarnation === report.incarnation
     const isContinuous = isSameIncarnation ? known.lastReportAt > now - this._unresponsiveAfterMilliseconds : report.sequence <= MAXIMUM_INITIAL_SEQUENCE
     const peer = { address, report, lastReportAt: now, isContinuous, isUnresponsive: false }
+    if (known?.address !== address) this._addressesVersion++
     this._peers.set(report.name, peer)
     return peer
   }
@@ -150,6 +159,7 @@
     for (const [name, peer] of this._peers) {
       if (peer.lastReportAt > now - Math.max(PEER_EXPIRY_MILLISECONDS, this._unresponsiveAfterMilliseconds)) continue
       this._peers.delete(name)
+      this._addressesVersion++
       expired.push(peer)
     }
     for (const [address, namedAt] of this._knownAddresses) if (namedAt <= now - PEER_EXPIRY_MILLISECONDS) this._knownAddresses.delete(address)
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -19,13 +19,18 @@
 import type { Cloud } from './duties/cloud.js'
 import { FleetTask } from './fleet/fleetTask.js'
 import { GatewayRegistry } from './peers/gatewayRegistry.js'
+import { GatewayAddresses } from './peers/gatewayAddresses.js'
 import { GossipTask } from './peers/gossipTask.js'
 import { MembershipTask } from './peers/membershipTask.js'
+import { PeerSocket } from './peers/peerSocket.js'
 import type { Peer } from './peers/peerTable.js'
 import { ReportExchange } from './peers/reportExchange.js'
 import type { ServingSettings } from './servingSettings.js'
 import { ServingState } from './servingState.js'
 import { StoreKeys } from './storeKeys.js'
+import { SoftwareHistory } from './streams/softwareHistory.js'
+import { SoftwareHistoryTask } from './streams/softwareHistoryTask.js'
+import { StreamOriginTask } from './streams/streamOriginTask.js'
 import { PooledUpstreamConnections } from './upstreams/upstreamConnections.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
 import { UsageReportTask } from './usage/usageReportTask.js'
@@ -84,14 +89,19 @@
   private readonly _migrationTimers = new Map<Upstream, Timer>()
   private readonly _log = getLogger('serving')
   private readonly _listeners: Listener[] = []
-  private _gossip!: GossipTask
+  private readonly _gossip: GossipTask
+  private readonly _socket: PeerSocket
+  private readonly _softwareHistory: SoftwareHistory
+  private readonly _softwareHistoryTask: SoftwareHistoryTask
+  private readonly _streamOrigins: StreamOriginTask
   private _internalListenersOpened: Promise<void> = Promise.resolve()
   private readonly _exchange: ReportExchange
   private readonly _registry: GatewayRegistry
   private _stopping = false
 
-  private constructor (settings: ServingSettings, environment: ServingEnvironment) {
+  private constructor (settings: ServingSettings, environment: ServingEnvironment, socket: PeerSocket) {
     const { clock, leaseClock, instrumentation, store } = environment
+    this._socket = socket
     this._settings = settings
     this._environment = environment
     this._context = CallContext.create(clock)
@@ -100,17 +110,22 @@
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._exchange = ReportExchange.create({ name: settings.name, incarnation: instrumentation.incarnation, failureDomain: settings.failureDomain }, this.state)
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
+    const addresses = GatewayAddresses.create(this.state.peers)
+    this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
+    this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
+    this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, context: this._context, clock, instrumentation })
+    this._gossip = this._createGossip()
     this._deploymentTask = DeploymentTask.create({
       store,
       view: this.state.view,
       clock,
       instrumentation,
       countGateways: () => this.state.peers.listRegistrations().length,
-      observer: this._registry,
+      observers: [this._registry, this._softwareHistoryTask],
       onChange: change => this._applyChange(change)
     })
     this._callerServer = CallerServer.create({
-      services: { clock, timeOfDay: environment.timeOfDay, instrumentation, state: this.state, protocol: environment.upstreamProtocol, connections: this._connections, running: this._running },
+      services: { clock, timeOfDay: environment.timeOfDay, instrumentation, state: this.state, protocol: environment.upstreamProtocol, connections: this._connections, running: this._running, streamOrigins: this._streamOrigins },
       admission: RequestAdmission.create(this.state),
       protocol: environment.callerProtocol,
       closesConnection: () => this._stopping
@@ -119,7 +134,7 @@
 
   /** Opens the listeners and starts the tasks. */
   static async create (settings: ServingSettings, environment: ServingEnvironment): Promise<ServingGateway> {
-    const gateway = new ServingGateway(settings, environment)
+    const gateway = new ServingGateway(settings, environment, await PeerSocket.create(settings.peerAddress))
     await gateway._listen()
     gateway._startTasks()
     return gateway
@@ -170,17 +185,22 @@
   /** Cancels all tasks and closes the listeners and connections immediately. */
   async destroy (): Promise<void> {
     this._context.cancel('shutdown')
+    this._socket.close()
     for (const timer of this._migrationTimers.values()) timer.cancel()
     await this._internalListenersOpened
     await Promise.all([...this._listeners.map(async listener => await listener.destroy()), this._connections.close()])
   }
 
   private async _listen (): Promise<void> {
-    const { clock, instrumentation, callerProtocol } = this._environment
+    const { callerProtocol } = this._environment
     this._listeners.push(await Listener.create(this._callerServer.server, this._settings.callerAddress))
     this._listeners.push(await Listener.create(createReadinessServer(callerProtocol.readinessPath, () => this.isReady), this._settings.readinessAddress))
-    this._gossip = await GossipTask.create({
-      address: this._settings.peerAddress,
+  }
+
+  private _createGossip (): GossipTask {
+    const { clock, instrumentation } = this._environment
+    return GossipTask.create({
+      socket: this._socket,
       context: this._context,
       clock,
       instrumentation,
@@ -203,6 +223,7 @@
     for (const seed of peerSeeds) this.state.peers.addKnownAddress(seed, clock.now())
     void this._deploymentTask.run(this._context)
     void this._gossip.run()
+    void this._softwareHistoryTask.run(this._context)
     this._internalListenersOpened = this._openInternalListeners()
     void this._pullInitialDeployment()
     void this._expireEntries()
@@ -234,6 +255,7 @@
         presentGateways: () => this.state.peers.countPresent(clock.now()),
         limitedUpstreams: () => this.state.upstreams.list().filter(upstream => upstream.limit.requestsPerSecond !== undefined).length,
         droppedLogLines,
+        streamRecords: () => this._streamOrigins.recordCount,
         isFollowingStore: () => this._deploymentTask.isFollowingStore
       }, instrumentation), metricsAddress))
     } catch (error) {
@@ -272,7 +294,9 @@
 
   private _applyUpstreams (): void {
     const { clock, instrumentation } = this._environment
-    const removed = this.state.upstreams.apply(this.state.view.listUpstreams(), clock.now())
+    const listed = this.state.view.listUpstreams()
+    this._softwareHistory.observe(listed, clock.now())
+    const removed = this.state.upstreams.apply(listed, clock.now())
     for (const upstream of removed) {
       this._connections.forget(upstream)
       this.state.limits.remove(upstream)
--- a/packages/serving/src/servingSettings.ts
+++ b/packages/serving/src/servingSettings.ts
@@ -25,6 +25,8 @@
   peerAddress: string
   /** Number of processor cores available to the gateway. */
   processorCores: number
+  /** Whether the system as a whole starts for the first time. */
+  isFirstStart: boolean
   /** Addresses of some peers; they may be out of date. */
   peerSeeds: readonly string[]
   addresses: PlatformAddresses
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -22,6 +22,7 @@
 import type { Router } from './routing/router.js'
 import { PrefixCacheIndex } from './routing/prefixCacheIndex.js'
 import type { ServingSettings } from './servingSettings.js'
+import type { SoftwareId } from './streams/software.js'
 import { UpstreamTable } from './upstreams/upstreamTable.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
 import { UsageLedger } from './usage/usageLedger.js'
@@ -79,14 +80,14 @@
     return service?.type === 'model-engine' ? this._generationRouter : this._plainRouter
   }
 
-  /** Upstreams of a service to which this gateway may send a request now. */
-  listUsable (service: string, now: Timestamp): readonly Upstream[] {
-    return this.upstreams.listAvailable(service, now, upstream => this.limits.hasRoom(upstream, now))
+  /** Upstreams of a service to which this gateway may send a request now; only those that run `software`, if it is set. */
+  listUsable (service: string, software: SoftwareId | undefined, now: Timestamp): readonly Upstream[] {
+    return this.upstreams.listAvailable(service, now, upstream => runs(upstream, software) && this.limits.hasRoom(upstream, now))
   }
 
-  /** Whether upstreams of a service are available but state limits that leave no room. */
-  isLimited (service: string, now: Timestamp): boolean {
-    return this.upstreams.listAvailable(service, now).length > 0 && this.listUsable(service, now).length === 0
+  /** Whether upstreams of a service, and of `software` if it is set, are available but state limits that leave no room. */
+  isLimited (service: string, software: SoftwareId | undefined, now: Timestamp): boolean {
+    return this.upstreams.listAvailable(service, now, upstream => runs(upstream, software)).length > 0 && this.listUsable(service, software, now).length === 0
   }
 
   /** Chooses when a caller that was rejected for the limits of upstreams may return; the delay in milliseconds. */
@@ -99,12 +100,12 @@
 
   /**
    * Estimates the time until the least loaded upstream of a service starts the prefill of another prompt, in
-   * milliseconds; 0 when no upstream is available.
+   * milliseconds; 0 when no upstream is usable.
    */
-  expectedWaitMilliseconds (service: string, now: Timestamp): number {
-    const available = this.listUsable(service, now)
-    if (available.length === 0) return 0
-    return Math.min(...available.map(upstream => upstream.waitingTokens)) / this.capacities.capacityOf(service, now).tokensPerMillisecond
+  expectedWaitMilliseconds (service: string, software: SoftwareId | undefined, now: Timestamp): number {
+    const usable = this.listUsable(service, software, now)
+    if (usable.length === 0) return 0
+    return Math.min(...usable.map(upstream => upstream.waitingTokens)) / this.capacities.capacityOf(service, now).tokensPerMillisecond
   }
 
   /** Counts a request in the retry budget of its service. */
@@ -126,3 +127,7 @@
     return budget
   }
 }
+
+function runs (upstream: Upstream, software: SoftwareId | undefined): boolean {
+  return software === undefined || upstream.software === software
+}
--- a/packages/serving/src/storeKeys.ts
+++ b/packages/serving/src/storeKeys.ts
@@ -27,6 +27,11 @@
     return key.startsWith(prefix) ? key.slice(prefix.length) : undefined
   }
 
+  /** Key of the software of the last minute. */
+  get softwareHistoryKey (): string {
+    return `${PREFIX}software`
+  }
+
   /** Key of the usage counts of a reporting window. */
   usageKey (window: number): string {
     return `${PREFIX}usage/${window}`
--- /dev/null
+++ b/packages/serving/src/streams/softwareHistoryTask.ts
@@ -0,0 +1,111 @@
+/**
+ * Keeps the entry of the store that names the software of the last minute, so that gateways that all start anew know it.
+ * One gateway writes it, under the condition that it has read the latest one.
+ *
+ * @module
+ */
+import * as z from 'zod'
+import { getLogger } from '@plumstage/common'
+import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
+import type { KeyValueChange, KeyValueEntry, KeyValueService } from '@plumstage/coordination'
+import type { StoreObserver } from '../deployment/deploymentTask.js'
+import type { DeploymentView } from '../deployment/deploymentView.js'
+import type { GatewayAddresses } from '../peers/gatewayAddresses.js'
+import { rendezvousWeight } from '../routing/rendezvousHash.js'
+import type { SoftwareId } from './software.js'
+import type { SoftwareHistory, StoredHistory } from './softwareHistory.js'
+
+const CHECK_MILLISECONDS = 1000
+const CALL_TIMEOUT_MILLISECONDS = 1500
+
+const entrySchema = z.object({ software: z.array(z.string().min(1)) })
+
+/** Dependencies of the task. */
+export interface SoftwareHistoryTaskOptions {
+  store: KeyValueService
+  /** Key of the entry. */
+  key: string
+  history: SoftwareHistory
+  view: DeploymentView
+  addresses: GatewayAddresses
+  clock: Clock
+  instrumentation: Instrumentation
+}
+
+/** Follows the entry, and writes it if this gateway is the one to do so. */
+export class SoftwareHistoryTask implements StoreObserver {
+  private readonly _options: SoftwareHistoryTaskOptions
+  private readonly _log = getLogger('streams')
+  /** Revision of the entry that was read last; 0 when there is none. */
+  private _revision = 0
+
+  private constructor (options: SoftwareHistoryTaskOptions) {
+    this._options = options
+  }
+
+  static create (options: SoftwareHistoryTaskOptions): SoftwareHistoryTask {
+    return new SoftwareHistoryTask(options)
+  }
+
+  onSnapshot (entries: readonly KeyValueEntry[]): void {
+    this._apply(entries.find(entry => entry.key === this._options.key))
+  }
+
+  onChanges (changes: readonly KeyValueChange[]): void {
+    for (const change of changes) {
+      if (change.kind === 'put' && change.entry.key === this._options.key) this._apply(change.entry)
+      if (change.kind === 'delete' && change.key === this._options.key) this._apply(undefined)
+    }
+  }
+
+  async run (context: CallContext): Promise<void> {
+    const { clock, history, view } = this._options
+    while (!context.cancelled) {
+      const now = clock.now()
+      history.observe(view.listUpstreams(), now)
+      const software = this._isWriter() ? history.planWrite(now) : undefined
+      if (software) await this._write(context, software)
+      await context.sleepUntil(clock.now() + CHECK_MILLISECONDS)
+    }
+  }
+
+  private async _write (context: CallContext, software: readonly SoftwareId[]): Promise<void> {
+    const { store, key, clock, instrumentation } = this._options
+    const callContext = context.createChild(clock.now() + CALL_TIMEOUT_MILLISECONDS)
+    const written = await store.transact(callContext, {
+      conditions: [{ kind: 'mod-revision', key, revision: this._revision }],
+      onSuccess: [{ kind: 'put', key, value: JSON.stringify({ software }) }],
+      onFailure: []
+    })
+    callContext.finish()
+    const result = written.isErr() ? 'unanswered' : written.value.succeeded ? 'written' : 'outdated'
+    instrumentation.emit('software-history-written', { software: software.join(' '), result })
+  }
+
+  /** All gateways agree on the writer as far as they agree on the registrations; the condition settles the rest. */
+  private _isWriter (): boolean {
+    const { addresses, key } = this._options
+    const weightOf = (address: string): number => rendezvousWeight(key, address)
+    return addresses.list().every(address => weightOf(address) <= weightOf(addresses.self))
+  }
+
+  private _apply (entry: KeyValueEntry | undefined): void {
+    this._revision = entry?.modRevision ?? 0
+    this._options.history.applyStored(entry ? this._parse(entry) : { kind: 'absent' })
+  }
+
+  private _parse ({ key, value }: KeyValueEntry): StoredHistory {
+    const parsed = entrySchema.safeParse(parseJson(value))
+    if (parsed.success) return { kind: 'known', software: parsed.data.software }
+    this._log.error(`${key} can't be read. It is written again once this gateway has followed the list of upstreams for a minute.`)
+    return { kind: 'unknown' }
+  }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/serving/src/streams/streamOriginTask.ts
@@ -0,0 +1,148 @@
+/**
+ * Keeps the beginnings of streams at several gateways, and finds them again when a caller resumes a stream anywhere.
+ *
+ * @module
+ */
+import { getLogger } from '@plumstage/common'
+import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
+import type { GatewayAddresses } from '../peers/gatewayAddresses.js'
+import type { PeerSocket } from '../peers/peerSocket.js'
+import { OriginLookup } from './originLookup.js'
+import type { LookupResult } from './originLookup.js'
+import { chooseAskedGateways, chooseReplicas } from './originReplicas.js'
+import type { SoftwareHistory } from './softwareHistory.js'
+import { decodeStreamMessage, encodeStreamMessage } from './streamMessages.js'
+import type { StreamMessage } from './streamMessages.js'
+import { StreamOrigins, streamKeyOf } from './streamOrigins.js'
+import type { StreamKey, StreamOrigin } from './streamOrigins.js'
+
+/** Gateways that have not answered are asked once more after this time, since a datagram may be lost. */
+const REPEAT_MILLISECONDS = 80
+const ANSWER_TIMEOUT_MILLISECONDS = 250
+
+/** Dependencies of the task. */
+export interface StreamOriginTaskOptions {
+  socket: PeerSocket
+  addresses: GatewayAddresses
+  history: SoftwareHistory
+  /** Cancelled when the gateway shuts down. */
+  context: CallContext
+  clock: Clock
+  instrumentation: Instrumentation
+}
+
+/** A question that several requests may wait for. */
+interface PendingLookup {
+  lookup: OriginLookup
+  result: Promise<LookupResult>
+  settle: () => void
+}
+
+/** The records of one gateway, and its messages about them. */
+export class StreamOriginTask {
+  private readonly _options: StreamOriginTaskOptions
+  private readonly _origins = StreamOrigins.create()
+  private readonly _pending = new Map<StreamKey, PendingLookup>()
+  private readonly _log = getLogger('streams')
+
+  private constructor (options: StreamOriginTaskOptions) {
+    this._options = options
+    options.socket.onStreamMessage((bytes, sender) => this._receive(bytes, sender))
+  }
+
+  static create (options: StreamOriginTaskOptions): StreamOriginTask {
+    return new StreamOriginTask(options)
+  }
+
+  /** Number of streams whose beginning is kept here. */
+  get recordCount (): number {
+    return this._origins.size
+  }
+
+  /** Records what began a stream, here and at its replicas, before the caller receives its first event. */
+  record (requestId: string, origin: StreamOrigin): void {
+    const { addresses, clock, socket } = this._options
+    const now = clock.now()
+    const key = streamKeyOf(requestId)
+    this._origins.add(key, origin, now)
+    const bytes = encodeStreamMessage({ kind: 'origin', key, origin }, now)
+    for (const address of chooseReplicas(key, addresses.list(), addresses.self)) socket.sendStreamMessage(bytes, address)
+  }
+
+  /** Finds what began a stream of a service that a caller resumes. `requestId` is undefined if the caller does not name it. */
+  async find (service: string, requestId: string | undefined): Promise<LookupResult> {
+    const { clock, history, instrumentation } = this._options
+    const only = history.onlySoftwareOf(service, clock.now())
+    if (only !== undefined) return { kind: 'found', origin: { software: only, expiresAt: clock.now() } }
+    if (requestId === undefined) return { kind: 'not-found' }
+    const startedAt = clock.now()
+    const key = streamKeyOf(requestId)
+    const kept = this._origins.find(key, startedAt)
+    const result: LookupResult = kept ? { kind: 'found', origin: kept } : await this._ask(key)
+    if (result.kind === 'found') this._origins.add(key, result.origin, clock.now())
+    instrumentation.emit('stream-origin-looked-up', { resumedRequest: requestId, result: result.kind, software: result.kind === 'found' ? result.origin.software : undefined, source: kept ? 'own record' : 'other gateways', milliseconds: Math.round(clock.now() - startedAt) })
+    return result
+  }
+
+  private async _ask (key: StreamKey): Promise<LookupResult> {
+    const known = this._pending.get(key)
+    if (known) return await known.result
+    const pending = this._startLookup(key)
+    this._pending.set(key, pending)
+    const result = await pending.result
+    this._pending.delete(key)
+    return result
+  }
+
+  private _startLookup (key: StreamKey): PendingLookup {
+    const { addresses, clock, context } = this._options
+    const now = clock.now()
+    const lookup = OriginLookup.create(chooseAskedGateways(key, addresses.list(), addresses.self))
+    const { promise, resolve } = createSignal()
+    const timers = [
+      clock.schedule(now + REPEAT_MILLISECONDS, () => this._sendQueries(key, lookup)),
+      clock.schedule(now + ANSWER_TIMEOUT_MILLISECONDS, resolve)
+    ]
+    const stopListening = context.onCancel(resolve)
+    const result = promise.then(() => {
+      for (const timer of timers) timer.cancel()
+      stopListening()
+      return lookup.result
+    })
+    this._sendQueries(key, lookup)
+    if (lookup.isSettled) resolve()
+    return { lookup, result, settle: resolve }
+  }
+
+  private _sendQueries (key: StreamKey, lookup: OriginLookup): void {
+    const bytes = encodeStreamMessage({ kind: 'query', key }, this._options.clock.now())
+    for (const address of lookup.unanswered) this._options.socket.sendStreamMessage(bytes, address)
+  }
+
+  private _receive (bytes: Buffer, sender: string): void {
+    const now = this._options.clock.now()
+    const message = decodeStreamMessage(bytes, now)
+    if (message.isErr()) return this._log.warn(`${sender}: ${message.error.message}`)
+    this._apply(message.value, sender, now)
+  }
+
+  private _apply (message: StreamMessage, sender: string, now: Timestamp): void {
+    if (message.kind === 'origin') return this._origins.add(message.key, message.origin, now)
+    if (message.kind === 'query') return this._answer(message.key, sender, now)
+    const pending = this._pending.get(message.key)
+    if (!pending) return
+    pending.lookup.recordReply(sender, message.origin)
+    if (pending.lookup.isSettled) pending.settle()
+  }
+
+  private _answer (key: StreamKey, address: string, now: Timestamp): void {
+    const bytes = encodeStreamMessage({ kind: 'reply', key, origin: this._origins.find(key, now) }, now)
+    this._options.socket.sendStreamMessage(bytes, address)
+  }
+}
+
+function createSignal (): { promise: Promise<void>, resolve: () => void } {
+  let resolve: () => void = () => {}
+  const promise = new Promise<void>(_resolve => { resolve = _resolve })
+  return { promise, resolve }
+}
--- a/packages/serving/src/upstreams/upstreamTable.ts
+++ b/packages/serving/src/upstreams/upstreamTable.ts
@@ -5,6 +5,8 @@
  */
 import type { Timestamp } from '@plumstage/common'
 import { StatedLimit } from '../limits/statedLimit.js'
+import { softwareOf } from '../streams/software.js'
+import type { SoftwareId } from '../streams/software.js'
 import type { ListedUpstream } from './listedUpstream.js'
 import { UpstreamHealth } from './upstreamHealth.js'
 
@@ -46,6 +48,10 @@
     return this._listed
   }
 
+  get software (): SoftwareId {
+    return softwareOf(this._listed)
+  }
+
   get isLeaving (): boolean {
     return this._listed.state === 'leaving'
   }
@@ -87,6 +93,11 @@
   }
 }
 
+/** An upstream that starts again under its id may have another address or another software. */
+function isSameRun (known: ListedUpstream, listed: ListedUpstream): boolean {
+  return known.incarnation === listed.incarnation && known.address === listed.address && known.softwareVersion === listed.softwareVersion
+}
+
 /** All upstreams by id. */
 export class UpstreamTable {
   private readonly _upstreams = new Map<string, Upstream>()
@@ -109,10 +120,10 @@
   }
 
   /**
-   * Upstreams that may get new requests now and that `hasRoom` accepts; suspended ones only when there are no others.
+   * Upstreams that may get new requests now and that `accepts` selects; suspended ones only when there are no others.
    */
-  listAvailable (service: string, now: Timestamp, hasRoom: (upstream: Upstream) => boolean = () => true): readonly Upstream[] {
-    const present = this.listOfService(service).filter(upstream => !upstream.isLeaving && hasRoom(upstream))
+  listAvailable (service: string, now: Timestamp, accepts: (upstream: Upstream) => boolean = () => true): readonly Upstream[] {
+    const present = this.listOfService(service).filter(upstream => !upstream.isLeaving && accepts(upstream))
     const healthy = present.filter(upstream => !upstream.health.isSuspended(now))
     return healthy.length > 0 ? healthy : present
   }
@@ -128,7 +139,7 @@
     }
     for (const entry of listed) {
       const known = this._upstreams.get(entry.id)
-      if (known && known.listed.incarnation === entry.incarnation && known.listed.address === entry.address) {
+      if (known && isSameRun(known.listed, entry)) {
         known.update(entry, now)
         continue
       }
--- a/tests/platform/support/gatewayProcesses.ts
+++ b/tests/platform/support/gatewayProcesses.ts
@@ -15,6 +15,8 @@
 const CALLER_PORT = 8080
 const READINESS_PORT = 8081
 const PEER_PORTS = [7600, 7615]
+const METRICS_PORT = 9464
+const PRESENT_GATEWAYS = /^plumstage_present_gateways (\d+)$/m
 const READY_POLL_MILLISECONDS = 50
 const OK = 200
 const MAXIMUM_OCTET = 250
@@ -38,10 +40,11 @@
     this._count = count
   }
 
-  /** Starts gateways with the numbers from 1 to `count` and waits until all are ready. */
+  /** Starts gateways with the numbers from 1 to `count` and waits until all are ready and hear each other. */
   static async create (storeAddress: string, count: number): Promise<GatewayProcesses> {
     const processes = new GatewayProcesses(storeAddress, count)
     await Promise.all(processes.numbers.map(async number => await processes.start(number)))
+    await Promise.all(processes.numbers.map(async number => await processes._waitForPeers(number)))
     return processes
   }
 
@@ -57,7 +60,7 @@
   async start (number: number): Promise<void> {
     const path = join(this._folder, `gateway-${number}.json`)
     writeFileSync(path, JSON.stringify(this._settingsOf(number)))
-    const child = spawn(process.execPath, [ENTRY], { env: { ...process.env, PLUMSTAGE_SETTINGS: path }, stdio: ['ignore', 'pipe', 'inherit'] })
+    const child = spawn(process.execPath, [ENTRY, '--metrics-port', String(METRICS_PORT)], { env: { ...process.env, PLUMSTAGE_SETTINGS: path }, stdio: ['ignore', 'pipe', 'inherit'] })
     const started: GatewayProcess = { child, output: '' }
     child.stdout.on('data', (chunk: Buffer) => { started.output += chunk.toString() })
     this._processes.set(number, started)
@@ -89,16 +92,19 @@
     return `${this._network}.${number}`
   }
 
-  private async _isReady (number: number): Promise<boolean> {
-    try {
-      const response = await fetch(`http://${this._addressOf(number)}:${READINESS_PORT}/v1/readyz`)
-      await response.arrayBuffer()
-      return response.status === OK
-    } catch {
-      return false
+  private async _waitForPeers (number: number): Promise<void> {
+    for (;;) {
+      const metrics = await fetchText(`http://${this._addressOf(number)}:${METRICS_PORT}/metrics`)
+      const [, present] = PRESENT_GATEWAYS.exec(metrics ?? '') ?? []
+      if (Number(present) === this._count) return
+      await new Promise(resolve => setTimeout(resolve, READY_POLL_MILLISECONDS))
     }
   }
 
+  private async _isReady (number: number): Promise<boolean> {
+    return await fetchText(`http://${this._addressOf(number)}:${READINESS_PORT}/v1/readyz`) !== undefined
+  }
+
   private _settingsOf (number: number): object {
     const ip = this._addressOf(number)
     return {
@@ -114,6 +120,17 @@
   }
 }
 
+/** Returns the body of a successful response; undefined while there is none. */
+async function fetchText (url: string): Promise<string | undefined> {
+  try {
+    const response = await fetch(url)
+    const text = await response.text()
+    return response.status === OK ? text : undefined
+  } catch {
+    return undefined
+  }
+}
+
 function randomOctet (): number {
   return 1 + Math.floor(Math.random() * MAXIMUM_OCTET)
 }
--- a/tests/platform/support/platformDeployment.ts
+++ b/tests/platform/support/platformDeployment.ts
@@ -204,6 +204,7 @@
       readinessAddress: '127.0.0.1:0',
       peerAddress: '127.0.0.1:0',
       processorCores: 1,
+      isFirstStart: true,
       peerSeeds: [],
       addresses: { store: this.store.address },
       graceMilliseconds: 6000,
--- a/tests/serving/deploymentTask.spec.ts
+++ b/tests/serving/deploymentTask.spec.ts
@@ -34,7 +34,7 @@
     view: DeploymentView.create(DeploymentAdapter.create()),
     clock,
     instrumentation: Instrumentation.create('edge-1', 'run', clock),
-    observer: { onSnapshot: () => {}, onChanges: () => {} },
+    observers: [],
     countGateways: () => gateways,
     onChange: () => {}
   })
--- a/tests/support/reportNetwork.ts
+++ b/tests/support/reportNetwork.ts
@@ -20,6 +20,7 @@
   readinessAddress: '10.1.0.1:81',
   peerAddress: '10.1.0.1:7600',
   processorCores: 1,
+  isFirstStart: false,
   peerSeeds: [],
   addresses: { store: '10.9.0.1:80' },
   graceMilliseconds: 8000,
