Count the capacity that limited upstreams lack when the fleet is sized

Change: the planner adds the upstreams that the limited ones lack together, from their limits, the average prompt and the observed prefill rate. Result: new tests pass; without limits nothing changes.

--- a/packages/serving/src/fleet/demandMeter.ts
+++ b/packages/serving/src/fleet/demandMeter.ts
@@ -19,6 +19,7 @@
 interface ServiceDemand {
   promptTokens: SlidingSum
   outputTokens: SlidingSum
+  requests: SlidingSum
 }
 
 /** Averages the demand over a sliding window of a few seconds. */
@@ -30,10 +31,18 @@
   }
 
   record (service: string, promptTokens: number, outputTokens: number, now: Timestamp): void {
-    const demand = this._services.get(service) ?? { promptTokens: SlidingSum.create(WINDOW_SECONDS), outputTokens: SlidingSum.create(WINDOW_SECONDS) }
+    const demand = this._services.get(service) ?? { promptTokens: SlidingSum.create(WINDOW_SECONDS), outputTokens: SlidingSum.create(WINDOW_SECONDS), requests: SlidingSum.create(WINDOW_SECONDS) }
     this._services.set(service, demand)
     demand.promptTokens.record(promptTokens, now)
     demand.outputTokens.record(outputTokens, now)
+    demand.requests.record(1, now)
+  }
+
+  /** Prompt tokens of an average recent request; undefined while there are no requests. */
+  promptTokensPerRequest (service: string, now: Timestamp): number | undefined {
+    const demand = this._services.get(service)
+    const requests = demand?.requests.sum(now) ?? 0
+    return demand && requests > 0 ? demand.promptTokens.sum(now) / requests : undefined
   }
 
   /** Returns all services that have had requests, with their current demand. */
--- a/packages/serving/src/fleet/fleetSizing.ts
+++ b/packages/serving/src/fleet/fleetSizing.ts
@@ -30,6 +30,8 @@
   activeRequests: number
   /** Requests that one upstream executes at the same time. */
   placesPerUpstream: number
+  /** Capacity that is missing because upstreams limit their requests, in whole upstreams. */
+  missingUpstreams: number
 }
 
 /** Parameters by which the planner sizes a service. */
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -7,7 +7,9 @@
 import type { DutyTask } from '@plumstage/coordination'
 import type { ScalingBounds } from '@plumstage/records'
 import type { Cloud, UpstreamOrder } from '../duties/cloud.js'
+import { countMissingUpstreams } from '../limits/missingCapacity.js'
 import type { ServingState } from '../servingState.js'
+import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { Demand } from './demandMeter.js'
 import { FleetPlanner } from './fleetPlanner.js'
 import type { FleetCount, FleetObservation } from './fleetSizing.js'
@@ -67,18 +69,28 @@
     const { state, clock } = this._options
     const upstreams = state.upstreams.listOfService(service).filter(upstream => !upstream.isLeaving)
     const { tokensPerMillisecond, isKnown } = state.capacities.capacityOf(service, clock.now())
+    const observedTokensPerSecond = isKnown ? tokensPerMillisecond * MILLISECONDS_PER_SECOND : undefined
     return {
       service,
       scaling,
       demand: this._demandOf(service),
       counts: this._countUpstreams(service),
-      observedTokensPerSecond: isKnown ? tokensPerMillisecond * MILLISECONDS_PER_SECOND : undefined,
+      observedTokensPerSecond,
       waitingTokens: upstreams.reduce((sum, upstream) => sum + upstream.waitingTokens, 0),
       activeRequests: upstreams.reduce((sum, upstream) => sum + upstream.requests, 0),
-      placesPerUpstream: Math.min(...upstreams.map(upstream => upstream.listed.capacity))
+      placesPerUpstream: Math.min(...upstreams.map(upstream => upstream.listed.capacity)),
+      missingUpstreams: this._countMissing(service, upstreams, observedTokensPerSecond)
     }
   }
 
+  private _countMissing (service: string, upstreams: readonly Upstream[], tokensPerSecond: number | undefined): number {
+    const { state, clock } = this._options
+    const tokensPerRequest = state.demand.promptTokensPerRequest(service, clock.now())
+    if (tokensPerRequest === undefined || tokensPerSecond === undefined) return 0
+    const limits = upstreams.map(({ limit }) => limit.requestsPerSecond).filter(limit => limit !== undefined)
+    return countMissingUpstreams(limits, tokensPerRequest, tokensPerSecond)
+  }
+
   private _emitNeeded (planner: FleetPlanner, { service, demand, waitingTokens, activeRequests, observedTokensPerSecond }: FleetObservation): void {
     const { promptTokensPerSecond, outputTokensPerSecond } = demand
     const rate = observedTokensPerSecond === undefined ? undefined : Math.round(observedTokensPerSecond)
--- a/packages/serving/src/fleet/upstreamCountEstimator.ts
+++ b/packages/serving/src/fleet/upstreamCountEstimator.ts
@@ -106,7 +106,8 @@
    */
   private _estimateFromDemand (observation: FleetObservation, now: Timestamp): number {
     if (!this._hasDemand && now < this._startedAt + INITIAL_COUNT_RETENTION_MILLISECONDS) return Math.max(this._sizing.minimumUpstreams, this._requiredUpstreams)
-    const needed = this._sustainedNeed(Math.max(this._sizing.minimumUpstreams, this._countForPrefill(observation), this._countForPlaces(observation)), now)
+    const whole = Math.max(this._sizing.minimumUpstreams, this._countForPrefill(observation), this._countForPlaces(observation))
+    const needed = this._sustainedNeed(whole + Math.ceil(observation.missingUpstreams), now)
     this._sustainedNeeds = this._sustainedNeeds.filter(need => need.at > now - SHRINK_AFTER_MILLISECONDS)
     this._sustainedNeeds.push({ at: now, upstreams: needed })
     const highest = Math.max(...this._sustainedNeeds.map(need => need.upstreams))
--- a/tests/serving/demandMeter.spec.ts
+++ b/tests/serving/demandMeter.spec.ts
@@ -19,6 +19,15 @@
     assert.ok(Math.abs(measureAfter(20_000) - 10_000) < 1500, `${measureAfter(20_000)} tokens per second`)
   })
 
+  it('averages the prompt tokens of recent requests', () => {
+    const meter = DemandMeter.create()
+    assert.equal(meter.promptTokensPerRequest('model', 0), undefined)
+    meter.record('model', 1000, 10, 0)
+    meter.record('model', 3000, 10, 100)
+    assert.equal(meter.promptTokensPerRequest('model', 200), 2000)
+    assert.equal(meter.promptTokensPerRequest('model', 10_000), undefined)
+  })
+
   it('reports no demand after several seconds without requests', () => {
     const meter = DemandMeter.create()
     meter.record('model', 1000, 10, 0)
--- a/tests/serving/fleetPlanner.spec.ts
+++ b/tests/serving/fleetPlanner.spec.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import type { ScalingBounds } from '@plumstage/records'
-import { FleetPlanner } from '@plumstage/serving'
+import { FleetPlanner, countMissingUpstreams } from '@plumstage/serving'
 import type { FleetCount, UpstreamOrder } from '@plumstage/serving'
 
 const SCALING: ScalingBounds = { minimum: 1, maximum: 8, bootSeconds: 4, reclaimablePriceFraction: 0.22, priceByDomain: { east: 0.9, north: 1, west: 1.2 } }
 const NO_DEMAND = { promptTokensPerSecond: 0, outputTokensPerSecond: 0 }
 const ROUND_MILLISECONDS = 400
-const IDLE = { waitingTokens: 0, activeRequests: 0, placesPerUpstream: 64 }
+const IDLE = { waitingTokens: 0, activeRequests: 0, placesPerUpstream: 64, missingUpstreams: 0 }
 /** One upstream takes on 27,000 prompt tokens per second. */
 const OBSERVED_TOKENS_PER_SECOND = 30_000
 
@@ -167,7 +167,7 @@
     assert.ok(orderAt(0).some(order => order.reclaimable && order.desired >= 6))
   })
 
-  it('orders more upstreams when requests occupy their places, and when prompts wait', () => {
+  it('orders more upstreams when requests occupy their places, when prompts wait, and when others limit their requests', () => {
     const desiredAt = (load: Partial<typeof IDLE>): number => {
       const demand = { promptTokensPerSecond: 100_000, outputTokensPerSecond: 0 }
       const [order] = FleetPlanner.create(0).plan({ service: 'model', scaling: SCALING, demand, counts: [], observedTokensPerSecond: 100_000, ...IDLE, ...load }, 0)
@@ -176,6 +176,7 @@
     assert.ok(desiredAt({ activeRequests: 500 }) > desiredAt({}))
     assert.ok(desiredAt({ activeRequests: 100, placesPerUpstream: 16 }) > desiredAt({ activeRequests: 100 }))
     assert.ok(desiredAt({ waitingTokens: 500_000 }) > desiredAt({}))
+    assert.ok(desiredAt({ missingUpstreams: 1.7 }) > desiredAt({}))
   })
 
   it('returns to reclaimable upstreams although on-demand ones use most of the limit of each domain', () => {
@@ -240,3 +241,12 @@
     assert.equal(fleet.countOf('east', true).serving, SCALING.maximum)
   })
 })
+
+describe('missing capacity', () => {
+  it('is the part of each limited upstream that its limit does not reach', () => {
+    assert.equal(countMissingUpstreams([], 1000, 40_000), 0)
+    assert.equal(countMissingUpstreams([0], 1000, 40_000), 1)
+    assert.equal(countMissingUpstreams([10, 20], 1000, 40_000), 1.25)
+    assert.equal(countMissingUpstreams([1000], 1000, 40_000), 0)
+  })
+})
