--- a/packages/serving/src/streams/softwareHistoryTask.ts
+++ b/packages/serving/src/streams/softwareHistoryTask.ts
@@ -12,8 +12,7 @@
 import type { DeploymentView } from '../deployment/deploymentView.js'
 import type { GatewayAddresses } from '../peers/gatewayAddresses.js'
 import { rendezvousWeight } from '../routing/rendezvousHash.js'
-import type { SoftwareId } from './software.js'
-import type { SoftwareHistory, StoredHistory } from './softwareHistory.js'
+import type { ServiceSoftware, SoftwareHistory, StoredHistory } from './softwareHistory.js'
 
 const CHECK_MILLISECONDS = 1000
 const CALL_TIMEOUT_MILLISECONDS = 1500
@@ -69,7 +68,7 @@
     }
   }
 
-  private async _write (context: CallContext, software: readonly SoftwareId[]): Promise<void> {
+  private async _write (context: CallContext, software: readonly ServiceSoftware[]): Promise<void> {
     const { store, key, clock, instrumentation } = this._options
     const callContext = context.createChild(clock.now() + CALL_TIMEOUT_MILLISECONDS)
     const written = await store.transact(callContext, {
--- a/packages/serving/src/streams/streamOriginTask.ts
+++ b/packages/serving/src/streams/streamOriginTask.ts
@@ -69,21 +69,35 @@
     for (const address of chooseReplicas(key, addresses.list(), addresses.self)) socket.sendStreamMessage(bytes, address)
   }
 
-  /** Finds what began a stream of a service that a caller resumes. `requestId` is undefined if the caller does not name it. */
+  /**
+   * Finds what began a stream that a caller resumes: by a record or, where nobody has one, because only one software of
+   * the service may have. `requestId` is undefined if the caller does not name the request that began the stream.
+   */
   async find (service: string, requestId: string | undefined): Promise<LookupResult> {
-    const { clock, history, instrumentation } = this._options
-    const only = history.onlySoftwareOf(service, clock.now())
-    if (only !== undefined) return { kind: 'found', origin: { software: only, expiresAt: clock.now() } }
-    if (requestId === undefined) return { kind: 'not-found' }
+    const { clock, instrumentation } = this._options
     const startedAt = clock.now()
-    const key = streamKeyOf(requestId)
-    const kept = this._origins.find(key, startedAt)
-    const result: LookupResult = kept ? { kind: 'found', origin: kept } : await this._ask(key)
+    const recorded: LookupResult = requestId === undefined ? { kind: 'not-found' } : await this._findRecord(streamKeyOf(requestId))
+    const result = recorded.kind === 'found' ? recorded : this._inferOrigin(service) ?? recorded
+    const software = result.kind === 'found' ? result.origin.software : undefined
+    instrumentation.emit('stream-origin-looked-up', { service, resumedRequest: requestId, record: recorded.kind, result: result.kind, software, milliseconds: Math.round(clock.now() - startedAt) })
+    return result
+  }
+
+  private async _findRecord (key: StreamKey): Promise<LookupResult> {
+    const { clock } = this._options
+    const kept = this._origins.find(key, clock.now())
+    if (kept) return { kind: 'found', origin: kept }
+    const result = await this._ask(key)
     if (result.kind === 'found') this._origins.add(key, result.origin, clock.now())
-    instrumentation.emit('stream-origin-looked-up', { resumedRequest: requestId, result: result.kind, software: result.kind === 'found' ? result.origin.software : undefined, source: kept ? 'own record' : 'other gateways', milliseconds: Math.round(clock.now() - startedAt) })
     return result
   }
 
+  private _inferOrigin (service: string): LookupResult | undefined {
+    const { clock, history } = this._options
+    const software = history.onlySoftwareOf(service, clock.now())
+    return software === undefined ? undefined : { kind: 'found', origin: { software, expiresAt: clock.now() } }
+  }
+
   private async _ask (key: StreamKey): Promise<LookupResult> {
     const known = this._pending.get(key)
     if (known) return await known.result
