--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -128,7 +128,8 @@
     const matchesRequest = head.requestId === this._request.head.requestId
     if (head.requestId !== undefined && !matchesRequest) return fail('broken', `the response belongs to request ${head.requestId}`)
     if (head.otherInstance) return fail('other-instance', 'the address belongs to another instance')
-    if (matchesRequest && (head.signed || head.notRun)) this._applyLimit(head.limit)
+    // A refusal may state a limit, but one without a limit does not end it.
+    if (matchesRequest && (head.signed || (head.notRun && head.limit.kind !== 'none'))) this._applyLimit(head.limit)
     if (head.notRun) return fail('not-run', `the upstream refused the request with status ${status}`)
     if (status < FIRST_REDIRECT_STATUS && !(matchesRequest && head.signed)) return fail('broken', 'the response is not signed for this request')
     if (!head.signed) return fail('broken', `the response with status ${status} is not signed by the upstream`)
--- a/tests/platform/wireNames.spec.ts
+++ b/tests/platform/wireNames.spec.ts
@@ -5,7 +5,7 @@
 import { fileURLToPath } from 'node:url'
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url))
-const WIRE_NAMES = /Plumstage-[A-Z]|plumstage-(attempt|deadline|server-stamp|not-executed|expect|tenant|duty|fencing|prompt|token-count)|op\/config|servers\/|\/v1\/(kv-|readyz|report)|route_type|max_attempts|api_keys|expected_rev|warmup_left|leaves_ms|zone_prices|config_apply/
+const WIRE_NAMES = /Plumstage-[A-Z]|plumstage-(attempt|deadline|server-stamp|not-executed|expect|tenant|duty|fencing|prompt|token-count)|[Ss]erver-[Ll]imit|op\/config|servers\/|\/v1\/(kv-|readyz|report)|route_type|max_attempts|api_keys|expected_rev|warmup_left|leaves_ms|zone_prices|config_apply/
 
 function listSources (folder: string): string[] {
   return readdirSync(path.join(ROOT, folder), { recursive: true, encoding: 'utf8' })
