Log how a gateway has learnt of a limit

Cause: read in the diff: limits that arrive in reports of other gateways changed what a gateway does without a line in its log. Change: UpstreamLimits tells each change and its source to a listener, which logs it; RequestTask no longer does.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -346,10 +346,8 @@
   private _applyLimit (statement: LimitStatement): void {
     const { clock, state, instrumentation } = this._services
     const upstream = this._upstream!
-    const { listed, limit } = upstream
-    if (statement.kind === 'unreadable') instrumentation.emit('upstream-limit-unreadable', { upstream: listed.id, value: statement.text.slice(0, MAXIMUM_LOGGED_VALUE_LENGTH) }, this._request.head.requestId)
-    if (!state.limits.applyResponse(upstream, statement, this._attemptStartedAt, clock.now())) return
-    instrumentation.emit('upstream-limit-changed', { upstream: listed.id, service: listed.service, requestsPerSecond: limit.requestsPerSecond, source: 'response' }, this._request.head.requestId)
+    if (statement.kind === 'unreadable') instrumentation.emit('upstream-limit-unreadable', { upstream: upstream.listed.id, value: statement.text.slice(0, MAXIMUM_LOGGED_VALUE_LENGTH) }, this._request.head.requestId)
+    state.limits.applyResponse(upstream, statement, this._attemptStartedAt, clock.now())
   }
 
   /** Records a send to an upstream that states a limit, with what this gateway knows of the limit. */
--- a/packages/serving/src/limits/upstreamLimits.ts
+++ b/packages/serving/src/limits/upstreamLimits.ts
@@ -32,6 +32,12 @@
   ageMilliseconds: number
 }
 
+/** How this gateway has learnt of a limit: by a response to one of its requests, or from another gateway. */
+export type LimitSource = 'response' | 'report'
+
+/** Called when the limit of an upstream has begun, changed or ended. */
+export type LimitListener = (upstream: Upstream, source: LimitSource) => void
+
 interface PacedUpstream {
   share: LimitShare
   pacer: RequestPacer
@@ -43,6 +49,7 @@
   private readonly _paced = new Map<Upstream, PacedUpstream>()
   /** Whether a limit has begun or ended since the last report. */
   private _isReportUrgent = false
+  private _listener: LimitListener = () => {}
 
   private constructor (peers: PeerTable) {
     this._holders = LimitHolders.create(peers)
@@ -52,6 +59,10 @@
     return new UpstreamLimits(peers)
   }
 
+  onChange (listener: LimitListener): void {
+    this._listener = listener
+  }
+
   /** Whether the other gateways should receive a report before the regular interval ends. */
   get isReportUrgent (): boolean {
     return this._isReportUrgent
@@ -74,20 +85,17 @@
     this._paced.get(upstream)?.pacer.recordSend(now)
   }
 
-  /** Applies what a response states. Returns whether the limit has changed. */
-  applyResponse (upstream: Upstream, statement: LimitStatement, sentAt: Timestamp, now: Timestamp): boolean {
+  /** Applies what a response states to a request that was sent at `sentAt`. */
+  applyResponse (upstream: Upstream, statement: LimitStatement, sentAt: Timestamp, now: Timestamp): void {
     const before = upstream.limit.requestsPerSecond
-    const isChanged = upstream.limit.applyResponse(statement, sentAt, now)
-    this._recordChange(upstream, before)
-    return isChanged
+    if (upstream.limit.applyResponse(statement, sentAt, now)) this._recordChange(upstream, before, 'response')
   }
 
-  /** Applies what another gateway reports. Returns whether the limit has changed. */
-  applyReport (upstream: Upstream, { requestsPerSecond, ageMilliseconds }: ReportedLimit, now: Timestamp): boolean {
+  /** Applies what another gateway reports. */
+  applyReport (upstream: Upstream, { requestsPerSecond, ageMilliseconds }: ReportedLimit, now: Timestamp): void {
     const before = upstream.limit.requestsPerSecond
-    const isChanged = upstream.limit.applyReport({ requestsPerSecond, statedAt: now - ageMilliseconds - REPORT_DELAY_MILLISECONDS })
-    this._recordChange(upstream, before)
-    return isChanged
+    const observation = { requestsPerSecond, statedAt: now - ageMilliseconds - REPORT_DELAY_MILLISECONDS }
+    if (upstream.limit.applyReport(observation)) this._recordChange(upstream, before, 'report')
   }
 
   /** Returns what to report to the other gateways. */
@@ -106,10 +114,11 @@
     this._holders.forget(upstream.listed.id)
   }
 
-  private _recordChange (upstream: Upstream, before: number | undefined): void {
+  private _recordChange (upstream: Upstream, before: number | undefined, source: LimitSource): void {
     const after = upstream.limit.requestsPerSecond
     if ((before === undefined) !== (after === undefined)) this._isReportUrgent = true
     if (after === undefined) this._paced.delete(upstream)
+    this._listener(upstream, source)
   }
 
   private _pace (upstream: Upstream, requestsPerSecond: number, now: Timestamp): PacedUpstream | undefined {
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -106,6 +106,7 @@
     this._environment = environment
     this._context = CallContext.create(clock)
     this.state = ServingState.create(settings, environment.decoder, environment.random)
+    this.state.limits.onChange(({ listed, limit }, source) => instrumentation.emit('upstream-limit-changed', { upstream: listed.id, service: listed.service, requestsPerSecond: limit.requestsPerSecond, source }))
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._exchange = ReportExchange.create({ name: settings.name, incarnation: instrumentation.incarnation, failureDomain: settings.failureDomain }, this.state)
