Split the construction of the serving gateway, and parse JSON of others in one place

Cause: read in the diff: the constructor had grown past what a reader takes in, and two tasks had the same parser. Change: methods for the deployment task, the caller server and the log line of a limit; parseJson in common. Result: tests pass, no decision changed.

--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -19,6 +19,7 @@
 import type { Cloud } from './duties/cloud.js'
 import { FleetTask } from './fleet/fleetTask.js'
 import { GatewayRegistry } from './peers/gatewayRegistry.js'
+import type { LimitSource } from './limits/upstreamLimits.js'
 import { GatewayAddresses } from './peers/gatewayAddresses.js'
 import { GossipTask } from './peers/gossipTask.js'
 import { MembershipTask } from './peers/membershipTask.js'
@@ -106,7 +107,7 @@
     this._environment = environment
     this._context = CallContext.create(clock)
     this.state = ServingState.create(settings, environment.decoder, environment.random)
-    this.state.limits.onChange(({ listed, limit }, source) => instrumentation.emit('upstream-limit-changed', { upstream: listed.id, service: listed.service, requestsPerSecond: limit.requestsPerSecond, source }))
+    this.state.limits.onChange((upstream, source) => this._logLimit(upstream, source))
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._exchange = ReportExchange.create({ name: settings.name, incarnation: instrumentation.incarnation, failureDomain: settings.failureDomain }, this.state)
@@ -116,21 +117,8 @@
     this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
     this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, context: this._context, clock, instrumentation })
     this._gossip = this._createGossip()
-    this._deploymentTask = DeploymentTask.create({
-      store,
-      view: this.state.view,
-      clock,
-      instrumentation,
-      countGateways: () => this.state.peers.listRegistrations().length,
-      observers: [this._registry, this._softwareHistoryTask],
-      onChange: change => this._applyChange(change)
-    })
-    this._callerServer = CallerServer.create({
-      services: { clock, timeOfDay: environment.timeOfDay, instrumentation, state: this.state, protocol: environment.upstreamProtocol, connections: this._connections, running: this._running, streamOrigins: this._streamOrigins },
-      admission: RequestAdmission.create(this.state),
-      protocol: environment.callerProtocol,
-      closesConnection: () => this._stopping
-    })
+    this._deploymentTask = this._createDeploymentTask()
+    this._callerServer = this._createCallerServer()
   }
 
   /** Opens the listeners and starts the tasks. */
@@ -198,6 +186,33 @@
     this._listeners.push(await Listener.create(createReadinessServer(callerProtocol.readinessPath, () => this.isReady), this._settings.readinessAddress))
   }
 
+  private _createDeploymentTask (): DeploymentTask {
+    const { store, clock, instrumentation } = this._environment
+    return DeploymentTask.create({
+      store,
+      view: this.state.view,
+      clock,
+      instrumentation,
+      countGateways: () => this.state.peers.listRegistrations().length,
+      observers: [this._registry, this._softwareHistoryTask],
+      onChange: change => this._applyChange(change)
+    })
+  }
+
+  private _createCallerServer (): CallerServer {
+    const { clock, timeOfDay, instrumentation, upstreamProtocol, callerProtocol } = this._environment
+    return CallerServer.create({
+      services: { clock, timeOfDay, instrumentation, state: this.state, protocol: upstreamProtocol, connections: this._connections, running: this._running, streamOrigins: this._streamOrigins },
+      admission: RequestAdmission.create(this.state),
+      protocol: callerProtocol,
+      closesConnection: () => this._stopping
+    })
+  }
+
+  private _logLimit ({ listed, limit }: Upstream, source: LimitSource): void {
+    this._environment.instrumentation.emit('upstream-limit-changed', { upstream: listed.id, service: listed.service, requestsPerSecond: limit.requestsPerSecond, source })
+  }
+
   private _createGossip (): GossipTask {
     const { clock, instrumentation } = this._environment
     return GossipTask.create({
--- a/packages/serving/src/streams/softwareHistoryTask.ts
+++ b/packages/serving/src/streams/softwareHistoryTask.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import * as z from 'zod'
-import { getLogger } from '@plumstage/common'
+import { getLogger, parseJson } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
 import type { KeyValueChange, KeyValueEntry, KeyValueService } from '@plumstage/coordination'
 import type { StoreObserver } from '../deployment/deploymentTask.js'
@@ -100,11 +100,3 @@
     return { kind: 'unknown' }
   }
 }
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
--- a/packages/serving/src/usage/usageReportTask.ts
+++ b/packages/serving/src/usage/usageReportTask.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import * as z from 'zod'
-import { getLogger } from '@plumstage/common'
+import { getLogger, parseJson } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import type { DutyTask, KeyValueLease, KeyValueService } from '@plumstage/coordination'
 import type { Cloud } from '../duties/cloud.js'
@@ -121,11 +121,3 @@
     return this._lease
   }
 }
-
-function parseJson (text: string | undefined): unknown {
-  try {
-    return JSON.parse(text ?? '')
-  } catch {
-    return undefined
-  }
-}
