--- /dev/null
+++ b/packages/serving/src/attempts/acceptedRequest.ts
@@ -0,0 +1,25 @@
+/**
+ * A request that has passed admission.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import type { RouteRecord, ServiceRecord } from '@plumstage/records'
+import type { CallerHead } from '../callers/callerProtocol.js'
+
+/** A request that the gateway has accepted. */
+export interface AcceptedRequest {
+  head: CallerHead
+  route: RouteRecord
+  service: ServiceRecord
+  workspace?: string
+  /** Order among requests; 0 goes first. */
+  rank: number
+  /** Units that were charged to its workspace's quota. */
+  quotaUnits: number
+  body: Buffer
+  /** Identifies the content of the request; the same when the caller sends it again. */
+  digest: string
+  acceptedAt: Timestamp
+  deadline: Timestamp
+}
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -4,9 +4,7 @@
  * @module
  */
 import type { Clock, Instrumentation, Timer, Timestamp } from '@plumstage/common'
-import type { RouteRecord, ServiceRecord } from '@plumstage/records'
 import type { CallerExchange } from '../callers/callerExchange.js'
-import type { CallerHead } from '../callers/callerProtocol.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
 import type { LimitStatement } from '../limits/statedLimit.js'
@@ -15,6 +13,7 @@
 import type { StreamOriginTask } from '../streams/streamOriginTask.js'
 import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
+import type { AcceptedRequest } from './acceptedRequest.js'
 import { RequestLoad } from './requestLoad.js'
 import { ResponseRelay } from './responseRelay.js'
 import { StreamContinuity } from './streamContinuity.js'
@@ -48,23 +47,6 @@
   streamOrigins: StreamOriginTask
 }
 
-/** A request that the gateway has accepted. */
-export interface AcceptedRequest {
-  head: CallerHead
-  route: RouteRecord
-  service: ServiceRecord
-  workspace?: string
-  /** Order among requests; 0 goes first. */
-  rank: number
-  /** Units that were charged to its workspace's quota. */
-  quotaUnits: number
-  body: Buffer
-  /** Identifies the content of the request; the same when the caller sends it again. */
-  digest: string
-  acceptedAt: Timestamp
-  deadline: Timestamp
-}
-
 /** Whether an attempt is the first of its request, repeats it, or continues its stream after the events so far. */
 type AttemptKind = 'first' | 'retry' | 'continuation'
 
--- a/packages/serving/src/attempts/streamContinuity.ts
+++ b/packages/serving/src/attempts/streamContinuity.ts
@@ -8,7 +8,7 @@
 import type { LookupResult } from '../streams/originLookup.js'
 import type { SoftwareId } from '../streams/software.js'
 import type { StreamOriginTask } from '../streams/streamOriginTask.js'
-import type { AcceptedRequest } from './requestTask.js'
+import type { AcceptedRequest } from './acceptedRequest.js'
 
 const RETRY_AFTER_UNKNOWN_ORIGIN_MILLISECONDS = 300
 /** For this long, at most, a caller may resume a stream, counted from its first request. */
--- /dev/null
+++ b/packages/serving/src/limits/reportedLimit.ts
@@ -0,0 +1,15 @@
+/**
+ * Limits of upstreams in the reports of gateways.
+ *
+ * @module
+ */
+
+/** What one gateway tells the others about the limit of an upstream. */
+export interface ReportedLimit {
+  upstream: string
+  incarnation: string
+  /** Undefined when the limit has ended. */
+  requestsPerSecond?: number
+  /** Time since the upstream stated this. */
+  ageMilliseconds: number
+}
--- a/packages/serving/src/limits/upstreamLimits.ts
+++ b/packages/serving/src/limits/upstreamLimits.ts
@@ -8,6 +8,7 @@
 import type { PeerTable } from '../peers/peerTable.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import { LimitHolders } from './limitHolders.js'
+import type { ReportedLimit } from './reportedLimit.js'
 import { RequestPacer } from './requestPacer.js'
 import type { LimitShare } from './requestPacer.js'
 import type { LimitStatement } from './statedLimit.js'
@@ -22,16 +23,6 @@
  */
 const REPORT_DELAY_MILLISECONDS = 100
 
-/** What one gateway tells the others about the limit of an upstream. */
-export interface ReportedLimit {
-  upstream: string
-  incarnation: string
-  /** Undefined when the limit has ended. */
-  requestsPerSecond?: number
-  /** Time since the upstream stated this. */
-  ageMilliseconds: number
-}
-
 /** How this gateway has learnt of a limit: by a response to one of its requests, or from another gateway. */
 export type LimitSource = 'response' | 'report'
 
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -8,7 +8,7 @@
 import type { Result } from 'neverthrow'
 import { gossip } from '@plumstage/protocol'
 import { describeError } from '@plumstage/common'
-import type { ReportedLimit } from '../limits/upstreamLimits.js'
+import type { ReportedLimit } from '../limits/reportedLimit.js'
 import type { WorkspaceUsage } from '../quotas/workspaceUsage.js'
 
 /** Load of one gateway on one upstream. */
