Keep records of streams as long as their callers may resume them

Cause: read again: records ended after 65 s at most and the history of versions after 60 s, so a caller with a longer time limit could resume a stream for which a gateway then inferred the version of the last minute; a gateway that could ask nobody, because it had just started without the store, called the stream unknown to all; RequestTask had grown by its log lines. Change: one module for the lifetime of a stream, by the caller's own time limit and ten minutes at most, also for the history; no answer when nobody could be asked, so that the caller may return; AttemptLog writes the lines of attempts. New tests with processes: streams of the only version go on after all gateways were killed; none changes its version when all are killed with two versions; streams go on at a gateway that has just started again.

--- /dev/null
+++ b/packages/serving/src/attempts/attemptLog.ts
@@ -0,0 +1,84 @@
+/**
+ * The log lines about the attempts of one request.
+ *
+ * @module
+ */
+import type { Instrumentation, Timestamp } from '@plumstage/common'
+import type { CallerHead } from '../callers/callerProtocol.js'
+import type { LimitStatement } from '../limits/statedLimit.js'
+import type { Upstream } from '../upstreams/upstreamTable.js'
+import type { AttemptOutcome } from './upstreamAttempt.js'
+
+/** Values of upstreams that can't be read are cut to this length. */
+const MAXIMUM_VALUE_LENGTH = 40
+
+/** Whether an attempt is the first of its request, repeats it, or continues its stream after the events so far. */
+export type AttemptKind = 'first' | 'retry' | 'continuation'
+
+/** An attempt that is being started. */
+export interface StartedAttempt {
+  upstream: Upstream
+  kind: AttemptKind
+  startedAt: Timestamp
+  /** Id of the last event that the caller has received; undefined when there is none. */
+  lastEventId: number | undefined
+  /** Whether the caller has already received a part of the response to this request. */
+  withinResponse: boolean
+}
+
+/** What is known when an attempt has failed. */
+export interface FailedAttempt {
+  upstream: Upstream
+  outcome: AttemptOutcome
+  /** Revision of the list of upstreams that the gateway knows. */
+  listRevision: number
+  /** Events that the caller has received. */
+  events: number
+}
+
+/** Writes the lines of one request. */
+export class AttemptLog {
+  private readonly _instrumentation: Instrumentation
+  private readonly _head: CallerHead
+
+  private constructor (instrumentation: Instrumentation, head: CallerHead) {
+    this._instrumentation = instrumentation
+    this._head = head
+  }
+
+  static create (instrumentation: Instrumentation, head: CallerHead): AttemptLog {
+    return new AttemptLog(instrumentation, head)
+  }
+
+  /** Only attempts at upstreams that state a limit, and those that continue a stream, have a line. */
+  recordStarted (attempt: StartedAttempt): void {
+    this._recordLimit(attempt)
+    this._recordContinuation(attempt)
+  }
+
+  recordFailed ({ upstream, outcome, listRevision, events }: FailedAttempt): void {
+    if (outcome.kind === 'complete') return
+    const { failure, detail } = outcome
+    const { requests, waitingTokens } = upstream
+    this._instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, failure, detail, requests, waitingTokens, listRevision, events }, this._head.requestId)
+  }
+
+  /** Only a statement that can't be read has a line. */
+  recordStatement (upstream: Upstream, statement: LimitStatement): void {
+    if (statement.kind !== 'unreadable') return
+    this._instrumentation.emit('upstream-limit-unreadable', { upstream: upstream.listed.id, value: statement.text.slice(0, MAXIMUM_VALUE_LENGTH) }, this._head.requestId)
+  }
+
+  private _recordLimit ({ upstream, kind, startedAt }: StartedAttempt): void {
+    const known = upstream.limit.latest
+    if (known?.requestsPerSecond === undefined) return
+    const limitAgeMilliseconds = Math.round(startedAt - known.statedAt)
+    this._instrumentation.emit('limited-attempt-started', { upstream: upstream.listed.id, requestsPerSecond: known.requestsPerSecond, limitAgeMilliseconds, attemptKind: kind }, this._head.requestId)
+  }
+
+  private _recordContinuation ({ upstream: { listed }, lastEventId, withinResponse }: StartedAttempt): void {
+    if (lastEventId === undefined) return
+    const { requestId, resumedRequestId: resumedRequest } = this._head
+    this._instrumentation.emit('stream-continued', { upstream: listed.id, softwareVersion: listed.softwareVersion, resumedRequest, resumeAfter: lastEventId, withinResponse }, requestId)
+  }
+}
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -14,6 +14,8 @@
 import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
+import { AttemptLog } from './attemptLog.js'
+import type { AttemptKind } from './attemptLog.js'
 import { RequestLoad } from './requestLoad.js'
 import { ResponseRelay } from './responseRelay.js'
 import { StreamContinuity } from './streamContinuity.js'
@@ -31,8 +33,6 @@
 /** Maximum of a request's urgency; lower values are more urgent. */
 const MAXIMUM_URGENCY = 9
 const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
-/** Values of upstreams that can't be read are cut to this length in the log. */
-const MAXIMUM_LOGGED_VALUE_LENGTH = 40
 
 /** Dependencies of request tasks. */
 export interface RequestServices {
@@ -47,9 +47,6 @@
   streamOrigins: StreamOriginTask
 }
 
-/** Whether an attempt is the first of its request, repeats it, or continues its stream after the events so far. */
-type AttemptKind = 'first' | 'retry' | 'continuation'
-
 /** Processes one request, from the first attempt to the end of the response. */
 export class RequestTask implements AttemptReceiver {
   private readonly _services: RequestServices
@@ -59,6 +56,7 @@
   private readonly _progress: RequestProgress
   private readonly _load: RequestLoad
   private readonly _continuity: StreamContinuity
+  private readonly _log: AttemptLog
   private readonly _failedUpstreams = new Set<Upstream>()
   private _attempt: UpstreamAttempt | undefined
   private _upstream: Upstream | undefined
@@ -77,6 +75,7 @@
     this._relay = ResponseRelay.create(exchange, services.protocol, request.route, request.head.lastEventId, () => this._recordFirstEvent())
     this._load = RequestLoad.create(services.state, request.service.name, request.head.generation)
     this._continuity = StreamContinuity.create(services.streamOrigins, request)
+    this._log = AttemptLog.create(services.instrumentation, request.head)
     this._progress = { route: request.route, attempts: 0, mayHaveRun: false, started: false }
   }
 
@@ -133,7 +132,7 @@
   onEnded (outcome: AttemptOutcome): void {
     if (this._done) return
     const upstream = this._removeLoad()
-    this._emitFailedAttempt(outcome, upstream)
+    this._log.recordFailed({ upstream, outcome, listRevision: this._services.state.view.upstreamsRevision, events: this._relay.eventCount })
     if (outcome.kind === 'complete') return this._finish(upstream)
     this._recordFailure(outcome.failure, outcome.connectionLost, upstream)
     const decision = decideAfterFailure(outcome.failure, this._progress, () => this._tryTakeRetry(outcome.failure))
@@ -172,8 +171,7 @@
     this._attemptStartedAt = this._services.clock.now()
     this._load.add(choice, this._attemptStartedAt)
     this._services.state.limits.recordSend(upstream, this._attemptStartedAt)
-    this._emitLimitedAttempt(upstream)
-    this._emitContinuation(upstream)
+    this._log.recordStarted({ upstream, kind: this._attemptKind, startedAt: this._attemptStartedAt, lastEventId: this._relay.lastEventId, withinResponse: this._relay.started })
     this._attempt = UpstreamAttempt.create(this)
     const { head, body, workspace, rank, deadline } = this._request
     const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
@@ -276,7 +274,7 @@
     if (this._progress.mayHaveRun) return this._reject(createRejection('upstream-failed', 'No upstream is available for another attempt, and the request may have been executed. Check its effect before sending it again.'))
     const { clock, state } = this._services
     const service = this._request.service.name
-    if (state.isLimited(service, this._continuity.required, clock.now())) return this._reject(createRejection('upstreams-limited', `All upstreams of service ${service} limit their requests and have no room now, and the request was not executed. Send it again after the indicated delay.`, state.bookReturn(service, clock.now())))
+    if (state.isLimited(service, this._continuity.required, clock.now())) return this._reject(createRejection('upstreams-limited', `All upstreams of service ${service} limit their requests and have no room now, and the request was not executed. Send it again after the indicated delay.`, state.bookReturn(service, this._continuity.required, clock.now())))
     if (this._continuity.required !== undefined) return this._reject(createRejection('stream-software-gone', 'No upstream runs the software that began the stream, so it can\'t be continued, and the request was not executed. Begin a new stream.'))
     this._reject(createRejection('no-upstream', `Service ${service} has no available upstream, and the request was not executed. Send it again after the indicated delay.`, RETRY_AFTER_NO_UPSTREAM_MILLISECONDS))
   }
@@ -326,25 +324,9 @@
   }
 
   private _applyLimit (statement: LimitStatement): void {
-    const { clock, state, instrumentation } = this._services
-    const upstream = this._upstream!
-    if (statement.kind === 'unreadable') instrumentation.emit('upstream-limit-unreadable', { upstream: upstream.listed.id, value: statement.text.slice(0, MAXIMUM_LOGGED_VALUE_LENGTH) }, this._request.head.requestId)
-    state.limits.applyResponse(upstream, statement, this._attemptStartedAt, clock.now())
-  }
-
-  /** Records a send to an upstream that states a limit, with what this gateway knows of the limit. */
-  private _emitLimitedAttempt (upstream: Upstream): void {
-    const known = upstream.limit.latest
-    if (known?.requestsPerSecond === undefined) return
-    const { instrumentation } = this._services
-    instrumentation.emit('limited-attempt-started', { upstream: upstream.listed.id, requestsPerSecond: known.requestsPerSecond, limitAgeMilliseconds: Math.round(this._attemptStartedAt - known.statedAt), attemptKind: this._attemptKind }, this._request.head.requestId)
-  }
-
-  /** Records that a stream of which the caller has events goes to an upstream, and which software that runs. */
-  private _emitContinuation ({ listed }: Upstream): void {
-    const resumeAfter = this._relay.lastEventId
-    if (resumeAfter === undefined) return
-    this._services.instrumentation.emit('stream-continued', { upstream: listed.id, softwareVersion: listed.softwareVersion, resumedRequest: this._request.head.resumedRequestId, resumeAfter, withinResponse: this._relay.started }, this._request.head.requestId)
+    const { clock, state } = this._services
+    this._log.recordStatement(this._upstream!, statement)
+    state.limits.applyResponse(this._upstream!, statement, this._attemptStartedAt, clock.now())
   }
 
   private get _attemptKind (): AttemptKind {
@@ -352,12 +334,6 @@
     return this._failedUpstreams.size === 0 ? 'first' : 'retry'
   }
 
-  private _emitFailedAttempt (outcome: AttemptOutcome, upstream: Upstream): void {
-    if (outcome.kind === 'complete') return
-    const { failure, detail } = outcome
-    this._services.instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, failure, detail, requests: upstream.requests, waitingTokens: upstream.waitingTokens, listRevision: this._services.state.view.upstreamsRevision, events: this._relay.eventCount }, this._request.head.requestId)
-  }
-
   private _elapsedMilliseconds (): number {
     return Math.round(this._services.clock.now() - this._request.acceptedAt)
   }
--- a/packages/serving/src/attempts/streamContinuity.ts
+++ b/packages/serving/src/attempts/streamContinuity.ts
@@ -7,14 +7,11 @@
 import type { Rejection } from '../callers/rejection.js'
 import type { LookupResult } from '../streams/originLookup.js'
 import type { SoftwareId } from '../streams/software.js'
+import { streamExpiryOf } from '../streams/streamLifetime.js'
 import type { StreamOriginTask } from '../streams/streamOriginTask.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
 
 const RETRY_AFTER_UNKNOWN_ORIGIN_MILLISECONDS = 300
-/** For this long, at most, a caller may resume a stream, counted from its first request. */
-const MAXIMUM_STREAM_LIFETIME_MILLISECONDS = 60_000
-/** Callers may resume a little later than their time limit says. */
-const RESUME_MARGIN_MILLISECONDS = 5000
 const UNKNOWN_ORIGIN_MESSAGE = 'It is not known which software began the stream, so it can\'t be continued, and the request was not executed.'
 
 /** The software that one request has to go to. */
@@ -57,8 +54,7 @@
     this._required = software
     const { head, route, acceptedAt } = this._request
     if (route.stream?.resumable !== true) return
-    const lifetime = Math.min(MAXIMUM_STREAM_LIFETIME_MILLISECONDS, head.timeoutMilliseconds ?? MAXIMUM_STREAM_LIFETIME_MILLISECONDS)
-    this._origins.record(head.resumedRequestId ?? head.requestId, { software, expiresAt: acceptedAt + lifetime + RESUME_MARGIN_MILLISECONDS })
+    this._origins.record(head.resumedRequestId ?? head.requestId, { software, expiresAt: streamExpiryOf(acceptedAt, head.timeoutMilliseconds) })
   }
 }
 
--- a/packages/serving/src/limits/limitHolders.ts
+++ b/packages/serving/src/limits/limitHolders.ts
@@ -15,7 +15,7 @@
 /** Holders of an upstream with the lowest limit: a second one in case that the first has no requests to send. */
 const MINIMUM_HOLDERS = 2
 /** A lower limit, also 0, is treated as this one: without any request, the end of the limit would not be noticed. */
-const MINIMUM_REQUESTS_PER_SECOND = 0.1
+export const MINIMUM_REQUESTS_PER_SECOND = 0.1
 /** The registrations count as complete if they include this fraction of the gateways that are heard. */
 const MINIMUM_REGISTERED_FRACTION = 0.8
 
--- a/packages/serving/src/limits/returnSchedule.ts
+++ b/packages/serving/src/limits/returnSchedule.ts
@@ -5,12 +5,11 @@
  * @module
  */
 import type { SeededRandom, Timestamp } from '@plumstage/common'
+import { MINIMUM_REQUESTS_PER_SECOND } from './limitHolders.js'
 
 const MINIMUM_DELAY_MILLISECONDS = 200
 const MAXIMUM_DELAY_MILLISECONDS = 5000
 const MILLISECONDS_PER_SECOND = 1000
-/** A lower rate, also 0, is treated as this one. */
-const MINIMUM_REQUESTS_PER_SECOND = 0.1
 /** Callers that no turn within the maximum delay is left for are spread over this last part of it. */
 const LATE_PART = 0.5
 
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -91,10 +91,10 @@
   }
 
   /** Chooses when a caller that was rejected for the limits of upstreams may return; the delay in milliseconds. */
-  bookReturn (service: string, now: Timestamp): number {
+  bookReturn (service: string, software: SoftwareId | undefined, now: Timestamp): number {
     const schedule = this._returnSchedules.get(service) ?? ReturnSchedule.create(this._random)
     this._returnSchedules.set(service, schedule)
-    const accepted = this.upstreams.listAvailable(service, now).reduce((sum, { limit }) => sum + (limit.requestsPerSecond ?? 0), 0)
+    const accepted = this.upstreams.listAvailable(service, now, upstream => runs(upstream, software)).reduce((sum, { limit }) => sum + (limit.requestsPerSecond ?? 0), 0)
     return schedule.book(accepted, this.peers.countPresent(now), now)
   }
 
--- a/packages/serving/src/storeKeys.ts
+++ b/packages/serving/src/storeKeys.ts
@@ -27,7 +27,7 @@
     return key.startsWith(prefix) ? key.slice(prefix.length) : undefined
   }
 
-  /** Key of the software of the last minute. */
+  /** Key of the software that may have begun streams. */
   get softwareHistoryKey (): string {
     return `${PREFIX}software`
   }
--- a/packages/serving/src/streams/originLookup.ts
+++ b/packages/serving/src/streams/originLookup.ts
@@ -10,16 +10,18 @@
   | { kind: 'found', origin: StreamOrigin }
   /** All gateways that were asked have answered, and none knows the stream. */
   | { kind: 'not-found' }
-  /** Some gateways have not answered in time, and the others do not know the stream. */
+  /** No gateway could be asked, or some have not answered in time and the others do not know the stream. */
   | { kind: 'unanswered' }
 
 /** Collects the answers to one question. */
 export class OriginLookup {
   private readonly _unanswered: Set<string>
+  private readonly _hasAsked: boolean
   private _origin: StreamOrigin | undefined
 
   private constructor (asked: readonly string[]) {
     this._unanswered = new Set(asked)
+    this._hasAsked = asked.length > 0
   }
 
   static create (asked: readonly string[]): OriginLookup {
@@ -38,7 +40,7 @@
 
   get result (): LookupResult {
     if (this._origin) return { kind: 'found', origin: this._origin }
-    return this._unanswered.size === 0 ? { kind: 'not-found' } : { kind: 'unanswered' }
+    return this._hasAsked && this._unanswered.size === 0 ? { kind: 'not-found' } : { kind: 'unanswered' }
   }
 
   /** Records the answer of a gateway; undefined if it does not know the stream. */
--- a/packages/serving/src/streams/softwareHistory.ts
+++ b/packages/serving/src/streams/softwareHistory.ts
@@ -7,16 +7,15 @@
 import type { Timestamp } from '@plumstage/common'
 import type { ListedUpstream } from '../upstreams/listedUpstream.js'
 import type { SoftwareId } from './software.js'
+import { MAXIMUM_STREAM_LIFETIME_MILLISECONDS } from './streamLifetime.js'
 
-/** A caller resumes a stream at most this long after the software that began it was last listed. */
-const RETENTION_MILLISECONDS = 60_000
 /** Stands for all upstreams of a service that do not state a version. */
 const UNSTATED = 'unstated'
 
 /** A service and the software that its upstreams ran, as text. */
 export type ServiceSoftware = string
 
-/** What the store says about the software of the last minute. */
+/** What the store says about the software that may have begun streams. */
 export type StoredHistory =
   /** The store has not been read yet, or its entry can't be read. */
   | { kind: 'unknown' }
@@ -73,12 +72,12 @@
   }
 
   private _knowsAll (now: Timestamp): boolean {
-    return this._isComplete || now >= this._observedSince + RETENTION_MILLISECONDS
+    return this._isComplete || now >= this._observedSince + MAXIMUM_STREAM_LIFETIME_MILLISECONDS
   }
 
   private _list (now: Timestamp): Set<ServiceSoftware> {
-    const recent = [...this._lastListedAt].filter(([, listedAt]) => listedAt > now - RETENTION_MILLISECONDS).map(([software]) => software)
-    return new Set([...recent, ...(now < this._observedSince + RETENTION_MILLISECONDS ? this._inherited : [])])
+    const recent = [...this._lastListedAt].filter(([, listedAt]) => listedAt > now - MAXIMUM_STREAM_LIFETIME_MILLISECONDS).map(([software]) => software)
+    return new Set([...recent, ...(now < this._observedSince + MAXIMUM_STREAM_LIFETIME_MILLISECONDS ? this._inherited : [])])
   }
 }
 
--- a/packages/serving/src/streams/softwareHistoryTask.ts
+++ b/packages/serving/src/streams/softwareHistoryTask.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the entry of the store that names the software of the last minute, so that gateways that all start anew know it.
+ * Keeps the entry of the store that names the software that may have begun streams, so that gateways that all start anew know it.
  * One gateway writes it, under the condition that it has read the latest one.
  *
  * @module
@@ -96,7 +96,7 @@
   private _parse ({ key, value }: KeyValueEntry): StoredHistory {
     const parsed = entrySchema.safeParse(parseJson(value))
     if (parsed.success) return { kind: 'known', software: parsed.data.software }
-    this._log.error(`${key} can't be read. It is written again once this gateway has followed the list of upstreams for a minute.`)
+    this._log.error(`${key} can't be read. It is written again once this gateway has followed the list of upstreams for as long as a stream may be resumed.`)
     return { kind: 'unknown' }
   }
 }
--- a/packages/serving/src/streams/streamMessages.ts
+++ b/packages/serving/src/streams/streamMessages.ts
@@ -9,10 +9,9 @@
 import { describeError } from '@plumstage/common'
 import type { Timestamp } from '@plumstage/common'
 import { streams } from '@plumstage/protocol'
+import { MAXIMUM_STREAM_LIFETIME_MILLISECONDS } from './streamLifetime.js'
 import type { StreamKey, StreamOrigin } from './streamOrigins.js'
 
-/** A longer time can't be meant: callers wait seconds. */
-const MAXIMUM_REMAINING_MILLISECONDS = 600_000
 const KEY_BYTES = 8
 const MAXIMUM_SOFTWARE_LENGTH = 200
 
@@ -54,5 +53,5 @@
 
 function readOrigin ({ software, remainingMilliseconds }: streams.StreamOrigin, now: Timestamp): StreamOrigin {
   if (software === '' || software.length > MAXIMUM_SOFTWARE_LENGTH) throw new Error('it names no software')
-  return { software, expiresAt: now + Math.min(MAXIMUM_REMAINING_MILLISECONDS, remainingMilliseconds) }
+  return { software, expiresAt: now + Math.min(MAXIMUM_STREAM_LIFETIME_MILLISECONDS, remainingMilliseconds) }
 }
--- a/tests/platform/streamVersions.spec.ts
+++ b/tests/platform/streamVersions.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { knownRed } from '../support/knownRed.js'
+import { wait } from '../support/wait.js'
 import { ProcessDeployment } from './support/processDeployment.js'
 import { StreamCaller, streamSlowly } from './support/streamCaller.js'
 import type { UpstreamStandin } from './support/upstreamStandin.js'
@@ -9,24 +10,23 @@
 const VERSIONS = ['v1', 'v1', 'v1', 'v1.1', 'v1.1']
 const EVENTS = 60
 const EVENT_MILLISECONDS = 15
-const LAST_EVENT = EVENTS
 /** More mixed streams break the promise. */
 const ALLOWED_MIXED = 2
 const REJECTION_MILLISECONDS = 700
+/** Within this time a gateway writes to the store which versions there are. */
+const HISTORY_WRITTEN_MILLISECONDS = 2500
 const SERVICE_UNAVAILABLE = 503
 
-async function wait (milliseconds: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, milliseconds))
-}
-
 describe('software versions of streams', () => {
   let deployment: ProcessDeployment
-  beforeEach(async () => {
-    deployment = await ProcessDeployment.create(GATEWAYS, VERSIONS.map(version => ({ version, capacity: 64 })))
-    for (const [index, upstream] of deployment.upstreams.entries()) upstream.script = streamSlowly(VERSIONS[index], LAST_EVENT, EVENT_MILLISECONDS)
-  })
+  beforeEach(async () => await startDeployment(VERSIONS))
   afterEach(async () => await deployment.stop())
 
+  async function startDeployment (versions: readonly string[]): Promise<void> {
+    deployment = await ProcessDeployment.create(GATEWAYS, versions.map(version => ({ version, capacity: 64 })))
+    for (const [index, upstream] of deployment.upstreams.entries()) upstream.script = streamSlowly(versions[index], EVENTS, EVENT_MILLISECONDS)
+  }
+
   function urlOf (gateway: number): string {
     return deployment.gateways.callerUrlOf(gateway)
   }
@@ -66,6 +66,28 @@
     deployment.store.remove(`servers/${upstream.id}`)
   }
 
+  /** Kills all gateways while the streams run, and starts them again. */
+  async function killAllDuring (callers: readonly StreamCaller[]): Promise<void> {
+    const { gateways } = deployment
+    const sent = Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index)))))
+    await wait(400)
+    for (const number of gateways.numbers) gateways.signal(number, 'SIGKILL')
+    await sent
+    await Promise.all(gateways.numbers.map(async number => await gateways.start(number)))
+  }
+
+  // Guards against: streams that can only have begun at the one version are rejected for want of a record.
+  it('ORDER: streams of the only version go on after all gateways were killed at once', async () => {
+    await deployment.stop()
+    await startDeployment(['v1', 'v1', 'v1'])
+    await wait(HISTORY_WRITTEN_MILLISECONDS)
+    const callers = createCallers(60)
+    await killAllDuring(callers)
+    await resume(callers)
+    assertUnmixed(callers)
+    assertMostGoOn(callers)
+  })
+
   const atOtherGateway = 'ORDER: a stream that its caller resumes at another gateway goes on at the version that began it'
   // Guards against: a caller's next try gets any upstream, because no gateway knows which version began the stream.
   it(atOtherGateway, knownRed(atOtherGateway), async () => {
@@ -113,6 +135,28 @@
     assertMostGoOn(callers)
   })
 
+  // Guards against: gateways that have just started know nothing of the streams, and guess.
+  it('ORDER: a stream goes on at its version at a gateway that was killed and has just started again', async () => {
+    const callers = createCallers(60)
+    const sent = Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index)))))
+    await wait(400)
+    deployment.gateways.signal(1, 'SIGKILL')
+    await sent
+    await deployment.gateways.start(1)
+    await Promise.all(callers.filter(caller => !caller.isComplete).map(async caller => await caller.send(urlOf(1))))
+    assertUnmixed(callers)
+    assertMostGoOn(callers)
+  })
+
+  // Guards against: without any record left, a stream goes on wherever there is room.
+  it('ORDER: no stream changes its version after all gateways were killed at once', async () => {
+    const callers = createCallers(60)
+    await killAllDuring(callers)
+    await resume(callers)
+    assertUnmixed(callers)
+    assert.ok(callers.every(caller => caller.tries.length === 1 || caller.tries.at(-1)!.status !== 0), 'a caller got no answer')
+  })
+
   const noneLeft = 'ORDER: a stream of which no upstream of its version is left is rejected at once'
   // Guards against: a stream goes on at another version, or its caller waits, when its own version is gone.
   it(noneLeft, knownRed(noneLeft), async () => {
--- a/tests/platform/support/gatewayProcesses.ts
+++ b/tests/platform/support/gatewayProcesses.ts
@@ -59,7 +59,8 @@
   /** Starts a gateway, also one that was killed, and waits until it is ready. */
   async start (number: number): Promise<void> {
     const path = join(this._folder, `gateway-${number}.json`)
-    writeFileSync(path, JSON.stringify(this._settingsOf(number)))
+    const isFirstStart = !this._processes.has(number)
+    writeFileSync(path, JSON.stringify({ ...this._settingsOf(number), bootstrap: isFirstStart }))
     const child = spawn(process.execPath, [ENTRY, '--metrics-port', String(METRICS_PORT)], { env: { ...process.env, PLUMSTAGE_SETTINGS: path }, stdio: ['ignore', 'pipe', 'inherit'] })
     const started: GatewayProcess = { child, output: '' }
     child.stdout.on('data', (chunk: Buffer) => { started.output += chunk.toString() })
--- a/tests/platform/upstreamLimits.spec.ts
+++ b/tests/platform/upstreamLimits.spec.ts
@@ -2,6 +2,7 @@
 import { after, before, describe, it } from 'node:test'
 import { ArrivalLog } from '../support/arrivalLog.js'
 import { knownRed } from '../support/knownRed.js'
+import { wait } from '../support/wait.js'
 import { OpenLoopCallers } from './support/openLoopCallers.js'
 import { ProcessDeployment } from './support/processDeployment.js'
 import { respond, streamEvents } from './support/upstreamStandin.js'
@@ -15,10 +16,6 @@
 const REJECTION_MILLISECONDS = 250
 const SERVICE_UNAVAILABLE = 503
 
-async function wait (milliseconds: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, milliseconds))
-}
-
 /** Records each request; states a limit in the response if there is one. */
 function recordAndRespond (log: ArrivalLog, limit: string | undefined, isStream: boolean): ResponseScript {
   const extra = limit === undefined ? '' : `Server-Limit: ${limit}\r\n`
--- a/tests/serving/streamVersions.spec.ts
+++ b/tests/serving/streamVersions.spec.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { OriginLookup, OriginReplicas, SoftwareHistory, StreamOrigins, UpstreamTable, decodeStreamMessage, encodeStreamMessage, softwareOf, streamKeyOf } from '@plumstage/serving'
+import { OriginLookup, OriginReplicas, SoftwareHistory, StreamOrigins, UpstreamTable, decodeStreamMessage, encodeStreamMessage, softwareOf, streamExpiryOf, streamKeyOf } from '@plumstage/serving'
 import type { ListedUpstream, StreamMessage } from '@plumstage/serving'
 
 const MINUTE_MILLISECONDS = 60_000
+const STREAM_LIFETIME_MILLISECONDS = 600_000
 
 function createListed (id: string, softwareVersion: string | undefined, service = 'model'): ListedUpstream {
   return { id, incarnation: '1', service, address: '10.2.0.1:90', failureDomain: 'east', softwareVersion, capacity: 64, state: 'ready', reclaimable: false, warmupMilliseconds: 0 }
@@ -88,6 +89,11 @@
     assert.deepEqual([lookup.isSettled, lookup.result], [true, { kind: 'found', origin }])
   })
 
+  it('does not take a stream for unknown to all when no gateway could be asked', () => {
+    const lookup = OriginLookup.create([])
+    assert.deepEqual([lookup.isSettled, lookup.result], [true, { kind: 'unanswered' }])
+  })
+
   it('tells a stream that nobody knows from gateways that do not answer', () => {
     const lookup = OriginLookup.create(['a', 'b'])
     lookup.recordReply('a', undefined)
@@ -111,17 +117,17 @@
     assert.equal(history.onlySoftwareOf('other', 0), undefined)
   })
 
-  it('names none while two versions may have begun streams, and the second one a minute after the first has gone', () => {
+  it('names none while two versions may have begun streams, and the second one when no caller can resume a stream of the first', () => {
     const history = SoftwareHistory.create(0, true)
     history.applyStored({ kind: 'absent' })
     history.observe([...v1, ...v2], 1000)
     assert.equal(history.onlySoftwareOf('model', 1000), undefined)
-    history.observe(v2, 50_000)
-    assert.equal(history.onlySoftwareOf('model', 50_000), undefined)
-    assert.equal(history.onlySoftwareOf('model', 61_000), 'v2')
+    history.observe(v2, 600_000)
+    assert.equal(history.onlySoftwareOf('model', 600_000), undefined)
+    assert.equal(history.onlySoftwareOf('model', 601_000), 'v2')
   })
 
-  it('does not guess after a restart: what the store names counts, and without it a minute has to pass', () => {
+  it('does not guess after a restart: what the store names counts, and without it the longest life of a stream has to pass', () => {
     const known = SoftwareHistory.create(0, false)
     known.applyStored({ kind: 'known', software: ['model@v1', 'model@v2'] })
     known.observe(v2, 0)
@@ -129,11 +135,11 @@
     for (const stored of [{ kind: 'absent' }, { kind: 'unknown' }] as const) {
       const unknown = SoftwareHistory.create(0, false)
       unknown.applyStored(stored)
-      for (let now = 0; now < MINUTE_MILLISECONDS; now += 1000) {
+      for (let now = 0; now < STREAM_LIFETIME_MILLISECONDS; now += 1000) {
         unknown.observe(v2, now)
         assert.equal(unknown.onlySoftwareOf('model', now), undefined)
       }
-      assert.equal(unknown.onlySoftwareOf('model', MINUTE_MILLISECONDS), 'v2')
+      assert.equal(unknown.onlySoftwareOf('model', STREAM_LIFETIME_MILLISECONDS), 'v2')
     }
   })
 
@@ -165,6 +171,14 @@
   })
 })
 
+describe('expiry of a stream', () => {
+  it('follows the time limit of its caller, within bounds', () => {
+    assert.equal(streamExpiryOf(1000, 15_000), 21_000)
+    assert.equal(streamExpiryOf(1000, undefined), 66_000)
+    assert.equal(streamExpiryOf(1000, 10 * STREAM_LIFETIME_MILLISECONDS), 601_000)
+  })
+})
+
 describe('stream message', () => {
   const key = streamKeyOf('r-1')
 
