Ignore statements of limits that arrive again or late

Cause: a limit that ended and began again, with one gateway whose reports take a second: 19 requests in 4 s where 11 are allowed (new test on the code before). The late gateway passed on what others had stated; by its age alone each copy looked newer than the original, so that the end of the limit kept renewing itself against the limit. Change: a statement carries the run of the gateway that received it and its number there; a copy is ignored.

--- a/packages/serving/src/limits/reportedLimit.ts
+++ b/packages/serving/src/limits/reportedLimit.ts
@@ -12,4 +12,8 @@
   requestsPerSecond?: number
   /** Time since the upstream stated this. */
   ageMilliseconds: number
+  /** Run of the gateway to which the upstream stated this. */
+  origin: number
+  /** Number of the statement at that gateway; later ones have higher numbers. */
+  number: number
 }
--- a/packages/serving/src/limits/upstreamLimits.ts
+++ b/packages/serving/src/limits/upstreamLimits.ts
@@ -17,10 +17,7 @@
 const REPORT_END_MILLISECONDS = 60_000
 /** Bounds the size of a report; the limits that were stated last are included. */
 const MAXIMUM_REPORTED_LIMITS = 200
-/**
- * A report counts as older than it says by this time, which exceeds its way from one gateway to another: else an old
- * statement would look newer each time a gateway passes it on.
- */
+/** A statement counts as older than its report says by this time, which is longer than its usual way. */
 const REPORT_DELAY_MILLISECONDS = 100
 
 /** How this gateway has learnt of a limit: by a response to one of its requests, or from another gateway. */
@@ -37,17 +34,21 @@
 /** The limits of all upstreams at one gateway. */
 export class UpstreamLimits {
   private readonly _holders: LimitHolders
+  /** Identity of this run of the gateway in the statements that it passes on. */
+  private readonly _origin: number
   private readonly _paced = new Map<Upstream, PacedUpstream>()
   /** Whether a limit has begun or ended since the last report. */
   private _isReportUrgent = false
   private _listener: LimitListener = () => {}
 
-  private constructor (peers: PeerTable) {
+  private constructor (peers: PeerTable, origin: number) {
     this._holders = LimitHolders.create(peers)
+    this._origin = origin
   }
 
-  static create (peers: PeerTable): UpstreamLimits {
-    return new UpstreamLimits(peers)
+  /** `origin` is a random 32-bit number. */
+  static create (peers: PeerTable, origin: number): UpstreamLimits {
+    return new UpstreamLimits(peers, origin)
   }
 
   onChange (listener: LimitListener): void {
@@ -79,22 +80,22 @@
   /** Applies what a response states to a request that was sent at `sentAt`. */
   applyResponse (upstream: Upstream, statement: LimitStatement, sentAt: Timestamp, now: Timestamp): void {
     const before = upstream.limit.requestsPerSecond
-    if (upstream.limit.applyResponse(statement, sentAt, now)) this._recordChange(upstream, before, 'response')
+    if (upstream.limit.applyResponse(statement, this._origin, sentAt, now)) this._recordChange(upstream, before, 'response')
   }
 
   /** Applies what another gateway reports. */
-  applyReport (upstream: Upstream, { requestsPerSecond, ageMilliseconds }: ReportedLimit, now: Timestamp): void {
+  applyReport (upstream: Upstream, { requestsPerSecond, ageMilliseconds, origin, number }: ReportedLimit, now: Timestamp): void {
     const before = upstream.limit.requestsPerSecond
-    const observation = { requestsPerSecond, statedAt: now - ageMilliseconds - REPORT_DELAY_MILLISECONDS }
-    if (upstream.limit.applyReport(observation)) this._recordChange(upstream, before, 'report')
+    const observation = { requestsPerSecond, statedAt: now - ageMilliseconds - REPORT_DELAY_MILLISECONDS, origin, number }
+    if (upstream.limit.applyReport(observation, now)) this._recordChange(upstream, before, 'report')
   }
 
   /** Returns what to report to the other gateways. */
   createReport (upstreams: readonly Upstream[], now: Timestamp): ReportedLimit[] {
     this._isReportUrgent = false
     const reported = upstreams
-      .filter(({ limit }) => limit.requestsPerSecond !== undefined || (limit.latest !== undefined && limit.latest.statedAt > now - REPORT_END_MILLISECONDS))
-      .map(({ listed, limit }) => ({ upstream: listed.id, incarnation: listed.incarnation, requestsPerSecond: limit.requestsPerSecond, ageMilliseconds: Math.max(0, Math.round(now - limit.latest!.statedAt)) }))
+      .map(upstream => describeLimit(upstream, now))
+      .filter(limit => limit !== undefined)
     if (reported.length <= MAXIMUM_REPORTED_LIMITS) return reported
     return reported.sort((left, right) => left.ageMilliseconds - right.ageMilliseconds).slice(0, MAXIMUM_REPORTED_LIMITS)
   }
@@ -132,3 +133,11 @@
     return paced
   }
 }
+
+/** Returns what to report of an upstream; undefined if it states no limit and has not done so for a while. */
+function describeLimit ({ listed, limit: { latest } }: Upstream, now: Timestamp): ReportedLimit | undefined {
+  if (latest === undefined) return undefined
+  if (latest.requestsPerSecond === undefined && latest.statedAt <= now - REPORT_END_MILLISECONDS) return undefined
+  const { requestsPerSecond, origin, number } = latest
+  return { upstream: listed.id, incarnation: listed.incarnation, requestsPerSecond, ageMilliseconds: Math.max(0, Math.round(now - latest.statedAt)), origin, number }
+}
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -28,6 +28,8 @@
 import { UsageLedger } from './usage/usageLedger.js'
 
 const CRASHES_FOR_QUARANTINE = 3
+/** Largest random number that identifies a run of the gateway. */
+const MAXIMUM_ORIGIN = 2 ** 31 - 1
 
 /** Owns the state and the policies that all requests of one gateway share. */
 export class ServingState {
@@ -52,7 +54,7 @@
   private constructor (settings: ServingSettings, decoder: DeploymentDecoder, random: SeededRandom) {
     this.view = DeploymentView.create(decoder)
     this.peers = PeerTable.create({ address: settings.peerAddress, processorCores: settings.processorCores })
-    this.limits = UpstreamLimits.create(this.peers)
+    this.limits = UpstreamLimits.create(this.peers, random.nextInteger(1, MAXIMUM_ORIGIN))
     this.quotas = WorkspaceQuotas.create(settings.quotaTolerance)
     this.capacities = ServiceCapacities.create(this.peers)
     this.usage = UsageLedger.create(settings.usageWindowMilliseconds)
--- a/tests/serving/gatewayReport.spec.ts
+++ b/tests/serving/gatewayReport.spec.ts
@@ -17,7 +17,7 @@
   suspicions: [{ digest: 'ab12', crashes: ['i-1/1'], cleared: [] }],
   demands: [{ service: 'model', promptTokensPerSecond: 4000, outputTokensPerSecond: 200, prefillTokensPerSecond: 61_000, prefillSamples: 90 }],
   knownAddresses: ['10.1.0.1:7600'],
-  limits: [{ upstream: 'i-1', incarnation: '1', requestsPerSecond: 2.5, ageMilliseconds: 300 }, { upstream: 'i-2', incarnation: '1', ageMilliseconds: 12 }],
+  limits: [{ upstream: 'i-1', incarnation: '1', requestsPerSecond: 2.5, ageMilliseconds: 300, origin: 2_000_000_000, number: 9 }, { upstream: 'i-2', incarnation: '1', ageMilliseconds: 12, origin: 3, number: 1 }],
   relayed: { gateways: 7, loads: [{ upstream: 'i-1', requests: 20, waitingTokens: 100 }], uses: [{ workspace: 'press', admittedUnits: 1_000_000, offeredUnitsPerSecond: 7000 }] }
 }
 
--- a/tests/serving/upstreamLimits.spec.ts
+++ b/tests/serving/upstreamLimits.spec.ts
@@ -175,7 +175,7 @@
     }
   }
 
-  it('LIMIT: gateways stay within the limit while one after another is frozen and resumed', () => {
+  it('hold while one gateway after another is frozen and resumed', () => {
     const network = ReportNetwork.create(9)
     const upstream = new LimitedUpstream(network, 1)
     upstream.run(5000)
@@ -190,6 +190,33 @@
     assert.ok(most <= allowed, `${most} in 4 s, allowed ${allowed}`)
   })
 
+  it('hold while a gateway is cut off, one is late and one is not known to the others', () => {
+    const network = ReportNetwork.create(9)
+    const [cutOff, late, newcomer] = network.gateways
+    cutOff.isCutOff = true
+    late.delayMilliseconds = 2500
+    for (const { state, name } of network.gateways) if (name !== newcomer.name) state.peers.register(newcomer.name, undefined)
+    const upstream = new LimitedUpstream(network, 1)
+    upstream.run(30_000)
+    const { most, allowed } = upstream.log.checkLimit(1)
+    assert.ok(most <= allowed, `${most} in 4 s, allowed ${allowed}`)
+  })
+
+  it('hold when a late gateway reports the end of a limit that has begun again', () => {
+    for (const delayMilliseconds of [500, 1000, 1500, 2000, 3000, 5000]) {
+      const network = ReportNetwork.create(9)
+      network.gateways[0].delayMilliseconds = delayMilliseconds
+      const upstream = new LimitedUpstream(network, 1)
+      upstream.run(8000)
+      upstream.limit = undefined
+      upstream.run(delayMilliseconds)
+      const again = new LimitedUpstream(network, 1)
+      again.run(15_000)
+      const { most, allowed } = again.log.checkLimit(1)
+      assert.ok(most <= allowed, `${most} in 4 s after a delay of ${delayMilliseconds} ms, allowed ${allowed}`)
+    }
+  })
+
   it('ends at all gateways, also at those that hold no share', () => {
     for (const count of [9, 89]) {
       const network = ReportNetwork.create(count)
@@ -232,12 +259,12 @@
     const network = ReportNetwork.create(1)
     const report = network.gateways[0].exchange.createReport(false, 0, 0)
     for (const requestsPerSecond of [Number.NaN, Number.POSITIVE_INFINITY, -1]) {
-      assert.deepEqual(decodeReport(encodeReport({ ...report, limits: [{ upstream: UPSTREAM, incarnation: '1', requestsPerSecond, ageMilliseconds: 0 }] }))._unsafeUnwrap().limits, [])
+      assert.deepEqual(decodeReport(encodeReport({ ...report, limits: [{ upstream: UPSTREAM, incarnation: '1', requestsPerSecond, ageMilliseconds: 0, origin: 1, number: 1 }] }))._unsafeUnwrap().limits, [])
     }
   })
 
   it('bounds what a report says when very many upstreams are limited', () => {
-    const limits = UpstreamLimits.create(createPeers('10.0.0.1:7600', []))
+    const limits = UpstreamLimits.create(createPeers('10.0.0.1:7600', []), 1)
     const upstreams = Array.from({ length: 7600 }, (_, index) => Upstream.create({ id: `i-${index}`, incarnation: '1', service: 'model', address: '10.2.0.1:90', failureDomain: 'east', capacity: 64, state: 'ready', reclaimable: false, warmupMilliseconds: 0 }, 0))
     for (const [index, upstream] of upstreams.entries()) limits.applyResponse(upstream, { kind: 'limit', requestsPerSecond: 1 }, index, index)
     const reported = limits.createReport(upstreams, 8000)
--- a/tests/support/reportNetwork.ts
+++ b/tests/support/reportNetwork.ts
@@ -42,16 +42,28 @@
   topology: ReportTopology
   exchange: ReportExchange
   isUp: boolean
+  /** Whether no message passes between it and the others, although it serves its callers. */
+  isCutOff: boolean
+  /** Time that its reports take to reach the others. */
+  delayMilliseconds: number
   nextReportAt: number
   nextUrgentAt: number
   sentReports: number
   sentBytes: number
 }
 
+interface PendingDelivery {
+  bytes: Uint8Array
+  sender: ReportingGateway
+  recipient: string
+  at: number
+}
+
 /** The gateways and their shared clock. */
 export class ReportNetwork {
   readonly gateways: ReportingGateway[]
   now = 0
+  private _pending: PendingDelivery[] = []
 
   private constructor (gateways: ReportingGateway[]) {
     this.gateways = gateways
@@ -70,6 +82,7 @@
   run (milliseconds: number, onStep?: (gateway: ReportingGateway) => void): void {
     const end = this.now + milliseconds
     for (; this.now < end; this.now += STEP_MILLISECONDS) {
+      this._deliverDue()
       for (const gateway of this.gateways) {
         if (!gateway.isUp) continue
         onStep?.(gateway)
@@ -91,14 +104,20 @@
       const bytes = encodeReport({ ...report, relayed: isRelay ? sender.exchange.createAggregate(address, now) : undefined })
       sender.sentReports++
       sender.sentBytes += bytes.length
-      this._deliver(bytes, sender.address, address)
+      this._pending.push({ bytes, sender, recipient: address, at: now + sender.delayMilliseconds })
     }
   }
 
-  private _deliver (bytes: Uint8Array, from: string, to: string): void {
-    const recipient = this.gateways.find(gateway => gateway.address === to)
-    if (!recipient?.isUp) return
-    const peer = recipient.state.peers.apply(decodeReport(bytes)._unsafeUnwrap(), from, this.now)
+  private _deliverDue (): void {
+    const due = this._pending.filter(delivery => delivery.at <= this.now)
+    this._pending = this._pending.filter(delivery => delivery.at > this.now)
+    for (const delivery of due) this._deliver(delivery)
+  }
+
+  private _deliver ({ bytes, sender, recipient: address }: PendingDelivery): void {
+    const recipient = this.gateways.find(gateway => gateway.address === address)
+    if (!recipient?.isUp || recipient.isCutOff || sender.isCutOff) return
+    const peer = recipient.state.peers.apply(decodeReport(bytes)._unsafeUnwrap(), sender.address, this.now)
     if (peer) recipient.exchange.apply(peer, this.now)
   }
 }
@@ -115,6 +134,8 @@
     topology: ReportTopology.create(state.peers),
     exchange: ReportExchange.create({ name, incarnation: 'first', failureDomain: 'east' }, state),
     isUp: true,
+    isCutOff: false,
+    delayMilliseconds: 0,
     nextReportAt: index,
     nextUrgentAt: 0,
     sentReports: 0,
