Infer the version of a stream only from a list that is up to date

Cause: read again: a gateway cut off from the store and from the others, whose list names one version, inferred that one for a stream that had begun at another after the cut; the rule holds for gateways out of touch as well. Change: without a record, the only listed version counts only while the store is followed, or when all other gateways have answered that they don't know the stream. Gateways that are heard are counted four times a second, not for each limited upstream of each request.

--- a/packages/serving/src/limits/limitHolders.ts
+++ b/packages/serving/src/limits/limitHolders.ts
@@ -16,6 +16,8 @@
 const MINIMUM_HOLDERS = 2
 /** A lower limit, also 0, is treated as this one: without any request, the end of the limit would not be noticed. */
 export const MINIMUM_REQUESTS_PER_SECOND = 0.1
+/** How long the number of gateways that are heard is used before they are counted again. */
+const COUNT_MILLISECONDS = 250
 /** The registrations count as complete if they include this fraction of the gateways that are heard. */
 const MINIMUM_REGISTERED_FRACTION = 0.8
 
@@ -31,6 +33,8 @@
   private readonly _peers: PeerTable
   private readonly _addresses: GatewayAddresses
   private readonly _ranks = new Map<string, KnownRank>()
+  private _heard = 1
+  private _countAgainAt: Timestamp = Number.NEGATIVE_INFINITY
 
   private constructor (peers: PeerTable) {
     this._peers = peers
@@ -45,7 +49,7 @@
   shareOf (upstreamId: string, requestsPerSecond: number, now: Timestamp): LimitShare | undefined {
     const limit = Math.max(MINIMUM_REQUESTS_PER_SECOND, requestsPerSecond)
     const known = this._addresses.list().length
-    const heard = this._peers.countPresent(now)
+    const heard = this._countHeard(now)
     const rank = this._rankFor(upstreamId)
     // Without the store, a gateway of a large deployment knows only a few of the others; then all take equal shares.
     if (known < heard * MINIMUM_REGISTERED_FRACTION) return createShare(limit, heard, rank)
@@ -57,6 +61,13 @@
     this._ranks.delete(upstreamId)
   }
 
+  private _countHeard (now: Timestamp): number {
+    if (now < this._countAgainAt) return this._heard
+    this._countAgainAt = now + COUNT_MILLISECONDS
+    this._heard = this._peers.countPresent(now)
+    return this._heard
+  }
+
   private _rankFor (upstreamId: string): number {
     const addresses = this._addresses.list()
     const { self, version } = this._addresses
--- a/packages/serving/src/limits/returnSchedule.ts
+++ b/packages/serving/src/limits/returnSchedule.ts
@@ -10,7 +10,7 @@
 const MINIMUM_DELAY_MILLISECONDS = 200
 const MAXIMUM_DELAY_MILLISECONDS = 5000
 const MILLISECONDS_PER_SECOND = 1000
-/** Callers that no turn within the maximum delay is left for are spread over this last part of it. */
+/** When all turns within the maximum delay are taken, callers are spread over this last part of it. */
 const LATE_PART = 0.5
 
 /** The turns that one gateway has given to the rejected callers of one service. */
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -115,7 +115,7 @@
     const addresses = GatewayAddresses.create(this.state.peers)
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
     this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
-    this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, context: this._context, clock, instrumentation })
+    this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
     this._gossip = this._createGossip()
     this._deploymentTask = this._createDeploymentTask()
     this._callerServer = this._createCallerServer()
--- a/packages/serving/src/streams/streamOriginTask.ts
+++ b/packages/serving/src/streams/streamOriginTask.ts
@@ -7,7 +7,7 @@
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import type { GatewayAddresses } from '../peers/gatewayAddresses.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
-import { OriginLookup } from './originLookup.js'
+import { OriginLookup, isInferenceSafe } from './originLookup.js'
 import type { LookupResult } from './originLookup.js'
 import { OriginReplicas } from './originReplicas.js'
 import type { SoftwareHistory } from './softwareHistory.js'
@@ -25,6 +25,8 @@
   socket: PeerSocket
   addresses: GatewayAddresses
   history: SoftwareHistory
+  /** Whether the list of upstreams is up to date. */
+  isFollowingStore: () => boolean
   /** Cancelled when the gateway shuts down. */
   context: CallContext
   clock: Clock
@@ -79,8 +81,8 @@
   async find (service: string, requestId: string | undefined): Promise<LookupResult> {
     const { clock, instrumentation } = this._options
     const startedAt = clock.now()
-    const recorded: LookupResult = requestId === undefined ? { kind: 'not-found' } : await this._findRecord(streamKeyOf(requestId))
-    const result = recorded.kind === 'found' ? recorded : this._inferOrigin(service) ?? recorded
+    const recorded: LookupResult = requestId === undefined ? { kind: 'unanswered' } : await this._findRecord(streamKeyOf(requestId))
+    const result = recorded.kind === 'found' ? recorded : this._inferOrigin(service, recorded) ?? recorded
     const software = result.kind === 'found' ? result.origin.software : undefined
     instrumentation.emit('stream-origin-looked-up', { service, resumedRequest: requestId, record: recorded.kind, result: result.kind, software, milliseconds: Math.round(clock.now() - startedAt) })
     return result
@@ -95,8 +97,9 @@
     return result
   }
 
-  private _inferOrigin (service: string): LookupResult | undefined {
-    const { clock, history } = this._options
+  private _inferOrigin (service: string, recorded: LookupResult): LookupResult | undefined {
+    const { clock, history, isFollowingStore } = this._options
+    if (!isInferenceSafe(recorded, isFollowingStore())) return undefined
     const software = history.onlySoftwareOf(service, clock.now())
     return software === undefined ? undefined : { kind: 'found', origin: { software, expiresAt: clock.now() } }
   }
--- a/tests/serving/streamVersions.spec.ts
+++ b/tests/serving/streamVersions.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { OriginLookup, OriginReplicas, SoftwareHistory, StreamOrigins, UpstreamTable, decodeStreamMessage, encodeStreamMessage, softwareOf, streamExpiryOf, streamKeyOf } from '@plumstage/serving'
+import { OriginLookup, OriginReplicas, SoftwareHistory, StreamOrigins, UpstreamTable, decodeStreamMessage, encodeStreamMessage, isInferenceSafe, softwareOf, streamExpiryOf, streamKeyOf } from '@plumstage/serving'
 import type { ListedUpstream, StreamMessage } from '@plumstage/serving'
 
 const MINUTE_MILLISECONDS = 60_000
@@ -94,6 +94,12 @@
     assert.deepEqual([lookup.isSettled, lookup.result], [true, { kind: 'unanswered' }])
   })
 
+  it('allows no inference to a gateway that may not have heard of the version', () => {
+    assert.equal(isInferenceSafe({ kind: 'unanswered' }, false), false)
+    assert.equal(isInferenceSafe({ kind: 'unanswered' }, true), true)
+    assert.equal(isInferenceSafe({ kind: 'not-found' }, false), true)
+  })
+
   it('tells a stream that nobody knows from gateways that do not answer', () => {
     const lookup = OriginLookup.create(['a', 'b'])
     lookup.recordReply('a', undefined)
