Log and count configurations that a gateway ignores

No log line and no metric says that a gateway has received a configuration and not put it into force, nor why, so a change that never arrives could not be told from one that is taken for an old one. Result: one new test passes; nothing is changed for callers.

--- a/packages/serving/src/deployment/deploymentView.ts
+++ b/packages/serving/src/deployment/deploymentView.ts
@@ -50,10 +50,25 @@
   retainedUntil?: Timestamp
 }
 
+/** Why a configuration that was received did not come into force. */
+export type IgnoreReason =
+  /** The configuration in force is newer. */
+  | 'older'
+  /** It can't be decoded. */
+  | 'unreadable'
+
+/** A configuration that was received and did not come into force. */
+export interface IgnoredConfiguration {
+  reason: IgnoreReason
+  revision: number
+}
+
 /** Which parts of the view an update has changed. */
 export interface ViewChange {
   configuration: boolean
   upstreams: boolean
+  /** Set when the update contained a configuration that did not come into force, other than the one in force itself. */
+  ignoredConfiguration?: IgnoredConfiguration
 }
 
 /** The configuration and the upstreams that one gateway knows. */
@@ -101,7 +116,7 @@
   /** Applies a snapshot of all entries of the store. */
   applyStoreSnapshot (entries: readonly KeyValueEntry[], now: Timestamp): ViewChange {
     const keys = new Set(entries.map(entry => entry.key))
-    const change = { configuration: false, upstreams: false }
+    const change: ViewChange = { configuration: false, upstreams: false }
     for (const [key, known] of [...this._upstreams]) if (!keys.has(key) && known.retainedUntil === undefined) change.upstreams = this._remove(key, now) || change.upstreams
     for (const entry of entries) mergeChange(change, this._put(entry))
     this._caughtUpSinceRecovery = true
@@ -110,7 +125,7 @@
 
   /** Applies changes reported by a watch, in order. */
   applyStoreChanges (changes: readonly KeyValueChange[], now: Timestamp): ViewChange {
-    const result = { configuration: false, upstreams: false }
+    const result: ViewChange = { configuration: false, upstreams: false }
     for (const change of changes) {
       if (change.kind === 'put') mergeChange(result, this._put(change.entry))
       else if (this._isNewer(change.key, change.modRevision)) {
@@ -124,8 +139,8 @@
 
   /** Applies those parts of a peer's snapshot that are newer. */
   applyPeerSnapshot (snapshot: DeploymentSnapshot): ViewChange {
-    const change = { configuration: false, upstreams: false }
-    if (snapshot.configuration) change.configuration = this._putConfiguration(snapshot.configuration)
+    const change: ViewChange = { configuration: false, upstreams: false }
+    if (snapshot.configuration) mergeChange(change, this._putConfiguration(snapshot.configuration))
     if (snapshot.upstreams.revision <= this._upstreamsRevision) return change
     this._upstreams.clear()
     for (const entry of snapshot.upstreams.entries) this._putUpstream(entry)
@@ -167,23 +182,23 @@
   private _put (entry: KeyValueEntry): ViewChange {
     const stored = { key: entry.key, value: entry.value, revision: entry.modRevision }
     const { kind } = this._decoder.classify(entry.key)
-    if (kind === 'configuration') return { configuration: this._putConfiguration(stored), upstreams: false }
+    if (kind === 'configuration') return this._putConfiguration(stored)
     if (kind !== 'upstream' || !this._isNewer(stored.key, stored.revision)) return { configuration: false, upstreams: false }
     this._upstreamsRevision = Math.max(this._upstreamsRevision, stored.revision)
     this._putUpstream(stored)
     return { configuration: false, upstreams: true }
   }
 
-  private _putConfiguration (entry: StoredEntry): boolean {
-    if (entry.revision <= this.configurationRevision) return false
+  private _putConfiguration (entry: StoredEntry): ViewChange {
+    if (entry.revision <= this.configurationRevision) return ignore(entry.value === this._configurationEntry?.value ? undefined : { reason: 'older', revision: entry.revision })
     const decoded = this._decoder.decodeConfiguration(entry.value, entry.revision)
     if (decoded.isErr()) {
       this._log.error(`The configuration at revision ${entry.revision} is ignored: ${decoded.error.message}`)
-      return false
+      return ignore({ reason: 'unreadable', revision: entry.revision })
     }
     this._configuration = decoded.value
     this._configurationEntry = entry
-    return true
+    return { configuration: true, upstreams: false }
   }
 
   private _putUpstream (entry: StoredEntry): void {
@@ -220,7 +235,12 @@
   }
 }
 
+function ignore (ignoredConfiguration: IgnoredConfiguration | undefined): ViewChange {
+  return { configuration: false, upstreams: false, ignoredConfiguration }
+}
+
 function mergeChange (target: ViewChange, change: ViewChange): void {
   target.configuration ||= change.configuration
   target.upstreams ||= change.upstreams
+  target.ignoredConfiguration ??= change.ignoredConfiguration
 }
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -29,6 +29,7 @@
   private readonly _rejections: Counter
   private readonly _attemptFailures: Counter
   private readonly _limitedAttempts: Counter
+  private readonly _ignoredConfigurations: Counter
   private readonly _firstEvent: Histogram
   private readonly _duration: Histogram
 
@@ -38,6 +39,7 @@
     this._rejections = new Counter({ name: 'plumstage_rejected_requests_total', help: 'Requests that were rejected before an attempt, by reason.', labelNames: ['reason'], registers })
     this._attemptFailures = new Counter({ name: 'plumstage_failed_attempts_total', help: 'Attempts that failed, by failure.', labelNames: ['failure'], registers })
     this._limitedAttempts = new Counter({ name: 'plumstage_limited_attempts_total', help: 'Attempts sent to upstreams that state a request limit, by kind.', labelNames: ['kind'], registers })
+    this._ignoredConfigurations = new Counter({ name: 'plumstage_ignored_configurations_total', help: 'Configurations that were received and did not come into force, by reason.', labelNames: ['reason'], registers })
     this._firstEvent = new Histogram({ name: 'plumstage_first_event_seconds', help: 'Time from acceptance to the first event of a stream.', buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._duration = new Histogram({ name: 'plumstage_request_seconds', help: 'Time from acceptance to the end of a request.', labelNames: ['route'], buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._registry.addGauge('plumstage_running_requests', 'Requests that run at an upstream.', sources.running)
@@ -70,6 +72,7 @@
       this._requests.inc({ outcome: String(attributes?.outcome), status: String(attributes?.status), route: String(attributes?.route) })
       this._duration.observe({ route: String(attributes?.route) }, Number(attributes?.milliseconds) / MILLISECONDS_PER_SECOND)
     } else if (kind === 'request-rejected') this._rejections.inc({ reason: String(attributes?.reason) })
+    else if (kind === 'configuration-ignored') this._ignoredConfigurations.inc({ reason: String(attributes?.reason) })
     else if (kind === 'limited-attempt-started') this._limitedAttempts.inc({ kind: String(attributes?.attemptKind) })
     else if (kind === 'attempt-failed') this._attemptFailures.inc({ failure: String(attributes?.failure) })
     else if (kind === 'first-event') this._firstEvent.observe(Number(attributes?.milliseconds) / MILLISECONDS_PER_SECOND)
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -301,6 +301,7 @@
 
   private _applyChange (change: ViewChange): void {
     const { instrumentation } = this._environment
+    if (change.ignoredConfiguration) instrumentation.emit('configuration-ignored', { ...change.ignoredConfiguration, revisionInForce: this.state.view.configurationRevision })
     if (change.configuration) {
       this._callerServer.applyLimits()
       instrumentation.emit('configuration-applied', { revision: this.state.view.configurationRevision, version: this.state.view.configuration?.revision })
--- a/tests/serving/deploymentView.spec.ts
+++ b/tests/serving/deploymentView.spec.ts
@@ -41,6 +41,14 @@
     assert.equal(view.configuration?.revision, 3)
   })
 
+  it('reports a configuration that it ignores with the reason, but not the one in force', () => {
+    const view = DeploymentView.create(DECODER)
+    view.applyStoreSnapshot([entry('configuration', 5)], 0)
+    assert.deepEqual(view.applyStoreChanges([{ kind: 'put', entry: entry('configuration', 4, 'other') }], 0).ignoredConfiguration, { reason: 'older', revision: 4 })
+    assert.deepEqual(view.applyStoreChanges([{ kind: 'put', entry: entry('configuration', 6, 'bad') }], 0).ignoredConfiguration, { reason: 'unreadable', revision: 6 })
+    assert.equal(view.applyStoreSnapshot([entry('configuration', 5)], 0).ignoredConfiguration, undefined)
+  })
+
   it('ignores an invalid upstream entry and keeps the others', () => {
     const view = DeploymentView.create(DECODER)
     view.applyStoreSnapshot([entry('a', 1), entry('b', 2, 'bad')], 0)
