Reproduce configurations that are ignored after the store has come back from a copy

Real gateways as processes; the stand-in of the store can come back from a copy in a new era, an operator writes versions in series, and callers ask every gateway for each confirmed route. The stand-in has a second address that can be cut off.

--- a/tests/platform/support/gatewayProcesses.ts
+++ b/tests/platform/support/gatewayProcesses.ts
@@ -28,21 +28,22 @@
 
 /** The processes of one deployment; `stop` ends them. */
 export class GatewayProcesses {
-  private readonly _storeAddress: string
+  /** Returns the address of the store for a gateway. */
+  private readonly _storeAddressOf: (number: number) => string
   private readonly _folder = mkdtempSync(join(tmpdir(), 'gateways-'))
   /** The first three octets of the addresses, so that deployments of parallel tests do not collide. */
   private readonly _network = `127.${randomOctet()}.${randomOctet()}`
   private readonly _processes = new Map<number, GatewayProcess>()
   private readonly _count: number
 
-  private constructor (storeAddress: string, count: number) {
-    this._storeAddress = storeAddress
+  private constructor (storeAddressOf: (number: number) => string, count: number) {
+    this._storeAddressOf = storeAddressOf
     this._count = count
   }
 
   /** Starts gateways with the numbers from 1 to `count` and waits until all are ready and hear each other. */
-  static async create (storeAddress: string, count: number): Promise<GatewayProcesses> {
-    const processes = new GatewayProcesses(storeAddress, count)
+  static async create (storeAddressOf: (number: number) => string, count: number): Promise<GatewayProcesses> {
+    const processes = new GatewayProcesses(storeAddressOf, count)
     await Promise.all(processes.numbers.map(async number => await processes.start(number)))
     await Promise.all(processes.numbers.map(async number => await processes._waitForPeers(number)))
     return processes
@@ -115,7 +116,7 @@
       listen: { front: `${ip}:${CALLER_PORT}`, readiness: `${ip}:${READINESS_PORT}` },
       port_range: PEER_PORTS,
       seeds: this.numbers.map(other => `${this._addressOf(other)}:${CALLER_PORT}`),
-      platform: { address: this._storeAddress },
+      platform: { address: this._storeAddressOf(number) },
       bounds: { retry_ratio: 0.2, retry_slack: 50, retry_window_s: 10 }
     }
   }
--- a/tests/platform/support/processDeployment.ts
+++ b/tests/platform/support/processDeployment.ts
@@ -23,12 +23,16 @@
     this.store = store
   }
 
-  /** Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. */
+  /**
+   * Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. The
+   * first gateway has an address of the store of its own, so that it can be cut off.
+   */
   static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>): Promise<ProcessDeployment> {
     const deployment = new ProcessDeployment(await StoreStandin.create())
     deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES }))
     for (const fields of entries) await deployment.addUpstream(fields)
-    deployment.gateways = await GatewayProcesses.create(deployment.store.address, gatewayCount)
+    const firstAddress = await deployment.store.openSecondAddress()
+    deployment.gateways = await GatewayProcesses.create(number => number === 1 ? firstAddress : deployment.store.address, gatewayCount)
     return deployment
   }
 
@@ -39,6 +43,11 @@
     return upstream
   }
 
+  /** Writes the entries of all upstreams again, as they do after a return of the store. */
+  putAllEntries (): void {
+    for (const upstream of this.upstreams) this.putEntry(upstream, {})
+  }
+
   putEntry (upstream: UpstreamStandin, fields: Record<string, unknown>): void {
     this.store.put(`servers/${upstream.id}`, formatUpstreamEntry(upstream, SERVICE, fields))
   }
--- /dev/null
+++ b/tests/platform/support/routeOperator.ts
@@ -0,0 +1,139 @@
+/**
+ * An operator that writes versions of the configuration in series, each with one more route, and callers that ask every
+ * gateway for the routes that are confirmed.
+ *
+ * @module
+ */
+import { request } from 'undici'
+import { HOST, TOKEN, formatConfiguration } from './platformDeployment.js'
+import type { ProcessDeployment } from './processDeployment.js'
+
+const FIRST_VERSION = 10
+const VERSION_INTERVAL_MILLISECONDS = 1500
+const PROBE_INTERVAL_MILLISECONDS = 40
+/** A confirmed version has to be in force everywhere after this time. */
+const APPLY_MILLISECONDS = 2000
+/** Time without trouble that is granted after a fault. */
+const CONTACT_MILLISECONDS = 3000
+const OK = 200
+const NOT_FOUND = 404
+const WORKSPACES = [{ name: 'notaries', api_keys: [TOKEN], unit: 'tokens', uncached_tokens: 10, rate_per_s: 0, burst: 0 }]
+
+/** What the callers saw. */
+export interface RouteReport {
+  probes: number
+  /** Requests for a route that had been confirmed for long enough, and got 404. */
+  late: number
+  /** Requests for a route that got 404 after the same run of the gateway had served it. */
+  reverted: number
+}
+
+/** Writes configurations and probes the gateways. */
+export class RouteOperator {
+  readonly report: RouteReport = { probes: 0, late: 0, reverted: 0 }
+  private readonly _deployment: ProcessDeployment
+  private readonly _confirmedAt = new Map<number, number>()
+  /** Highest version that each gateway's run has served. */
+  private readonly _served = new Map<number, number>()
+  private readonly _troubledUntil = new Map<number, number>()
+  private readonly _down = new Set<number>()
+  private _version = FIRST_VERSION
+  private _probe = 0
+  private _writesUntil = 0
+
+  private constructor (deployment: ProcessDeployment) {
+    this._deployment = deployment
+  }
+
+  static create (deployment: ProcessDeployment): RouteOperator {
+    return new RouteOperator(deployment)
+  }
+
+  /** Writes new versions and probes for some time. */
+  async run (milliseconds: number): Promise<void> {
+    const endsAt = Date.now() + milliseconds
+    this._writesUntil = endsAt
+    await Promise.all([this._writeVersions(endsAt), this._probeGateways(endsAt)])
+  }
+
+  /** Writes no further versions. */
+  pauseWriting (): void {
+    this._writesUntil = 0
+  }
+
+  /** Writes the newest version again, as the operator does after a return of the store. */
+  writeAgain (): void {
+    this._write(this._version)
+  }
+
+  /** Records that a fault of all gateways or of one has ended. */
+  recordFault (gateways: readonly number[] = this._deployment.gateways.numbers): void {
+    for (const gateway of gateways) this._troubledUntil.set(gateway, Date.now() + CONTACT_MILLISECONDS)
+  }
+
+  /** Kills gateways; they are not asked until `restart`. */
+  kill (gateways: readonly number[]): void {
+    for (const gateway of gateways) {
+      this._down.add(gateway)
+      this._served.delete(gateway)
+      this._deployment.gateways.signal(gateway, 'SIGKILL')
+    }
+  }
+
+  async restart (gateways: readonly number[]): Promise<void> {
+    await Promise.all(gateways.map(async gateway => await this._deployment.gateways.start(gateway)))
+    this.recordFault(gateways)
+    for (const gateway of gateways) this._down.delete(gateway)
+  }
+
+  private async _writeVersions (endsAt: number): Promise<void> {
+    while (Date.now() < endsAt) {
+      if (Date.now() < this._writesUntil) this._write(++this._version)
+      await new Promise(resolve => setTimeout(resolve, VERSION_INTERVAL_MILLISECONDS))
+    }
+  }
+
+  private _write (version: number): void {
+    const routes = Array.from({ length: version - FIRST_VERSION + 1 }, (_, index) => ({ name: `added-${FIRST_VERSION + index}`, host: HOST, prefix: prefixOf(FIRST_VERSION + index), route_type: 'idempotent', service: 'front', anonymous: true }))
+    this._deployment.store.put('op/config', formatConfiguration({ version, tenants: WORKSPACES, routes: routes as never }))
+    if (!this._confirmedAt.has(version)) this._confirmedAt.set(version, Date.now())
+  }
+
+  private async _probeGateways (endsAt: number): Promise<void> {
+    const pending: Array<Promise<void>> = []
+    while (Date.now() < endsAt) {
+      for (const gateway of this._deployment.gateways.numbers) if (!this._down.has(gateway)) pending.push(this._probeOne(gateway))
+      await new Promise(resolve => setTimeout(resolve, PROBE_INTERVAL_MILLISECONDS))
+    }
+    await Promise.all(pending)
+  }
+
+  private async _probeOne (gateway: number): Promise<void> {
+    const sentAt = Date.now()
+    const due = [...this._confirmedAt].filter(([, confirmedAt]) => confirmedAt + APPLY_MILLISECONDS < sentAt).map(([version]) => version)
+    const version = due.at(-1 - this._probe++ % 3)
+    if (version === undefined) return
+    const isTroubled = sentAt < (this._troubledUntil.get(gateway) ?? 0)
+    const status = await this._ask(gateway, version)
+    if (status === OK) this._served.set(gateway, Math.max(this._served.get(gateway) ?? 0, version))
+    this.report.probes++
+    if (status !== NOT_FOUND) return
+    if (version <= (this._served.get(gateway) ?? 0)) this.report.reverted++
+    if (!isTroubled) this.report.late++
+  }
+
+  private async _ask (gateway: number, version: number): Promise<number> {
+    try {
+      const response = await request(this._deployment.gateways.callerUrlOf(gateway) + `${prefixOf(version)}x`, { headers: { host: HOST, 'plumstage-attempt-id': `probe-${++this._probe}` } })
+      await response.body.text()
+      return response.statusCode
+    } catch {
+      // The gateway was killed meanwhile.
+      return 0
+    }
+  }
+}
+
+function prefixOf (version: number): string {
+  return `/added-${version}/`
+}
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -32,6 +32,14 @@
 /** Response to one request; undefined if it is sent later. */
 type Reply = { status: number, document: unknown } | undefined
 
+/** A copy of the store, from which it can come back. */
+export interface StoreCopy {
+  items: ReadonlyMap<string, Item>
+  leases: ReadonlySet<number>
+  nextLease: number
+  revision: number
+}
+
 const PAGE_SIZE = 3
 
 /** A running store. */
@@ -39,18 +47,23 @@
   /** Fault to inject, and the prefix of the paths that it applies to. */
   fault: Fault = 'none'
   faultPath = ''
+  /** Text of the era header; undefined when responses have none. */
+  era: string | undefined = '1'
   readonly requests: string[] = []
   private readonly _server: Server
-  private readonly _items = new Map<string, Item>()
-  private readonly _history: Array<Item | Deletion> = []
+  /** Further addresses, each of which can be cut off. */
+  private readonly _secondServers: Server[] = []
+  private _items = new Map<string, Item>()
+  private _history: Array<Item | Deletion> = []
   private readonly _pendingWatches = new Set<() => void>()
+  private _isSecondCut = false
   private _revision = 7
   private _compactedBefore = 0
   private _nextLease = 100
-  private readonly _leases = new Set<number>()
+  private _leases = new Set<number>()
 
   private constructor () {
-    this._server = createServer((request, response) => { void this._serve(request, response) })
+    this._server = this._createServer()
   }
 
   static async create (): Promise<StoreStandin> {
@@ -60,7 +73,7 @@
   }
 
   get address (): string {
-    return `127.0.0.1:${(this._server.address() as AddressInfo).port}`
+    return addressOf(this._server)
   }
 
   get revision (): number {
@@ -99,9 +112,53 @@
     for (const item of [...this._items.values()]) if (item.lease === lease) this.remove(item.key)
   }
 
+  copy (): StoreCopy {
+    return { items: new Map(this._items), leases: new Set(this._leases), nextLease: this._nextLease, revision: this._revision }
+  }
+
+  /**
+   * Comes back from a copy in a new era: everything written since is gone, and its revisions and leases are given out
+   * again. Connections are lost.
+   */
+  restore (copy: StoreCopy): void {
+    this._items = new Map(copy.items)
+    this._leases = new Set(copy.leases)
+    this._nextLease = copy.nextLease
+    this._revision = copy.revision
+    this._history = this._history.filter(change => change.revision <= copy.revision)
+    if (this.era !== undefined) this.era = String(Number(this.era) + 1)
+    this._closeAllConnections()
+  }
+
+  /** Opens another address of the same store, for one gateway. */
+  async openSecondAddress (): Promise<string> {
+    const server = this._createServer()
+    this._secondServers.push(server)
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    return addressOf(server)
+  }
+
+  /** Cuts the second addresses off; `isCut` false makes them reachable again. */
+  cutSecondAddresses (isCut: boolean): void {
+    this._isSecondCut = isCut
+    if (isCut) for (const server of this._secondServers) server.closeAllConnections()
+  }
+
   async stop (): Promise<void> {
-    this._server.closeAllConnections()
-    await new Promise<void>(resolve => this._server.close(() => resolve()))
+    this._closeAllConnections()
+    await Promise.all([this._server, ...this._secondServers].map(async server => await new Promise<void>(resolve => server.close(() => resolve()))))
+  }
+
+  private _createServer (): Server {
+    const server = createServer((request, response) => {
+      if (this._isSecondCut && this._secondServers.includes(server)) return void request.socket.destroy()
+      void this._serve(request, response)
+    })
+    return server
+  }
+
+  private _closeAllConnections (): void {
+    for (const server of [this._server, ...this._secondServers]) server.closeAllConnections()
   }
 
   private _record (change: Item | Deletion): void {
@@ -120,6 +177,7 @@
     const chunks: Buffer[] = []
     for await (const chunk of request) chunks.push(chunk as Buffer)
     if (fault === 'silent') return
+    if (this.era !== undefined) response.setHeader('store-era', this.era)
     if (fault === 'busy') return send(response, { status: 503, document: {} })
     const reply = this._route(request.method ?? 'GET', url, Buffer.concat(chunks).toString(), response)
     if (fault === 'lose-response') return void request.socket.destroy()
@@ -153,7 +211,7 @@
   private _watch (url: URL, response: ServerResponse): Reply {
     const after = Number(url.searchParams.get('after'))
     const prefix = url.searchParams.get('prefix') ?? ''
-    if (after < this._compactedBefore) return { status: 410, document: {} }
+    if (after < this._compactedBefore || after > this._revision) return { status: 410, document: {} }
     const events = this._history.filter(change => change.revision > after && change.key.startsWith(prefix))
     if (events.length > 0) return { status: 200, document: { events, current_rev: this._revision } }
     const timer = setTimeout(() => finish({ status: 200, document: { events: [], current_rev: this._revision } }), Number(url.searchParams.get('wait_ms')))
@@ -184,6 +242,10 @@
   }
 }
 
+function addressOf (server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
 function send (response: ServerResponse, { status, document }: { status: number, document: unknown }): void {
   if (response.writableEnded || response.destroyed) return
   response.writeHead(status, { 'content-type': 'application/json' })
