Log the parts of the prompt and whether a failed attempt had begun

The logs could not tell which parts the prompts of failed attempts had in common, nor which of the requests on a crashed upstream had already received a part of their answer from it. Change: `attempt-failed` names the shared parts of the prompt and whether this attempt brought any event. Result: nothing is changed for callers.

--- a/packages/serving/src/attempts/attemptLog.ts
+++ b/packages/serving/src/attempts/attemptLog.ts
@@ -9,9 +9,11 @@
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { AttemptOutcome } from './upstreamAttempt.js'
 
-/** Values of upstreams that can't be read are cut to this length. */
+/** Values of upstreams that can't be read, and ids that callers choose, are cut to this length. */
 const MAXIMUM_VALUE_LENGTH = 40
 
+const MAXIMUM_LOGGED_PARTS = 8
+
 /** Whether an attempt is the first of its request, repeats it, or continues its stream after the events so far. */
 export type AttemptKind = 'first' | 'retry' | 'continuation'
 
@@ -34,6 +36,8 @@
   listRevision: number
   /** Events that the caller has received. */
   events: number
+  /** Whether this attempt has brought any of them. */
+  hasBegun: boolean
 }
 
 /** Writes the lines of one request. */
@@ -56,11 +60,11 @@
     this._recordContinuation(attempt)
   }
 
-  recordFailed ({ upstream, outcome, listRevision, events }: FailedAttempt): void {
+  recordFailed ({ upstream, outcome, listRevision, events, hasBegun }: FailedAttempt): void {
     if (outcome.kind === 'complete') return
     const { failure, detail } = outcome
     const { requests, waitingTokens } = upstream
-    this._instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, failure, detail, requests, waitingTokens, listRevision, events }, this._head.requestId)
+    this._instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, failure, detail, requests, waitingTokens, listRevision, events, hasBegun, promptParts: this._promptParts }, this._head.requestId)
   }
 
   /** Only a statement that can't be read has a line. */
@@ -69,6 +73,12 @@
     this._instrumentation.emit('upstream-limit-unreadable', { upstream: upstream.listed.id, value: statement.text.slice(0, MAXIMUM_VALUE_LENGTH) }, this._head.requestId)
   }
 
+  /** Ids of the prompt segments that other requests may share; undefined when the request has none. */
+  private get _promptParts (): string | undefined {
+    const shared = this._head.generation?.segments.slice(0, -1) ?? []
+    return shared.length === 0 ? undefined : shared.slice(0, MAXIMUM_LOGGED_PARTS).map(({ id }) => id.slice(0, MAXIMUM_VALUE_LENGTH)).join(' ')
+  }
+
   private _recordLimit ({ upstream, kind, startedAt }: StartedAttempt): void {
     const known = upstream.limit.latest
     if (known?.requestsPerSecond === undefined) return
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -132,7 +132,7 @@
   onEnded (outcome: AttemptOutcome): void {
     if (this._done) return
     const upstream = this._removeLoad()
-    this._log.recordFailed({ upstream, outcome, listRevision: this._services.state.view.upstreamsRevision, events: this._relay.eventCount })
+    this._log.recordFailed({ upstream, outcome, listRevision: this._services.state.view.upstreamsRevision, events: this._relay.eventCount, hasBegun: this._relay.attemptHasBegun })
     if (outcome.kind === 'complete') return this._finish(upstream)
     this._recordFailure(outcome.failure, outcome.connectionLost, upstream)
     const decision = decideAfterFailure(outcome.failure, this._progress, () => this._tryTakeRetry(outcome.failure))
--- a/packages/serving/src/attempts/responseRelay.ts
+++ b/packages/serving/src/attempts/responseRelay.ts
@@ -31,6 +31,7 @@
   private _bufferedBytes = 0
   private _splitter: EventSplitter
   private _eventCount = 0
+  private _attemptEventCount = 0
 
   private constructor (exchange: CallerExchange, protocol: UpstreamProtocol, route: RouteRecord, lastEventId: number | undefined, onFirstEvent: () => void) {
     this._exchange = exchange
@@ -59,6 +60,11 @@
     return this._eventCount
   }
 
+  /** Whether the current attempt has brought any event. */
+  get attemptHasBegun (): boolean {
+    return this._attemptEventCount > 0
+  }
+
   get status (): number {
     return this._status
   }
@@ -68,6 +74,7 @@
     this._splitter = EventSplitter.create(this._splitter.lastId)
     this._bufferedChunks = []
     this._bufferedBytes = 0
+    this._attemptEventCount = 0
     if (!this.started) this._mode = 'none'
   }
 
@@ -108,6 +115,7 @@
     if (count > 0) {
       if (this._eventCount === 0) this._onFirstEvent()
       this._eventCount += count
+      this._attemptEventCount += count
       if (!this.started) this._exchange.start(this._status, this._headers)
     }
     if (problem !== undefined) {
