Reproduce prompts with one part in common that crash one upstream after the other

Real gateways as processes; upstreams that close their port when they begin to respond to a prompt with a crashing part; sound callers with the same first and other parts.

--- a/tests/platform/support/upstreamStandin.ts
+++ b/tests/platform/support/upstreamStandin.ts
@@ -28,6 +28,7 @@
   readonly requests: ReceivedRequest[] = []
   script: ResponseScript
   connectionCount = 0
+  hasCrashed = false
   private readonly _server: Server
   private readonly _sockets = new Set<Socket>()
   private readonly _waiters = new Set<() => void>()
@@ -53,6 +54,12 @@
     while (this.requests.length < count) await new Promise<void>(resolve => this._waiters.add(resolve))
   }
 
+  /** Closes the port and all connections, as when the process ends. */
+  async crash (): Promise<void> {
+    this.hasCrashed = true
+    await this.stop()
+  }
+
   async stop (): Promise<void> {
     for (const socket of this._sockets) socket.destroy()
     await new Promise<void>(resolve => this._server.close(() => resolve()))
