--- a/tests/platform/storeAdapter.spec.ts
+++ b/tests/platform/storeAdapter.spec.ts
@@ -3,6 +3,7 @@
 import { CallContext, MonotonicClock } from '@plumstage/common'
 import type { KeyValueChange } from '@plumstage/coordination'
 import { StoreAdapter } from '@plumstage/platform'
+import { knownRed } from '../support/knownRed.js'
 import { StoreStandin } from './support/storeStandin.js'
 
 const CALL_MILLISECONDS = 300
@@ -108,6 +109,21 @@
     assert.equal(first._unsafeUnwrapErr().kind, 'restored')
   })
 
+  const reused = 'CONFIG: a lease of an earlier era has ended, also when its number was given out again'
+  // Guards against: a gateway renews a lease that belongs to another one since the store came back, and goes on as its holder.
+  it(reused, knownRed(reused), async () => {
+    await store.list(context, '')
+    const copy = standin.copy()
+    const lost = (await store.grantLease(context, 3))._unsafeUnwrap()
+    standin.restore(copy)
+    const granted = (await StoreAdapter.create(standin.address, clock).grantLease(context, 3))._unsafeUnwrap()
+    assert.ok(granted)
+    assert.equal((await store.keepLeaseAlive(context, lost.id))._unsafeUnwrap(), undefined)
+    const written = await store.transact(context, { conditions: [], onSuccess: [{ kind: 'put', key: 'a', value: '1', lease: lost.id }], onFailure: [] })
+    assert.equal(written.isErr(), true)
+    assert.equal(standin.read('a'), undefined)
+  })
+
   it('reads on when the era is missing, can\'t be read or falls', async () => {
     await store.list(context, '')
     for (const era of [undefined, 'old', '-3', '1.5', '99999999999', '0']) {
