Tell leases and fencing numbers of different eras of the store apart

After the store has come back from a copy it gives out revisions and lease numbers again. The holder of the duty got a fencing number below one that the cloud had seen, so the cloud refused all its calls: no usage reports, and no orders of upstreams, until the revision had passed. A gateway could renew a lease that belongs to another one since. One test took a lease's id for its number and now asks the stand-in for the number.

--- a/packages/coordination/src/duties/dutyLease.ts
+++ b/packages/coordination/src/duties/dutyLease.ts
@@ -7,6 +7,8 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
+import { toNumber } from '../keyValue/storePosition.js'
+import type { StorePosition } from '../keyValue/storePosition.js'
 
 /** Duration of a duty's lease and the intervals at which it is acquired and renewed. */
 export interface DutyLeaseTiming {
@@ -26,6 +28,8 @@
   lease: bigint
   /** Increases with every holder; engines that honour it refuse orders with a lower number. */
   fencingNumber: number
+  /** Era of the key-value service in which the duty was acquired. */
+  era: number
   /** When the lease expires unless it is renewed. */
   deadline: Timestamp
 }
@@ -49,9 +53,10 @@
     return new DutyLease(timing)
   }
 
-  /** Returns the duty if this gateway may act on it at `now`. */
-  getHeldDuty (now: Timestamp): HeldDuty | undefined {
-    return this._held && now < this._held.deadline - this.timing.safetyMarginMilliseconds ? this._held : undefined
+  /** Returns the duty if this gateway may act on it at `now`, when the key-value service is in `era`. */
+  getHeldDuty (now: Timestamp, era: number): HeldDuty | undefined {
+    if (!this._held || this._held.era !== era) return undefined
+    return now < this._held.deadline - this.timing.safetyMarginMilliseconds ? this._held : undefined
   }
 
   /** Returns when to call `tick` next. */
@@ -67,9 +72,9 @@
     return this._held ? { kind: 'renew', lease: this._held.lease } : { kind: 'acquire' }
   }
 
-  /** Records that a call started at `calledAt` acquired the duty. */
-  recordAcquired (lease: bigint, fencingNumber: number, calledAt: Timestamp): void {
-    this._held = { lease, fencingNumber, deadline: calledAt + this.timing.leaseMilliseconds }
+  /** Records that a call started at `calledAt` acquired the duty, at a position of the key-value service. */
+  recordAcquired (lease: bigint, position: StorePosition, calledAt: Timestamp): void {
+    this._held = { lease, fencingNumber: toNumber(position), era: position.era, deadline: calledAt + this.timing.leaseMilliseconds }
     this._nextTickAt = calledAt + this.timing.renewIntervalMilliseconds
   }
 
--- a/packages/coordination/src/duties/dutyTask.ts
+++ b/packages/coordination/src/duties/dutyTask.ts
@@ -8,6 +8,7 @@
 import type { KeyValueService } from '../keyValue/keyValueService.js'
 import { DutyLease } from './dutyLease.js'
 import type { DutyLeaseTiming, HeldDuty } from './dutyLease.js'
+import { toNumber } from '../keyValue/storePosition.js'
 
 const CALL_TIMEOUT_MILLISECONDS = 2000
 const MILLISECONDS_PER_SECOND = 1000
@@ -54,7 +55,7 @@
 
   /** Returns the duty if this gateway may act on it now. Call it before every order. */
   getHeldDuty (): HeldDuty | undefined {
-    return this._lease.getHeldDuty(this._clock.now())
+    return this._lease.getHeldDuty(this._clock.now(), this._service.era)
   }
 
   /** Abandons the duty because the platform has seen a later holder. */
@@ -90,8 +91,8 @@
     })
     // A write without a response counts as failed. If it did take effect, the key is deleted together with its lease.
     if (written.isErr() || !written.value.succeeded) return void await this._service.revokeLease(context, lease.value.id)
-    this._lease.recordAcquired(lease.value.id, written.value.revision, calledAt)
-    this._instrumentation.emit('duty-acquired', { duty: this._key, fencingNumber: written.value.revision })
+    this._lease.recordAcquired(lease.value.id, written.value, calledAt)
+    this._instrumentation.emit('duty-acquired', { duty: this._key, fencingNumber: toNumber(written.value), era: written.value.era })
   }
 
   private async _renew (context: CallContext, lease: bigint): Promise<void> {
--- a/packages/coordination/src/keyValue/etcdConversion.ts
+++ b/packages/coordination/src/keyValue/etcdConversion.ts
@@ -6,6 +6,7 @@
 import { create } from '@bufbuild/protobuf'
 import { etcd, mvcc } from '@plumstage/protocol'
 import type { KeyValueChange, KeyValueCondition, KeyValueEntry, KeyValueOperation, KeyValueTransaction, KeyValueTransactionOutcome } from './keyValueService.js'
+import { UNKNOWN_ERA } from './storePosition.js'
 
 const encoder = new TextEncoder()
 const decoder = new TextDecoder()
@@ -58,7 +59,7 @@
   for (const { response: operation } of response.responses) {
     if (operation.case === 'responseRange') entries.push(...operation.value.kvs.map(toEntry))
   }
-  return { succeeded: response.succeeded, revision: Number(response.header?.revision ?? 0), entries }
+  return { succeeded: response.succeeded, era: UNKNOWN_ERA, revision: Number(response.header?.revision ?? 0), entries }
 }
 
 function toCompare (condition: KeyValueCondition): etcd.Compare {
--- a/packages/coordination/src/keyValue/etcdKeyValueService.ts
+++ b/packages/coordination/src/keyValue/etcdKeyValueService.ts
@@ -35,6 +35,8 @@
 
 /** Calls one of the given endpoints and switches to the next one after a failure. */
 export class EtcdKeyValueService implements KeyValueService {
+  /** The etcd API does not state an era. */
+  readonly era = UNKNOWN_ERA
   private readonly _endpoints: EtcdEndpoint[]
   private readonly _clock: Clock
   private _endpointIndex = 0
--- a/packages/coordination/src/keyValue/keyValueService.ts
+++ b/packages/coordination/src/keyValue/keyValueService.ts
@@ -63,9 +63,9 @@
   onFailure: KeyValueOperation[]
 }
 
-export interface KeyValueTransactionOutcome {
+/** The position is that of the write, or of the store when nothing was written. */
+export interface KeyValueTransactionOutcome extends StorePosition {
   succeeded: boolean
-  revision: number
   /** Entries that the `get` operations found, in order. */
   entries: KeyValueEntry[]
 }
@@ -82,6 +82,7 @@
 
 /** A lease. The keys attached to it are deleted when it expires. */
 export interface KeyValueLease {
+  /** Never given out again, also not after the service has come back from a copy. */
   id: bigint
   /** Time to live in seconds as granted by the service; it may differ from the requested one. */
   timeToLiveSeconds: number
@@ -89,6 +90,8 @@
 
 /** Interface to the platform's key-value service. */
 export interface KeyValueService {
+  /** Era of the service as far as it is known; positions and leases of earlier ones are no longer valid. */
+  readonly era: number
   /** Reads one key. */
   get (context: CallContext, key: string): Promise<Result<KeyValueEntry | undefined, KeyValueError>>
   /** Reads all entries whose keys start with `prefix`. */
--- a/packages/coordination/src/keyValue/storeEra.ts
+++ b/packages/coordination/src/keyValue/storeEra.ts
@@ -5,9 +5,6 @@
  */
 import { UNKNOWN_ERA } from './storePosition.js'
 
-/** Larger eras can't be combined with a revision into one exact number. */
-export const MAXIMUM_ERA = 8191
-
 /** What one response states about the era. */
 export type EraStatement =
   | { kind: 'stated', era: number }
--- a/packages/coordination/src/keyValue/storePosition.ts
+++ b/packages/coordination/src/keyValue/storePosition.ts
@@ -15,6 +15,11 @@
   revision: number
 }
 
+/** Largest era that can be combined with a revision into one exact number. */
+export const MAXIMUM_ERA = 8191
+/** Revisions of one era, as far as they can be combined with an era. */
+const REVISIONS_PER_ERA = 2 ** 40
+
 /** Precedes every change. */
 export const START_POSITION: StorePosition = { era: UNKNOWN_ERA, revision: 0 }
 
@@ -26,3 +31,8 @@
 export function latestOf (left: StorePosition, right: StorePosition): StorePosition {
   return isLater(right, left) ? right : left
 }
+
+/** Returns one number that orders positions like `isLater`. Without a stated era it is the revision. */
+export function toNumber ({ era, revision }: StorePosition): number {
+  return era * REVISIONS_PER_ERA + revision
+}
--- a/scenarios/simulation/virtualKeyValueService.ts
+++ b/scenarios/simulation/virtualKeyValueService.ts
@@ -62,7 +62,7 @@
     const revision = this.store.write(() => {
       for (const operation of succeeded ? transaction.onSuccess : transaction.onFailure) this._execute(operation, entries)
     })
-    return { succeeded, revision, entries }
+    return { succeeded, era: UNKNOWN_ERA, revision, entries }
   }
 
   read (key: string): KeyValueEntry | undefined {
@@ -92,6 +92,7 @@
 
 /** The connection of one process to the server. */
 class VirtualKeyValueClient implements KeyValueService {
+  readonly era = UNKNOWN_ERA
   private readonly _server: VirtualKeyValueServer
   private readonly _process: ProcessClock
 
--- a/tests/common/leaseClock.spec.ts
+++ b/tests/common/leaseClock.spec.ts
@@ -28,10 +28,10 @@
   it('never holds a duty longer than its lease, even if one of the clocks stops', () => {
     const { monotonic, timeOfDay, clock } = createClocks()
     const lease = DutyLease.create({ leaseMilliseconds: 3000, renewIntervalMilliseconds: 1000, retryIntervalMilliseconds: 1000, safetyMarginMilliseconds: 750 })
-    lease.recordAcquired(1n, 7, clock.now())
+    lease.recordAcquired(1n, { era: 2, revision: 7 }, clock.now())
     timeOfDay.now += 2000
-    assert.ok(lease.getHeldDuty(clock.now()))
+    assert.ok(lease.getHeldDuty(clock.now(), 2))
     monotonic.advanceTo(1000 + 2300)
-    assert.equal(lease.getHeldDuty(clock.now()), undefined)
+    assert.equal(lease.getHeldDuty(clock.now(), 2), undefined)
   })
 })
--- a/tests/platform/storeAdapter.spec.ts
+++ b/tests/platform/storeAdapter.spec.ts
@@ -62,7 +62,7 @@
     const lease = (await store.grantLease(context, 3))._unsafeUnwrap()
     await create('gateways/a', 'x', lease.id)
     assert.ok((await store.keepLeaseAlive(context, lease.id))._unsafeUnwrap())
-    standin.endLease(Number(lease.id))
+    standin.endLease(standin.newestLease)
     assert.equal((await store.keepLeaseAlive(context, lease.id))._unsafeUnwrap(), undefined)
     assert.equal((await store.get(context, 'gateways/a'))._unsafeUnwrap(), undefined)
   })
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -80,6 +80,11 @@
     return this._revision
   }
 
+  /** Number of the lease that was granted last. */
+  get newestLease (): number {
+    return this._nextLease - 1
+  }
+
   read (key: string): string | undefined {
     const item = this._items.get(key)
     return item && Buffer.from(item.value, 'base64').toString()
