Report windows whose counts the store has lost as they were reported before

The counts of a window are written to the store before they are sent, so that a later holder of the duty repeats them. When the store comes back from a copy they are gone, and a holder wrote and sent its own sums: two reports of one window with different counts. Change: every gateway remembers the counts that it has seen in the store; a window that may have been reported before the return with counts that nobody remembers is left out.

--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -30,7 +30,8 @@
 
 /** Receives all entries and changes that are read from the store. */
 export interface StoreObserver {
-  onSnapshot (entries: readonly KeyValueEntry[]): void
+  /** All entries at a position, the first of which may be of a new era. */
+  onSnapshot (entries: readonly KeyValueEntry[], position: StorePosition): void
   onChanges (changes: readonly KeyValueChange[]): void
 }
 
@@ -90,7 +91,7 @@
     this._recordSuccess(era)
     instrumentation.emit('store-snapshot-read', { reason: this._snapshotReason, era, revision, entries: entries.length })
     this._options.onChange(view.applyStoreSnapshot(snapshot.value, clock.now()))
-    for (const observer of observers) observer.onSnapshot(entries)
+    for (const observer of observers) observer.onSnapshot(entries, { era, revision })
   }
 
   private async _watch (context: CallContext, position: StorePosition): Promise<void> {
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -97,6 +97,8 @@
   private readonly _softwareHistory: SoftwareHistory
   private readonly _softwareHistoryTask: SoftwareHistoryTask
   private readonly _streamOrigins: StreamOriginTask
+  /** Undefined when the gateway reports no usage. */
+  private readonly _usageReportTask: UsageReportTask | undefined
   private _internalListenersOpened: Promise<void> = Promise.resolve()
   private readonly _exchange: ReportExchange
   private readonly _registry: GatewayRegistry
@@ -119,6 +121,7 @@
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
     this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
     this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
+    this._usageReportTask = this._createUsageReportTask()
     this._gossip = this._createGossip()
     this._deploymentTask = this._createDeploymentTask()
     this._callerServer = this._createCallerServer()
@@ -198,11 +201,29 @@
       random,
       instrumentation,
       countGateways: () => this.state.peers.listRegistrations().length,
-      observers: [this._registry, this._softwareHistoryTask],
+      observers: [this._registry, this._softwareHistoryTask, this._usageReportTask].filter(observer => observer !== undefined),
       onChange: change => this._applyChange(change)
     })
   }
 
+  private _createUsageReportTask (): UsageReportTask | undefined {
+    const { store, cloud, clock, instrumentation, timeOfDay } = this._environment
+    if (!cloud || !this._settings.reportsUsage) return undefined
+    return UsageReportTask.create({
+      duty: this._duty,
+      holder: this._settings.name,
+      cloud,
+      store,
+      ledger: this.state.usage,
+      keyOf: window => this._keys.usageKey(window),
+      windowOf: key => this._keys.usageWindowOf(key),
+      delayMilliseconds: () => this._settings.usageDelayMilliseconds,
+      clock,
+      timeOfDay,
+      instrumentation
+    })
+  }
+
   private _createCallerServer (): CallerServer {
     const { clock, timeOfDay, instrumentation, upstreamProtocol, callerProtocol } = this._environment
     return CallerServer.create({
@@ -238,7 +259,7 @@
   }
 
   private _startTasks (): void {
-    const { store, clock, leaseClock, instrumentation, timeOfDay, cloud } = this._environment
+    const { store, clock, leaseClock, instrumentation, cloud } = this._environment
     const { name, peerSeeds } = this._settings
     for (const seed of peerSeeds) this.state.peers.addKnownAddress(seed, clock.now())
     void this._deploymentTask.run(this._context)
@@ -248,17 +269,16 @@
     void this._pullInitialDeployment()
     void this._expireEntries()
     void MembershipTask.create({ store, key: this._keys.gatewayKey(name), registration: this.state.peers.self, clock: leaseClock, instrumentation }).run(this._context)
-    if (cloud) this._startDutyTasks(cloud, timeOfDay)
+    if (cloud) this._startDutyTasks(cloud)
     instrumentation.emit('started', { name, failureDomain: this._settings.failureDomain })
   }
 
-  private _startDutyTasks (cloud: Cloud, timeOfDay: () => Timestamp): void {
-    const { store, clock, instrumentation } = this._environment
-    const { name, reportsUsage, ordersUpstreams } = this._settings
-    const common = { duty: this._duty, holder: name, cloud, clock, instrumentation }
+  private _startDutyTasks (cloud: Cloud): void {
+    const { clock, instrumentation } = this._environment
+    const { name, ordersUpstreams } = this._settings
     void this._duty.run(this._context)
-    if (reportsUsage) void UsageReportTask.create({ ...common, store, ledger: this.state.usage, keyOf: window => this._keys.usageKey(window), delayMilliseconds: () => this._settings.usageDelayMilliseconds, timeOfDay }).run(this._context)
-    if (ordersUpstreams) void FleetTask.create({ ...common, state: this.state }).run(this._context)
+    if (ordersUpstreams) void FleetTask.create({ duty: this._duty, holder: name, cloud, clock, instrumentation, state: this.state }).run(this._context)
+    void this._usageReportTask?.run(this._context)
   }
 
   /** Opens the listeners for peers and metrics. Their modules are loaded after callers are served, to shorten the start. */
--- a/packages/serving/src/storeKeys.ts
+++ b/packages/serving/src/storeKeys.ts
@@ -36,4 +36,11 @@
   usageKey (window: number): string {
     return `${PREFIX}usage/${window}`
   }
+
+  /** Returns the window whose usage counts have this key; undefined for other keys. */
+  usageWindowOf (key: string): number | undefined {
+    const prefix = `${PREFIX}usage/`
+    const window = Number(key.slice(prefix.length))
+    return key.startsWith(prefix) && Number.isSafeInteger(window) ? window : undefined
+  }
 }
--- a/packages/serving/src/usage/usageReportTask.ts
+++ b/packages/serving/src/usage/usageReportTask.ts
@@ -1,14 +1,18 @@
 /**
  * Reports usage to the cloud while this gateway holds the cloud duty. The counts of a window are written to the store once, by
- * compare-and-swap, before they are sent, so that a later holder of the duty repeats exactly the same counts.
+ * compare-and-swap, before they are sent, so that a later holder of the duty repeats exactly the same counts. Every gateway
+ * remembers them, in case that the store loses them.
  *
  * @module
  */
 import * as z from 'zod'
 import { getLogger, parseJson } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
-import type { DutyTask, KeyValueLease, KeyValueService } from '@plumstage/coordination'
+import type { DutyTask, KeyValueChange, KeyValueEntry, KeyValueLease, KeyValueService, StorePosition } from '@plumstage/coordination'
+import type { StoreObserver } from '../deployment/deploymentTask.js'
 import type { Cloud } from '../duties/cloud.js'
+import { CommittedCounts } from './committedCounts.js'
+import type { WorkspaceCounts } from './committedCounts.js'
 import type { UsageLedger } from './usageLedger.js'
 
 /** A window is reported this long after its end at the earliest, so that the last counts of peers have arrived. */
@@ -32,6 +36,8 @@
   ledger: UsageLedger
   /** Returns the store key for the counts of a window. */
   keyOf: (window: number) => string
+  /** Returns the window whose counts have this store key; undefined for other keys. */
+  windowOf: (key: string) => number | undefined
   /** Maximum time after the end of a window for reporting it; a window that is not reported by then is skipped. */
   delayMilliseconds: () => number
   clock: Clock
@@ -40,12 +46,13 @@
 }
 
 /** Reports the windows in order while this gateway holds the duty. */
-export class UsageReportTask {
+export class UsageReportTask implements StoreObserver {
   private readonly _options: UsageReportTaskOptions
   private readonly _log = getLogger('usage')
   /** Windows before this one are reported or no longer due. */
   private _nextWindow: number
   private _lease: KeyValueLease | undefined
+  private readonly _committed = CommittedCounts.create()
 
   private constructor (options: UsageReportTaskOptions) {
     this._options = options
@@ -56,17 +63,39 @@
     return new UsageReportTask(options)
   }
 
+  onSnapshot (entries: readonly KeyValueEntry[], { era }: StorePosition): void {
+    const { ledger, timeOfDay } = this._options
+    this._committed.recordEra(era, ledger.windowAt(timeOfDay() - SETTLE_MILLISECONDS))
+    for (const entry of entries) this._observe(entry)
+  }
+
+  onChanges (changes: readonly KeyValueChange[]): void {
+    for (const change of changes) if (change.kind === 'put') this._observe(change.entry)
+  }
+
   async run (context: CallContext): Promise<void> {
     const { clock, duty, ledger, timeOfDay } = this._options
     while (!context.cancelled) {
       const current = ledger.windowAt(timeOfDay())
       if (!duty.getHeldDuty()) this._nextWindow = Math.max(this._nextWindow, current - LOOKBACK_WINDOWS)
-      else if (timeOfDay() > ledger.endOf(this._nextWindow) + this._options.delayMilliseconds()) this._skipWindow()
+      else if (timeOfDay() > ledger.endOf(this._nextWindow) + this._options.delayMilliseconds() || this._isLost(this._nextWindow)) this._skipWindow()
       else if (timeOfDay() >= ledger.endOf(this._nextWindow) + SETTLE_MILLISECONDS && await this._report(context, this._nextWindow)) this._nextWindow++
       await context.sleepUntil(clock.now() + POLL_MILLISECONDS)
     }
   }
 
+  private _observe ({ key, value }: KeyValueEntry): void {
+    const window = this._options.windowOf(key)
+    if (window === undefined) return
+    const counts = parseCounts(value)
+    if (counts) this._committed.record(window, counts)
+  }
+
+  /** Whether a window may have been reported with counts that are lost. */
+  private _isLost (window: number): boolean {
+    return !this._committed.isSafe(window) && this._committed.get(window) === undefined
+  }
+
   private _skipWindow (): void {
     this._options.instrumentation.emit('usage-skipped', { window: this._nextWindow })
     this._nextWindow++
@@ -90,10 +119,10 @@
   }
 
   /** Returns the counts of a window from the store, after writing the sums known to this gateway if there are none yet. */
-  private async _commitCounts (context: CallContext, window: number): Promise<Map<string, number> | undefined> {
+  private async _commitCounts (context: CallContext, window: number): Promise<WorkspaceCounts | undefined> {
     const { store, ledger, keyOf } = this._options
     const key = keyOf(window)
-    const counts = ledger.sum(window)
+    const counts = this._committed.get(window) ?? ledger.sum(window)
     const lease = await this._ensureLease(context)
     if (!lease) return undefined
     const written = await store.transact(context, {
@@ -102,9 +131,12 @@
       onFailure: [{ kind: 'get', key }]
     })
     if (written.isErr()) return undefined
-    if (written.value.succeeded) return counts
-    const stored = countsSchema.safeParse(parseJson(written.value.entries[0]?.value))
-    if (stored.success) return new Map(Object.entries(stored.data))
+    if (written.value.succeeded) {
+      this._committed.record(window, counts)
+      return counts
+    }
+    const stored = parseCounts(written.value.entries[0]?.value)
+    if (stored) return stored
     this._log.error(`The counts of window ${window} in the store can't be read. The window is skipped unless the entry is corrected in time.`)
     return undefined
   }
@@ -121,3 +153,9 @@
     return this._lease
   }
 }
+
+/** Returns undefined when the text is not a set of counts. */
+function parseCounts (text: string | undefined): WorkspaceCounts | undefined {
+  const parsed = countsSchema.safeParse(parseJson(text))
+  return parsed.success ? new Map(Object.entries(parsed.data)) : undefined
+}
