Repeat a stream whose connection ends before its first event

An upstream that crashed before its first event looked like one with a complete empty stream; callers got 200 without an event, and the crash counted as a finished request, which would clear the part of the prompt that caused it. Change: such an end fails the attempt when the caller has no event of the stream yet; an end after an event stays whole.

--- a/packages/serving/src/attempts/responseRelay.ts
+++ b/packages/serving/src/attempts/responseRelay.ts
@@ -26,6 +26,8 @@
   private readonly _onAttemptBegan: () => void
   private _mode: DeliveryMode = 'none'
   private _status = 0
+  /** Whether the end of the response is only known by the end of its connection. */
+  private _endsWithConnection = false
   private _headers: string[] = []
   private _bufferedChunks: Buffer[] = []
   private _bufferedBytes = 0
@@ -82,6 +84,7 @@
   }
 
   receiveHead (status: number, headers: ResponseHeaders): ReceiveDecision {
+    this._endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
     const isStream = this._route.stream !== undefined && status < FIRST_REDIRECT_STATUS && String(headers['content-type'] ?? EVENT_STREAM_TYPE).startsWith(EVENT_STREAM_TYPE)
     if (this.started) return isStream && this._mode === 'events' ? CONTINUE : { kind: 'fail', failure: 'broken', detail: `the response with status ${status} does not continue the stream` }
     this._status = status
@@ -102,7 +105,10 @@
   }
 
   receiveEnd (): ReceiveDecision {
-    if (this._mode === 'events' && this._splitter.endsInsideEvent) return { kind: 'fail', failure: 'broken', detail: 'the stream ended inside an event' }
+    if (this._mode !== 'events') return CONTINUE
+    if (this._splitter.endsInsideEvent) return { kind: 'fail', failure: 'broken', detail: 'the stream ended inside an event' }
+    // When a connection ends, an upstream that crashed before its first event looks like one that had none to send.
+    if (this._endsWithConnection && this._splitter.lastId === undefined && !this.attemptHasBegun) return { kind: 'fail', failure: 'broken', detail: 'the connection ended before the first event' }
     return CONTINUE
   }
 
