--- a/packages/serving/src/attempts/crashTracking.ts
+++ b/packages/serving/src/attempts/crashTracking.ts
@@ -51,7 +51,7 @@
   listUsable (software: SoftwareId | undefined, now: Timestamp): readonly Upstream[] {
     const { state } = this._services
     const service = this._request.service.name
-    if (this._partIds.length === 0) return state.listUsable(service, software, now)
+    if (!this._mayBeRefused) return state.listUsable(service, software, now)
     const verdicts = this._createVerdicts(now)
     const accepted = state.listUsable(service, software, now, upstream => verdicts(upstream).kind === 'accepted')
     return accepted.length > 0 ? accepted : state.listUsable(service, software, now, upstream => verdicts(upstream).kind === 'trial')
@@ -59,6 +59,7 @@
 
   /** Returns the rejection if upstreams are usable, but all of them refuse a part of the prompt. */
   rejectionOf (software: SoftwareId | undefined, now: Timestamp): Rejection | undefined {
+    if (!this._mayBeRefused) return undefined
     const usable = this._services.state.listUsable(this._request.service.name, software, now)
     const verdicts = this._createVerdicts(now)
     const refused = usable.map(verdicts).filter(verdict => verdict.kind === 'refused')
@@ -98,7 +99,7 @@
    * attempt has to wait for that, because the request itself may be the cause.
    */
   checkForCrash (outcome: AttemptOutcome, upstream: Upstream, hasBegun: boolean): Promise<void> | undefined {
-    const isPossible = outcome.kind === 'failed' && outcome.failure === 'broken' && (outcome.connectionLost || !hasBegun) && !upstream.isLeaving
+    const isPossible = outcome.kind === 'failed' && outcome.failure === 'broken' && (outcome.connectionLost || !hasBegun) && !this._hasLeft(upstream)
     if (!isPossible) return void this.endAttempt()
     const suspects = hasBegun ? [] : this._parts
     const checked = this._recordIfCrashed(upstream, suspects, this._isTrial)
@@ -106,6 +107,15 @@
     return checked.then(() => this.endAttempt())
   }
 
+  private get _mayBeRefused (): boolean {
+    return this._partIds.length > 0 && !this._services.state.partQuarantine.isEmpty
+  }
+
+  /** Whether an upstream was announced to leave, or is no longer listed. */
+  private _hasLeft (upstream: Upstream): boolean {
+    return upstream.isLeaving || this._services.state.upstreams.get(upstream.listed.id) !== upstream
+  }
+
   private async _recordIfCrashed (upstream: Upstream, parts: readonly PartKey[], isTrial: boolean): Promise<void> {
     const { state, clock, crashProbe, instrumentation } = this._services
     if (!await crashProbe.hasCrashed(upstream)) return
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -5,8 +5,11 @@
  */
 export * from './admission/overloadGuard.js'
 export * from './admission/retryBudget.js'
+export * from './attempts/acceptedRequest.js'
 export * from './attempts/attemptPolicy.js'
+export * from './attempts/crashTracking.js'
 export * from './attempts/eventSplitter.js'
+export * from './attempts/upstreamAttempt.js'
 export * from './attempts/upstreamProtocol.js'
 export * from './callers/callerProtocol.js'
 export * from './callers/rejection.js'
--- a/packages/serving/src/recovery/partQuarantine.ts
+++ b/packages/serving/src/recovery/partQuarantine.ts
@@ -69,6 +69,11 @@
     return new PartQuarantine(rankFor)
   }
 
+  /** Whether no part is or was suspected lately. */
+  get isEmpty (): boolean {
+    return this._suspects.size === 0
+  }
+
   /** Whether peers should receive a report before the regular interval ends. */
   get isReportUrgent (): boolean {
     return this._isReportUrgent
@@ -84,7 +89,7 @@
 
   /** Decides about a request with these parts. */
   decide (parts: readonly PartKey[], now: Timestamp): PartVerdict {
-    if (this._suspects.size === 0) return ACCEPTED
+    if (this.isEmpty) return ACCEPTED
     this._removeExpired(now)
     const suspects = parts.map(part => this._suspects.get(part)).filter((suspect): suspect is SuspectPart => suspect !== undefined && isQuarantined(suspect))
     if (suspects.length === 0) return ACCEPTED
@@ -95,10 +100,10 @@
 
   /** Records that a request with these parts has received its first event from an upstream. */
   recordBegin (parts: readonly PartKey[], now: Timestamp): void {
-    if (this._suspects.size === 0) return
+    if (this.isEmpty) return
     for (const part of parts) {
       const suspect = this._suspects.get(part)
-      if (suspect) this._update(suspect, () => suspect.clear(now))
+      if (suspect && this._update(suspect, () => suspect.clear(now))) this._isReportUrgent = true
     }
   }
 
@@ -107,7 +112,7 @@
     for (const part of parts) {
       const companions = parts.filter(other => other !== part)
       const suspect = this._ensureSuspect(part, now)
-      this._update(suspect, () => suspect.addCrash({ crash, companions, isTrial }, now))
+      if (this._update(suspect, () => suspect.addCrash({ crash, companions, isTrial }, now))) this._isReportUrgent = true
     }
     this._trim()
   }
@@ -137,20 +142,18 @@
       const hasUncleared = suspicion.crashes.some(({ crash }) => !suspicion.cleared.includes(crash))
       if (!known && !hasUncleared) continue
       const suspect = known ?? this._ensureSuspect(suspicion.part, now)
-      const wasUrgent = this._isReportUrgent
       this._update(suspect, () => suspect.merge(suspicion, now))
-      this._isReportUrgent = wasUrgent
     }
     this._trim()
   }
 
-  /** Applies a change, and tells the listener if the part is quarantined by it or no longer is. */
-  private _update (suspect: SuspectPart, change: () => boolean): void {
+  /** Applies a change, tells the listener if the part is quarantined by it or no longer is, and returns whether anything has changed. */
+  private _update (suspect: SuspectPart, change: () => boolean): boolean {
     const before = isQuarantined(suspect)
-    if (!change()) return
-    this._isReportUrgent = true
+    const hasChanged = change()
     const after = isQuarantined(suspect)
     if (before !== after) this._onChange(suspect.part, after ? 'quarantined' : 'cleared', suspect.listUncleared().length)
+    return hasChanged
   }
 
   /**
