Check each request that upstreams with cut answers leave unserved

One run of the whole suite failed: 9 of 10 requests with a seldom part were served, 0.95 wanted. Traced in four more runs: every unserved request got 502 after two attempts at two of the three upstreams that cut all answers, which is what its route allows; none was quarantined. A share of ten requests leaves no room for one such case. Change: the share is taken over all requests of both kinds, and every request that is not served has to have failed at as many cutting upstreams as its route allows attempts, so that no other cause can hide in the share.

--- a/tests/platform/crashingPrompts.spec.ts
+++ b/tests/platform/crashingPrompts.spec.ts
@@ -22,6 +22,9 @@
 const CALM_MILLISECONDS = 4000
 const REJECTION_MILLISECONDS = 250
 const SERVICE_UNAVAILABLE = 503
+const BAD_GATEWAY = 502
+/** Attempts that the route allows. */
+const ROUTE_ATTEMPTS = 2
 
 /** One kind of prompt that crashes upstreams. */
 interface CrashingKind {
@@ -131,15 +134,22 @@
     }
     const sound = createCallers(['first', 'second', 'third'], SOUND_PER_SECOND, 1)
     const rare = createCallers(['seldom', 'second'], 1, 2)
-    const startedAt = Date.now()
     await Promise.all([sound.run(10_000), rare.run(10_000)])
-    for (const callers of [sound, rare]) {
-      const share = callers.servedShare(startedAt, Number.POSITIVE_INFINITY)
-      assert.ok(share >= MINIMUM_SERVED_SHARE, `${share} of the sound requests were served`)
-    }
+    const outcomes = [...sound.outcomes, ...rare.outcomes]
+    const unserved = outcomes.filter(({ isComplete }) => !isComplete)
+    assert.ok(unserved.length <= outcomes.length * (1 - MINIMUM_SERVED_SHARE), `${unserved.length} of ${outcomes.length} sound requests were not served`)
+    for (const { id, status } of unserved) assert.deepEqual([status, listFailedUpstreams(id).length], [BAD_GATEWAY, ROUTE_ATTEMPTS], `request ${id} failed at ${listFailedUpstreams(id).join(', ')}`)
     assert.equal(countQuarantined(), 0)
   })
 
+  /** Upstreams that cut their answers at which the attempts of a request failed. */
+  function listFailedUpstreams (id: string): string[] {
+    const { gateways } = deployment
+    const cutting = deployment.upstreams.slice(0, 3).map(upstream => upstream.id)
+    const failed = gateways.numbers.flatMap(number => gateways.listEvents(number, 'attempt-failed')).filter(({ request }) => request === id).map(({ attributes }) => String(attributes?.upstream))
+    return failed.filter(upstream => cutting.includes(upstream))
+  }
+
   function countQuarantined (): number {
     const { gateways } = deployment
     return gateways.numbers.flatMap(number => [...gateways.listEvents(number, 'request-rejected'), ...gateways.listEvents(number, 'request-ended')])
--- a/tests/platform/support/promptCallers.ts
+++ b/tests/platform/support/promptCallers.ts
@@ -12,6 +12,7 @@
 
 /** What became of one request. */
 export interface PromptOutcome {
+  id: string
   sentAt: number
   status: number
   milliseconds: number
@@ -73,9 +74,9 @@
     try {
       const response = await request(`${callerUrlOf(gateway)}/manual/${id}`, { method: 'POST', signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS), headers: { host: HOST, authorization: `Bearer ${TOKEN}`, 'plumstage-attempt-id': id, 'plumstage-model': 'm', 'plumstage-token-count': '350,20', 'plumstage-prompt-prefix': prompt }, body: id })
       const text = await response.body.text()
-      this.outcomes.push({ sentAt, status: response.statusCode, milliseconds: Date.now() - sentAt, isComplete: response.statusCode === 200 && text.includes('id: 4\n'), retryAfterSeconds: Number(response.headers['retry-after'] ?? 0) })
+      this.outcomes.push({ id, sentAt, status: response.statusCode, milliseconds: Date.now() - sentAt, isComplete: response.statusCode === 200 && text.includes('id: 4\n'), retryAfterSeconds: Number(response.headers['retry-after'] ?? 0) })
     } catch {
-      this.outcomes.push({ sentAt, status: 0, milliseconds: Date.now() - sentAt, isComplete: false, retryAfterSeconds: 0 })
+      this.outcomes.push({ id, sentAt, status: 0, milliseconds: Date.now() - sentAt, isComplete: false, retryAfterSeconds: 0 })
     }
   }
 }
