Give the tasks of the cloud duty a class of their own, and separate the fields that are hashed

Cause: the serving gateway had grown by the construction of two tasks; keys of parts and crashes were hashes of two texts without a separator, so that version v1 with part 2abc had the key of version v12 with part abc. Change: `CloudDuties` creates and runs both tasks; a slash separates the hashed texts; `formatPart` stands beside the keys.

--- a/packages/serving/src/attempts/crashTracking.ts
+++ b/packages/serving/src/attempts/crashTracking.ts
@@ -7,7 +7,7 @@
 import type { Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
-import { crashIdOf, partKeysOf, sharedPartIdsOf } from '../recovery/promptPart.js'
+import { crashIdOf, formatPart, partKeysOf, sharedPartIdsOf } from '../recovery/promptPart.js'
 import type { PartKey } from '../recovery/promptPart.js'
 import type { PartVerdict } from '../recovery/partQuarantine.js'
 import type { ServingState } from '../servingState.js'
@@ -88,7 +88,7 @@
     if (!state.quarantine.isEmpty) state.quarantine.recordFinished(this._request.digest, clock.now())
   }
 
-  /** Records that the attempt has ended without a crash. */
+  /** Records that the attempt has ended, whatever its result. */
   endAttempt (): void {
     if (this._isTrial) this._services.state.partQuarantine.endTrial(this._parts)
     this._isTrial = false
@@ -137,9 +137,3 @@
     }
   }
 }
-
-/** Returns the key of a part as it appears in logs. */
-export function formatPart (part: PartKey): string {
-  const radix = 16
-  return part.toString(radix)
-}
--- /dev/null
+++ b/packages/serving/src/duties/cloudDuties.ts
@@ -0,0 +1,69 @@
+/**
+ * The work that exactly one gateway performs for the deployment: it reports usage to the cloud and orders upstreams.
+ *
+ * @module
+ */
+import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
+import type { DutyTask, KeyValueService } from '@plumstage/coordination'
+import type { StoreObserver } from '../deployment/deploymentTask.js'
+import { FleetTask } from '../fleet/fleetTask.js'
+import type { ServingSettings } from '../servingSettings.js'
+import type { ServingState } from '../servingState.js'
+import type { StoreKeys } from '../storeKeys.js'
+import { UsageReportTask } from '../usage/usageReportTask.js'
+import type { Cloud } from './cloud.js'
+
+/** Dependencies of the tasks. */
+export interface CloudDutiesOptions {
+  duty: DutyTask
+  cloud: Cloud
+  store: KeyValueService
+  keys: StoreKeys
+  state: ServingState
+  settings: ServingSettings
+  /** Maximum time after the end of a window for reporting it, which may change. */
+  usageDelayMilliseconds: () => number
+  clock: Clock
+  timeOfDay: () => Timestamp
+  instrumentation: Instrumentation
+}
+
+/** The tasks of the cloud duty at one gateway. */
+export class CloudDuties {
+  private readonly _duty: DutyTask
+  /** Undefined when the gateway reports no usage. */
+  private readonly _usageReports: UsageReportTask | undefined
+  /** Undefined when the gateway orders no upstreams. */
+  private readonly _fleet: FleetTask | undefined
+
+  private constructor (options: CloudDutiesOptions) {
+    const { duty, settings, state, keys } = options
+    this._duty = duty
+    if (settings.ordersUpstreams) this._fleet = FleetTask.create({ ...options, holder: settings.name })
+    if (!settings.reportsUsage) return
+    this._usageReports = UsageReportTask.create({
+      ...options,
+      holder: settings.name,
+      ledger: state.usage,
+      keyOf: window => keys.usageKey(window),
+      windowOf: key => keys.usageWindowOf(key),
+      delayMilliseconds: options.usageDelayMilliseconds
+    })
+  }
+
+  static create (options: CloudDutiesOptions): CloudDuties {
+    return new CloudDuties(options)
+  }
+
+  /** Those of the tasks that follow the store. */
+  get observers (): readonly StoreObserver[] {
+    return this._usageReports ? [this._usageReports] : []
+  }
+
+  /** Runs the tasks until the context is cancelled. */
+  run (context: CallContext): void {
+    void this._duty.run(context)
+    void this._usageReports?.run(context)
+    void this._fleet?.run(context)
+  }
+}
--- a/packages/serving/src/recovery/promptPart.ts
+++ b/packages/serving/src/recovery/promptPart.ts
@@ -10,6 +10,7 @@
 
 /** Parts beyond this number are not looked at, so that one request can't fill the tables. */
 const MAXIMUM_PARTS = 16
+const LOG_RADIX = 16
 
 /** 32-bit hash of a part of a prompt and of the software that processes it. */
 export type PartKey = number
@@ -25,9 +26,14 @@
 /** Returns the keys of parts at the software of an upstream: another version may process the same part without a crash. */
 export function partKeysOf (partIds: readonly string[], upstream: ListedUpstream): PartKey[] {
   const software = serviceSoftwareOf(upstream)
-  return partIds.map(id => rendezvousWeight(software, id))
+  return partIds.map(id => rendezvousWeight(`${software}/`, id))
 }
 
 export function crashIdOf ({ id, incarnation }: ListedUpstream): CrashId {
-  return rendezvousWeight(id, incarnation)
+  return rendezvousWeight(`${id}/`, incarnation)
+}
+
+/** Returns the key of a part as it appears in logs. */
+export function formatPart (part: PartKey): string {
+  return part.toString(LOG_RADIX)
 }
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -7,7 +7,6 @@
 import type { Clock, Instrumentation, SeededRandom, Timer, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
 import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
-import { formatPart } from './attempts/crashTracking.js'
 import { RunningRequests } from './attempts/runningRequests.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
 import type { CallerProtocol } from './callers/callerProtocol.js'
@@ -18,7 +17,7 @@
 import { DeploymentTask } from './deployment/deploymentTask.js'
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
-import { FleetTask } from './fleet/fleetTask.js'
+import { CloudDuties } from './duties/cloudDuties.js'
 import { GatewayRegistry } from './peers/gatewayRegistry.js'
 import type { LimitSource } from './limits/upstreamLimits.js'
 import { GatewayAddresses } from './peers/gatewayAddresses.js'
@@ -27,6 +26,7 @@
 import { PeerSocket } from './peers/peerSocket.js'
 import type { Peer } from './peers/peerTable.js'
 import { ReportExchange } from './peers/reportExchange.js'
+import { formatPart } from './recovery/promptPart.js'
 import type { ServingSettings } from './servingSettings.js'
 import { ServingState } from './servingState.js'
 import { StoreKeys } from './storeKeys.js'
@@ -36,7 +36,6 @@
 import { ConnectionCrashProbe } from './upstreams/crashProbe.js'
 import { PooledUpstreamConnections } from './upstreams/upstreamConnections.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
-import { UsageReportTask } from './usage/usageReportTask.js'
 
 /** The lease of the cloud duty is renewed, and failed calls are retried, this many times within its duration. */
 const RENEWALS_PER_LEASE = 3
@@ -97,8 +96,8 @@
   private readonly _softwareHistory: SoftwareHistory
   private readonly _softwareHistoryTask: SoftwareHistoryTask
   private readonly _streamOrigins: StreamOriginTask
-  /** Undefined when the gateway reports no usage. */
-  private readonly _usageReportTask: UsageReportTask | undefined
+  /** Undefined when the gateway does not call the cloud. */
+  private readonly _duties: CloudDuties | undefined
   private _internalListenersOpened: Promise<void> = Promise.resolve()
   private readonly _exchange: ReportExchange
   private readonly _registry: GatewayRegistry
@@ -121,7 +120,7 @@
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
     this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
     this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
-    this._usageReportTask = this._createUsageReportTask()
+    this._duties = this._createDuties()
     this._gossip = this._createGossip()
     this._deploymentTask = this._createDeploymentTask()
     this._callerServer = this._createCallerServer()
@@ -201,27 +200,15 @@
       random,
       instrumentation,
       countGateways: () => this.state.peers.listRegistrations().length,
-      observers: [this._registry, this._softwareHistoryTask, this._usageReportTask].filter(observer => observer !== undefined),
+      observers: [this._registry, this._softwareHistoryTask, ...this._duties?.observers ?? []],
       onChange: change => this._applyChange(change)
     })
   }
 
-  private _createUsageReportTask (): UsageReportTask | undefined {
+  private _createDuties (): CloudDuties | undefined {
     const { store, cloud, clock, instrumentation, timeOfDay } = this._environment
-    if (!cloud || !this._settings.reportsUsage) return undefined
-    return UsageReportTask.create({
-      duty: this._duty,
-      holder: this._settings.name,
-      cloud,
-      store,
-      ledger: this.state.usage,
-      keyOf: window => this._keys.usageKey(window),
-      windowOf: key => this._keys.usageWindowOf(key),
-      delayMilliseconds: () => this._settings.usageDelayMilliseconds,
-      clock,
-      timeOfDay,
-      instrumentation
-    })
+    if (!cloud) return undefined
+    return CloudDuties.create({ duty: this._duty, cloud, store, keys: this._keys, state: this.state, settings: this._settings, usageDelayMilliseconds: () => this._settings.usageDelayMilliseconds, clock, timeOfDay, instrumentation })
   }
 
   private _createCallerServer (): CallerServer {
@@ -259,7 +246,7 @@
   }
 
   private _startTasks (): void {
-    const { store, clock, leaseClock, instrumentation, cloud } = this._environment
+    const { store, clock, leaseClock, instrumentation } = this._environment
     const { name, peerSeeds } = this._settings
     for (const seed of peerSeeds) this.state.peers.addKnownAddress(seed, clock.now())
     void this._deploymentTask.run(this._context)
@@ -269,18 +256,10 @@
     void this._pullInitialDeployment()
     void this._expireEntries()
     void MembershipTask.create({ store, key: this._keys.gatewayKey(name), registration: this.state.peers.self, clock: leaseClock, instrumentation }).run(this._context)
-    if (cloud) this._startDutyTasks(cloud)
+    this._duties?.run(this._context)
     instrumentation.emit('started', { name, failureDomain: this._settings.failureDomain })
   }
 
-  private _startDutyTasks (cloud: Cloud): void {
-    const { clock, instrumentation } = this._environment
-    const { name, ordersUpstreams } = this._settings
-    void this._duty.run(this._context)
-    if (ordersUpstreams) void FleetTask.create({ duty: this._duty, holder: name, cloud, clock, instrumentation, state: this.state }).run(this._context)
-    void this._usageReportTask?.run(this._context)
-  }
-
   /** Opens the listeners for peers and metrics. Their modules are loaded after callers are served, to shorten the start. */
   private async _openInternalListeners (): Promise<void> {
     const { clock, instrumentation, droppedLogLines, metricsAddress } = this._environment
