--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -136,8 +136,8 @@
   return requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0)
 }
 
-function encodePartSuspicion ({ part, crashes, cleared }: PartSuspicion): { part: number, crashes: Array<{ crash: number, companions: number[], isTrial: boolean }>, cleared: number[] } {
-  return { part, crashes: crashes.map(({ crash, companions, isTrial }) => ({ crash, companions: [...companions], isTrial })), cleared: [...cleared] }
+function encodePartSuspicion ({ part, crashes, cleared, ageMilliseconds }: PartSuspicion): { part: number, crashes: Array<{ crash: number, companions: number[], isTrial: boolean }>, cleared: number[], ageMilliseconds: number } {
+  return { part, ageMilliseconds, crashes: crashes.map(({ crash, companions, isTrial }) => ({ crash, companions: [...companions], isTrial })), cleared: [...cleared] }
 }
 
 function encodeUsage ({ workspace, admittedUnits, offeredUnitsPerSecond }: WorkspaceUsage): { workspace: string, admittedUnits: bigint, offeredUnitsPerSecond: number } {
--- a/packages/serving/src/recovery/partQuarantine.ts
+++ b/packages/serving/src/recovery/partQuarantine.ts
@@ -14,6 +14,11 @@
 
 /** Crashes without a begin in between after which a part is quarantined. */
 const CRASHES_FOR_QUARANTINE = 3
+/**
+ * Time from the first of these crashes until the part is quarantined. When several upstreams crash at once, requests with
+ * a sound part begin at the others meanwhile.
+ */
+const MINIMUM_AGE_MILLISECONDS = 500
 const RETENTION_MILLISECONDS = 30 * 60_000
 /** A part that was cleared is reported for this long, then forgotten. */
 const CLEARED_RETENTION_MILLISECONDS = 10_000
@@ -83,17 +88,17 @@
     this._onChange = listener
   }
 
-  countQuarantined (): number {
-    return [...this._suspects.values()].filter(isQuarantined).length
+  countQuarantined (now: Timestamp): number {
+    return [...this._suspects.values()].filter(suspect => isQuarantined(suspect, now)).length
   }
 
   /** Decides about a request with these parts. */
   decide (parts: readonly PartKey[], now: Timestamp): PartVerdict {
     if (this.isEmpty) return ACCEPTED
-    this._removeExpired(now)
-    const suspects = parts.map(part => this._suspects.get(part)).filter((suspect): suspect is SuspectPart => suspect !== undefined && isQuarantined(suspect))
+    this._refresh(now)
+    const suspects = parts.map(part => this._suspects.get(part)).filter((suspect): suspect is SuspectPart => suspect !== undefined && isQuarantined(suspect, now))
     if (suspects.length === 0) return ACCEPTED
-    const trialAt = suspects.every(suspect => this._isBlamedForOther(suspect, parts)) ? now : Math.max(...suspects.map(suspect => this._trialTimeOf(suspect)))
+    const trialAt = suspects.every(suspect => this._isBlamedForOther(suspect, parts, now)) ? now : Math.max(...suspects.map(suspect => this._trialTimeOf(suspect)))
     if (now >= trialAt && !suspects.some(({ part }) => this._trials.has(part))) return TRIAL
     return { kind: 'refused', retryAt: Math.max(trialAt, now + FIRST_TRIAL_RANK_MILLISECONDS) }
   }
@@ -103,7 +108,7 @@
     if (this.isEmpty) return
     for (const part of parts) {
       const suspect = this._suspects.get(part)
-      if (suspect && this._update(suspect, () => suspect.clear(now))) this._isReportUrgent = true
+      if (suspect?.clear(now) === true) this._isReportUrgent = true
     }
   }
 
@@ -111,8 +116,7 @@
   recordCrash ({ parts, crash, isTrial }: CrashedRequest, now: Timestamp): void {
     for (const part of parts) {
       const companions = parts.filter(other => other !== part)
-      const suspect = this._ensureSuspect(part, now)
-      if (this._update(suspect, () => suspect.addCrash({ crash, companions, isTrial }, now))) this._isReportUrgent = true
+      if (this._ensureSuspect(part, now).addCrash({ crash, companions, isTrial }, now)) this._isReportUrgent = true
     }
     this._trim()
   }
@@ -130,9 +134,9 @@
   /** Returns what peers should know: quarantined parts first, then those that changed last. */
   createReport (now: Timestamp): PartSuspicion[] {
     this._isReportUrgent = false
-    this._removeExpired(now)
-    const suspects = [...this._suspects.values()].sort((left, right) => Number(isQuarantined(right)) - Number(isQuarantined(left)) || right.changedAt - left.changedAt)
-    return suspects.slice(0, MAXIMUM_REPORTED).map(suspect => suspect.toSuspicion())
+    this._refresh(now)
+    const suspects = [...this._suspects.values()].sort((left, right) => Number(isQuarantined(right, now)) - Number(isQuarantined(left, now)) || right.changedAt - left.changedAt)
+    return suspects.slice(0, MAXIMUM_REPORTED).map(suspect => suspect.toSuspicion(now))
   }
 
   /** Merges what a peer has reported. */
@@ -141,29 +145,30 @@
       const known = this._suspects.get(suspicion.part)
       const hasUncleared = suspicion.crashes.some(({ crash }) => !suspicion.cleared.includes(crash))
       if (!known && !hasUncleared) continue
-      const suspect = known ?? this._ensureSuspect(suspicion.part, now)
-      this._update(suspect, () => suspect.merge(suspicion, now))
+      this._ensureSuspect(suspicion.part, now).merge(suspicion, now)
     }
     this._trim()
   }
 
-  /** Applies a change, tells the listener if the part is quarantined by it or no longer is, and returns whether anything has changed. */
-  private _update (suspect: SuspectPart, change: () => boolean): boolean {
-    const before = isQuarantined(suspect)
-    const hasChanged = change()
-    const after = isQuarantined(suspect)
-    if (before !== after) this._onChange(suspect.part, after ? 'quarantined' : 'cleared', suspect.listUncleared().length)
-    return hasChanged
+  /** Removes expired suspects, and announces parts that are quarantined since the last call or no longer are. */
+  private _refresh (now: Timestamp): void {
+    this._removeExpired(now)
+    for (const suspect of this._suspects.values()) {
+      const isNowQuarantined = isQuarantined(suspect, now)
+      if (isNowQuarantined === suspect.isAnnounced) continue
+      suspect.isAnnounced = isNowQuarantined
+      this._onChange(suspect.part, isNowQuarantined ? 'quarantined' : 'cleared', suspect.listUncleared().length)
+    }
   }
 
   /**
    * Whether all crashes of a part are explained by another quarantined part that this request does not have: all
    * requests that crashed upstreams with the one also had the other.
    */
-  private _isBlamedForOther (suspect: SuspectPart, parts: readonly PartKey[]): boolean {
+  private _isBlamedForOther (suspect: SuspectPart, parts: readonly PartKey[], now: Timestamp): boolean {
     return commonCompanions(suspect.listUncleared()).some(companion => {
       const other = this._suspects.get(companion)
-      return other !== undefined && isQuarantined(other) && !parts.includes(companion)
+      return other !== undefined && isQuarantined(other, now) && !parts.includes(companion)
     })
   }
 
@@ -188,19 +193,23 @@
     }
   }
 
-  /** Callers can send ever new parts: those that are not quarantined are dropped first. */
+  /** Callers can send ever new parts: those without enough crashes for the quarantine are dropped first. */
   private _trim (): void {
     const excess = this._suspects.size - MAXIMUM_SUSPECTS
     if (excess <= 0) return
-    const oldestFirst = [...this._suspects.values()].sort((left, right) => Number(isQuarantined(left)) - Number(isQuarantined(right)) || left.changedAt - right.changedAt)
+    const oldestFirst = [...this._suspects.values()].sort((left, right) => Number(hasEnoughCrashes(left)) - Number(hasEnoughCrashes(right)) || left.changedAt - right.changedAt)
     for (const { part } of oldestFirst.slice(0, excess)) this._suspects.delete(part)
   }
 }
 
-function isQuarantined (suspect: SuspectPart): boolean {
+function hasEnoughCrashes (suspect: SuspectPart): boolean {
   return suspect.listUncleared().length >= CRASHES_FOR_QUARANTINE
 }
 
+function isQuarantined (suspect: SuspectPart, now: Timestamp): boolean {
+  return hasEnoughCrashes(suspect) && now >= suspect.firstUnclearedAt + MINIMUM_AGE_MILLISECONDS
+}
+
 function commonCompanions (crashes: readonly PartCrash[]): readonly PartKey[] {
   const [first, ...others] = crashes
   return first.companions.filter(part => others.every(({ companions }) => companions.includes(part)))
--- a/packages/serving/src/recovery/suspectPart.ts
+++ b/packages/serving/src/recovery/suspectPart.ts
@@ -25,6 +25,8 @@
   crashes: readonly PartCrash[]
   /** Crashes that the part did not cause, because requests with it have begun since. */
   cleared: readonly CrashId[]
+  /** Time since the first crash that is not cleared became known; 0 when there is none. */
+  ageMilliseconds: number
 }
 
 /** A part that is or was suspected. */
@@ -34,7 +36,11 @@
   lastCrashAt: Timestamp
   /** When anything became known last. */
   changedAt: Timestamp
+  /** Whether the part was quarantined when its state was last announced. */
+  isAnnounced = false
   private readonly _crashes = new Map<CrashId, PartCrash>()
+  /** When each crash became known here. */
+  private readonly _heardAt = new Map<CrashId, Timestamp>()
   private readonly _cleared = new Set<CrashId>()
 
   private constructor (part: PartKey, now: Timestamp) {
@@ -52,15 +58,22 @@
     return [...this._crashes.values()].filter(({ crash }) => !this._cleared.has(crash))
   }
 
-  toSuspicion (): PartSuspicion {
-    return { part: this.part, crashes: [...this._crashes.values()], cleared: [...this._cleared] }
+  /** When the first of the crashes that the part may have caused became known here; infinite when there is none. */
+  get firstUnclearedAt (): Timestamp {
+    return Math.min(...this.listUncleared().map(({ crash }) => this._heardAt.get(crash) ?? this.lastCrashAt))
   }
 
-  /** Adds a crash; returns whether it was not known before. */
-  addCrash (added: PartCrash, now: Timestamp): boolean {
+  toSuspicion (now: Timestamp): PartSuspicion {
+    const ageMilliseconds = Math.max(0, Math.round(now - this.firstUnclearedAt))
+    return { part: this.part, crashes: [...this._crashes.values()], cleared: [...this._cleared], ageMilliseconds: Number.isFinite(ageMilliseconds) ? ageMilliseconds : 0 }
+  }
+
+  /** Adds a crash that some gateway has known since `heardAt`; returns whether it was not known here. */
+  addCrash (added: PartCrash, now: Timestamp, heardAt = now): boolean {
     const known = this._crashes.get(added.crash)
     this._crashes.set(added.crash, known ? mergeCrashes(known, added) : added)
     if (known) return false
+    this._heardAt.set(added.crash, heardAt)
     this.changedAt = now
     if (!this._cleared.has(added.crash)) this.lastCrashAt = now
     this._dropOldest()
@@ -72,11 +85,10 @@
     return this._clearCrashes([...this._crashes.keys()], now)
   }
 
-  /** Merges what a peer knows; returns whether that was new. */
-  merge ({ crashes, cleared }: PartSuspicion, now: Timestamp): boolean {
-    const isCleared = this._clearCrashes(cleared, now)
-    const added = crashes.map(crash => this.addCrash(crash, now))
-    return isCleared || added.includes(true)
+  /** Merges what a peer knows. */
+  merge ({ crashes, cleared, ageMilliseconds }: PartSuspicion, now: Timestamp): void {
+    this._clearCrashes(cleared, now)
+    for (const crash of crashes) this.addCrash(crash, now, now - ageMilliseconds)
   }
 
   private _clearCrashes (crashes: readonly CrashId[], now: Timestamp): boolean {
@@ -89,7 +101,10 @@
 
   private _dropOldest (): void {
     const [oldestCrash] = this._crashes.keys()
-    if (this._crashes.size > MAXIMUM_CRASHES) this._crashes.delete(oldestCrash)
+    if (this._crashes.size > MAXIMUM_CRASHES) {
+      this._crashes.delete(oldestCrash)
+      this._heardAt.delete(oldestCrash)
+    }
     const [oldestCleared] = this._cleared
     if (this._cleared.size > 2 * MAXIMUM_CRASHES) this._cleared.delete(oldestCleared)
   }
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -273,7 +273,7 @@
         upstreamsRevision: () => this.state.view.upstreamsRevision,
         storeEra: () => this.state.view.upstreamsPosition.era,
         presentGateways: () => this.state.peers.countPresent(clock.now()),
-        quarantinedParts: () => this.state.partQuarantine.countQuarantined(),
+        quarantinedParts: () => this.state.partQuarantine.countQuarantined(clock.now()),
         limitedUpstreams: () => this.state.upstreams.list().filter(upstream => upstream.limit.requestsPerSecond !== undefined).length,
         droppedLogLines,
         streamRecords: () => this._streamOrigins.recordCount,
