--- a/packages/serving/src/usage/usageReportTask.ts
+++ b/packages/serving/src/usage/usageReportTask.ts
@@ -26,6 +26,15 @@
 
 const countsSchema = z.record(z.string(), z.int().min(0))
 
+/** Where the counts of a report come from: the sums of this gateway, the store, or what this gateway saw there before. */
+type CountsSource = 'summed' | 'stored' | 'remembered'
+
+/** The counts of a window that may be reported. */
+interface ReportableCounts {
+  counts: WorkspaceCounts
+  source: CountsSource
+}
+
 /** Dependencies of the task. */
 export interface UsageReportTaskOptions {
   duty: DutyTask
@@ -105,12 +114,13 @@
     const { clock, duty, cloud, holder, instrumentation } = this._options
     const callContext = context.createChild(clock.now() + CALL_TIMEOUT_MILLISECONDS)
     try {
-      const counts = await this._commitCounts(callContext, window)
+      const reportable = await this._commitCounts(callContext, window)
       const held = duty.getHeldDuty()
-      if (!counts || !held) return false
+      if (!reportable || !held) return false
+      const { counts, source } = reportable
       const outcome = await cloud.reportUsage(callContext, { name: holder, fencingNumber: held.fencingNumber }, { window, counts })
       const result = outcome.isOk() ? outcome.value : 'unanswered'
-      instrumentation.emit('usage-reported', { window, result, fencingNumber: held.fencingNumber, requests: [...counts.values()].reduce((sum, count) => sum + count, 0) })
+      instrumentation.emit('usage-reported', { window, result, source, era: held.era, fencingNumber: held.fencingNumber, requests: [...counts.values()].reduce((sum, count) => sum + count, 0) })
       if (result === 'fenced') duty.abandon()
       return result === 'accepted'
     } finally {
@@ -119,10 +129,11 @@
   }
 
   /** Returns the counts of a window from the store, after writing the sums known to this gateway if there are none yet. */
-  private async _commitCounts (context: CallContext, window: number): Promise<WorkspaceCounts | undefined> {
+  private async _commitCounts (context: CallContext, window: number): Promise<ReportableCounts | undefined> {
     const { store, ledger, keyOf } = this._options
     const key = keyOf(window)
-    const counts = this._committed.get(window) ?? ledger.sum(window)
+    const remembered = this._committed.get(window)
+    const counts = remembered ?? ledger.sum(window)
     const lease = await this._ensureLease(context)
     if (!lease) return undefined
     const written = await store.transact(context, {
@@ -133,10 +144,10 @@
     if (written.isErr()) return undefined
     if (written.value.succeeded) {
       this._committed.record(window, counts)
-      return counts
+      return { counts, source: remembered ? 'remembered' : 'summed' }
     }
     const stored = parseCounts(written.value.entries[0]?.value)
-    if (stored) return stored
+    if (stored) return { counts: stored, source: 'stored' }
     this._log.error(`The counts of window ${window} in the store can't be read. The window is skipped unless the entry is corrected in time.`)
     return undefined
   }
