Reproduce usage windows that a new holder of the duty reports again with other counts

Three gateways as processes, windows of 3 s. One gateway starts anew out of reach of the store until a window has been reported; the last counts of another arrive after the report. Then the store loses the counts, by a return from a copy or because leases run out, and both other gateways are killed.

--- a/tests/platform/support/gatewayProcesses.ts
+++ b/tests/platform/support/gatewayProcesses.ts
@@ -35,15 +35,18 @@
   private readonly _network = `127.${randomOctet()}.${randomOctet()}`
   private readonly _processes = new Map<number, GatewayProcess>()
   private readonly _count: number
+  /** Fields of the settings file that replace those of an ordinary one. */
+  private readonly _settings: object
 
-  private constructor (storeAddressOf: (number: number) => string, count: number) {
+  private constructor (storeAddressOf: (number: number) => string, count: number, settings: object) {
     this._storeAddressOf = storeAddressOf
     this._count = count
+    this._settings = settings
   }
 
   /** Starts gateways with the numbers from 1 to `count` and waits until all are ready and hear each other. */
-  static async create (storeAddressOf: (number: number) => string, count: number): Promise<GatewayProcesses> {
-    const processes = new GatewayProcesses(storeAddressOf, count)
+  static async create (storeAddressOf: (number: number) => string, count: number, settings: object = {}): Promise<GatewayProcesses> {
+    const processes = new GatewayProcesses(storeAddressOf, count, settings)
     await Promise.all(processes.numbers.map(async number => await processes.start(number)))
     await Promise.all(processes.numbers.map(async number => await processes._waitForPeers(number)))
     return processes
@@ -117,7 +120,8 @@
       port_range: PEER_PORTS,
       seeds: this.numbers.map(other => `${this._addressOf(other)}:${CALLER_PORT}`),
       platform: { address: this._storeAddressOf(number) },
-      bounds: { retry_ratio: 0.2, retry_slack: 50, retry_window_s: 10 }
+      bounds: { retry_ratio: 0.2, retry_slack: 50, retry_window_s: 10 },
+      ...this._settings
     }
   }
 }
--- a/tests/platform/support/processDeployment.ts
+++ b/tests/platform/support/processDeployment.ts
@@ -25,14 +25,15 @@
 
   /**
    * Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. The
-   * first gateway has an address of the store of its own, so that it can be cut off.
+   * first gateway has an address of the store of its own, so that it can be cut off. `settings` replace fields of the
+   * gateways' settings.
    */
-  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>): Promise<ProcessDeployment> {
+  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, settings: object = {}): Promise<ProcessDeployment> {
     const deployment = new ProcessDeployment(await StoreStandin.create())
     deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES }))
     for (const fields of entries) await deployment.addUpstream(fields)
     const firstAddress = await deployment.store.openSecondAddress()
-    deployment.gateways = await GatewayProcesses.create(number => number === 1 ? firstAddress : deployment.store.address, gatewayCount)
+    deployment.gateways = await GatewayProcesses.create(number => number === 1 ? firstAddress : deployment.store.address, gatewayCount, settings)
     return deployment
   }
 
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -117,6 +117,11 @@
     for (const item of [...this._items.values()]) if (item.lease === lease) this.remove(item.key)
   }
 
+  /** Ends all leases, as when they run out while the store is down. */
+  endAllLeases (): void {
+    for (const lease of [...this._leases]) this.endLease(lease)
+  }
+
   copy (): StoreCopy {
     return { items: new Map(this._items), leases: new Set(this._leases), nextLease: this._nextLease, revision: this._revision }
   }
