Give a usage window new counts only when the store shows that it can't have been reported before

Reproduced with real processes before: 115, then 137 requests of one window after the store came back from a copy; 114, then 135 after leases had run out.

Cause: a holder of the duty took a window for unreported when it found no counts in the store and remembered none. Counts were gone with a lease or with a return; the mark that windows before a return are not safe was each gateway's own memory, and a gateway whose first look at the store came later had none. Not known was taken for not happened.

Change: before it reports anything in an era of the store, the holder writes, by compare-and-swap, which window is the first that had not ended at any gateway. Counts from that window on are written under the condition that this entry is unchanged, so there no counts in the store means not reported. Windows before it are repeated with counts seen in the store in an earlier era, or left out; counts that appear in the store after the return are not trusted, since a gateway that does not know of it may have written them. Counts have no lease any more; the holder removes old ones and moves the start of the era past them at once.

The two tests of the task that set the mark by hand are replaced by seven with a store in memory, which check the same (repeats lost counts; leaves out unknown ones) and more.

--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -32,7 +32,8 @@
 export interface StoreObserver {
   /** All entries at a position, the first of which may be of a new era. */
   onSnapshot (entries: readonly KeyValueEntry[], position: StorePosition): void
-  onChanges (changes: readonly KeyValueChange[]): void
+  /** All changes up to a position, which is of the same era as the last one. */
+  onChanges (changes: readonly KeyValueChange[], position: StorePosition): void
 }
 
 /** Dependencies and callbacks of the task. */
@@ -111,7 +112,7 @@
   private _apply (batch: KeyValueWatchBatch): void {
     const { view, clock, observers } = this._options
     this._options.onChange(view.applyStoreChanges(batch, clock.now()))
-    for (const observer of observers) observer.onChanges(batch.changes)
+    for (const observer of observers) observer.onChanges(batch.changes, batch)
   }
 
   private _handleWatchError (error: KeyValueError): void {
--- a/packages/serving/src/duties/cloudDuties.ts
+++ b/packages/serving/src/duties/cloudDuties.ts
@@ -37,7 +37,7 @@
   private readonly _fleet: FleetTask | undefined
 
   private constructor (options: CloudDutiesOptions) {
-    const { duty, settings, state, keys } = options
+    const { duty, settings, state } = options
     this._duty = duty
     if (settings.ordersUpstreams) this._fleet = FleetTask.create({ ...options, holder: settings.name })
     if (!settings.reportsUsage) return
@@ -45,8 +45,6 @@
       ...options,
       holder: settings.name,
       ledger: state.usage,
-      keyOf: window => keys.usageKey(window),
-      windowOf: key => keys.usageWindowOf(key),
       delayMilliseconds: options.usageDelayMilliseconds
     })
   }
--- a/packages/serving/src/storeKeys.ts
+++ b/packages/serving/src/storeKeys.ts
@@ -32,6 +32,11 @@
     return `${PREFIX}software`
   }
 
+  /** Key of the first usage window of the store's era. */
+  get usageEraKey (): string {
+    return `${PREFIX}usage-era`
+  }
+
   /** Key of the usage counts of a reporting window. */
   usageKey (window: number): string {
     return `${PREFIX}usage/${window}`
--- a/packages/serving/src/usage/usageReportTask.ts
+++ b/packages/serving/src/usage/usageReportTask.ts
@@ -5,26 +5,27 @@
  *
  * @module
  */
-import * as z from 'zod'
-import { getLogger, parseJson } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
-import type { DutyTask, KeyValueChange, KeyValueEntry, KeyValueLease, KeyValueService, StorePosition } from '@plumstage/coordination'
+import type { DutyTask, KeyValueChange, KeyValueEntry, KeyValueService, StorePosition } from '@plumstage/coordination'
 import type { StoreObserver } from '../deployment/deploymentTask.js'
 import type { Cloud } from '../duties/cloud.js'
+import type { StoreKeys } from '../storeKeys.js'
 import { CommittedCounts } from './committedCounts.js'
 import type { WorkspaceCounts } from './committedCounts.js'
 import type { UsageLedger } from './usageLedger.js'
+import { UsageStore } from './usageStore.js'
+import type { StoredEraStart } from './usageStore.js'
 
 /** A window is reported this long after its end at the earliest, so that the last counts of peers have arrived. */
 const SETTLE_MILLISECONDS = 1500
 const POLL_MILLISECONDS = 500
 const CALL_TIMEOUT_MILLISECONDS = 1500
-/** Lease of the counts in the store. */
-const COUNTS_LEASE_SECONDS = 300
 /** Number of past windows that a new holder reports or repeats. */
 const LOOKBACK_WINDOWS = 2
-
-const countsSchema = z.record(z.string(), z.int().min(0))
+/** The times of day at two gateways differ by less than this. */
+const CLOCK_TOLERANCE_MILLISECONDS = 5000
+/** Counts are removed from the store this long after the last moment for reporting them. */
+const RETENTION_MILLISECONDS = 300_000
 
 /** Where the counts of a report come from: the sums of this gateway, the store, or what this gateway saw there before. */
 type CountsSource = 'summed' | 'stored' | 'remembered'
@@ -35,6 +36,24 @@
   source: CountsSource
 }
 
+/** Why a window is not reported. */
+type SkipReason =
+  /** The last moment for reporting it has passed. */
+  | 'overdue'
+  /** It may have been reported in an earlier era of the store, with counts that are not known here. */
+  | 'possibly-reported'
+  /** The store holds other counts than this gateway saw there in an earlier era. */
+  | 'contradicted'
+
+/** What is known about a window that is due. */
+type WindowOutcome =
+  | { kind: 'reportable', reportable: ReportableCounts }
+  | { kind: 'skip', reason: SkipReason }
+  /** The store did not answer, or its entry can't be read. */
+  | { kind: 'retry' }
+
+const RETRY: WindowOutcome = { kind: 'retry' }
+
 /** Dependencies of the task. */
 export interface UsageReportTaskOptions {
   duty: DutyTask
@@ -42,11 +61,8 @@
   holder: string
   cloud: Cloud
   store: KeyValueService
+  keys: StoreKeys
   ledger: UsageLedger
-  /** Returns the store key for the counts of a window. */
-  keyOf: (window: number) => string
-  /** Returns the window whose counts have this store key; undefined for other keys. */
-  windowOf: (key: string) => number | undefined
   /** Maximum time after the end of a window for reporting it; a window that is not reported by then is skipped. */
   delayMilliseconds: () => number
   clock: Clock
@@ -57,14 +73,14 @@
 /** Reports the windows in order while this gateway holds the duty. */
 export class UsageReportTask implements StoreObserver {
   private readonly _options: UsageReportTaskOptions
-  private readonly _log = getLogger('usage')
+  private readonly _usageStore: UsageStore
+  private readonly _committed = CommittedCounts.create()
   /** Windows before this one are reported or no longer due. */
   private _nextWindow: number
-  private _lease: KeyValueLease | undefined
-  private readonly _committed = CommittedCounts.create()
 
   private constructor (options: UsageReportTaskOptions) {
     this._options = options
+    this._usageStore = UsageStore.create(options.store, options.keys)
     this._nextWindow = options.ledger.windowAt(options.timeOfDay())
   }
 
@@ -73,100 +89,116 @@
   }
 
   onSnapshot (entries: readonly KeyValueEntry[], { era }: StorePosition): void {
-    const { ledger, timeOfDay } = this._options
-    this._committed.recordEra(era, ledger.windowAt(timeOfDay() - SETTLE_MILLISECONDS))
-    for (const entry of entries) this._observe(entry)
+    for (const entry of entries) this._observe(entry, era)
   }
 
-  onChanges (changes: readonly KeyValueChange[]): void {
-    for (const change of changes) if (change.kind === 'put') this._observe(change.entry)
+  onChanges (changes: readonly KeyValueChange[], { era }: StorePosition): void {
+    for (const change of changes) {
+      if (change.kind === 'put') this._observe(change.entry, era)
+      else this._usageStore.observeRemoval(change.key)
+    }
   }
 
   async run (context: CallContext): Promise<void> {
     const { clock, duty, ledger, timeOfDay } = this._options
     while (!context.cancelled) {
-      const current = ledger.windowAt(timeOfDay())
-      if (!duty.getHeldDuty()) this._nextWindow = Math.max(this._nextWindow, current - LOOKBACK_WINDOWS)
-      else if (timeOfDay() > ledger.endOf(this._nextWindow) + this._options.delayMilliseconds() || this._isLost(this._nextWindow)) this._skipWindow()
-      else if (timeOfDay() >= ledger.endOf(this._nextWindow) + SETTLE_MILLISECONDS && await this._report(context, this._nextWindow)) this._nextWindow++
+      if (duty.getHeldDuty()) await this._processNextWindow(context)
+      else this._nextWindow = Math.max(this._nextWindow, ledger.windowAt(timeOfDay()) - LOOKBACK_WINDOWS)
       await context.sleepUntil(clock.now() + POLL_MILLISECONDS)
     }
   }
 
-  private _observe ({ key, value }: KeyValueEntry): void {
-    const window = this._options.windowOf(key)
-    if (window === undefined) return
-    const counts = parseCounts(value)
-    if (counts) this._committed.record(window, counts)
+  private _observe (entry: KeyValueEntry, era: number): void {
+    const start = this._usageStore.readEraStart(entry)
+    if (start) this._committed.observeEraStart(start)
+    const observed = this._usageStore.observe(entry)
+    if (observed) this._committed.observe(observed.window, observed.counts, era)
   }
 
-  /** Whether a window may have been reported with counts that are lost. */
-  private _isLost (window: number): boolean {
-    return !this._committed.isSafe(window) && this._committed.get(window) === undefined
+  /** Returns the last moment for reporting a window. */
+  private _lastMomentOf (window: number): Timestamp {
+    return this._options.ledger.endOf(window) + this._options.delayMilliseconds()
   }
 
-  private _skipWindow (): void {
-    this._options.instrumentation.emit('usage-skipped', { window: this._nextWindow })
+  private _skipWindow (reason: SkipReason): void {
+    this._options.instrumentation.emit('usage-skipped', { window: this._nextWindow, reason })
     this._nextWindow++
   }
 
-  private async _report (context: CallContext, window: number): Promise<boolean> {
-    const { clock, duty, cloud, holder, instrumentation } = this._options
+  private async _processNextWindow (context: CallContext): Promise<void> {
+    const { clock, timeOfDay } = this._options
+    if (timeOfDay() > this._lastMomentOf(this._nextWindow)) return this._skipWindow('overdue')
     const callContext = context.createChild(clock.now() + CALL_TIMEOUT_MILLISECONDS)
     try {
-      const reportable = await this._commitCounts(callContext, window)
-      const held = duty.getHeldDuty()
-      if (!reportable || !held) return false
-      const { counts, source } = reportable
-      const outcome = await cloud.reportUsage(callContext, { name: holder, fencingNumber: held.fencingNumber }, { window, counts })
-      const result = outcome.isOk() ? outcome.value : 'unanswered'
-      instrumentation.emit('usage-reported', { window, result, source, era: held.era, fencingNumber: held.fencingNumber, requests: [...counts.values()].reduce((sum, count) => sum + count, 0) })
-      if (result === 'fenced') duty.abandon()
-      return result === 'accepted'
+      // An era starts as early as possible, so that few windows are before its first one.
+      const start = await this._ensureEraStart(callContext)
+      if (start && this._hasSettled(this._nextWindow)) await this._processWindow(callContext, this._nextWindow, start)
     } finally {
       callContext.finish()
     }
   }
 
-  /** Returns the counts of a window from the store, after writing the sums known to this gateway if there are none yet. */
-  private async _commitCounts (context: CallContext, window: number): Promise<ReportableCounts | undefined> {
-    const { store, ledger, keyOf } = this._options
-    const key = keyOf(window)
-    const remembered = this._committed.get(window)
-    const counts = remembered ?? ledger.sum(window)
-    const lease = await this._ensureLease(context)
-    if (!lease) return undefined
-    const written = await store.transact(context, {
-      conditions: [{ kind: 'create-revision', key, revision: 0 }],
-      onSuccess: [{ kind: 'put', key, value: JSON.stringify(Object.fromEntries(counts)), lease: lease.id }],
-      onFailure: [{ kind: 'get', key }]
-    })
-    if (written.isErr()) return undefined
-    if (written.value.succeeded) {
-      this._committed.record(window, counts)
-      return { counts, source: remembered ? 'remembered' : 'summed' }
-    }
-    const stored = parseCounts(written.value.entries[0]?.value)
-    if (stored) return { counts: stored, source: 'stored' }
-    this._log.error(`The counts of window ${window} in the store can't be read. The window is skipped unless the entry is corrected in time.`)
-    return undefined
-  }
-
-  /** Renews the lease of the counts, or obtains a new one. */
-  private async _ensureLease (context: CallContext): Promise<KeyValueLease | undefined> {
-    if (this._lease) {
-      const renewed = await this._options.store.keepLeaseAlive(context, this._lease.id)
-      if (renewed.isErr()) return undefined
-      if (renewed.value) return this._lease
-    }
-    const granted = await this._options.store.grantLease(context, COUNTS_LEASE_SECONDS)
-    this._lease = granted.isOk() ? granted.value : undefined
-    return this._lease
+  private async _ensureEraStart (context: CallContext): Promise<StoredEraStart | undefined> {
+    const { ledger, timeOfDay } = this._options
+    const start = await this._usageStore.ensureEraStart(context, ledger.windowAt(timeOfDay() + CLOCK_TOLERANCE_MILLISECONDS))
+    if (start) this._committed.observeEraStart(start)
+    return start
+  }
+
+  private _hasSettled (window: number): boolean {
+    const { ledger, timeOfDay } = this._options
+    return timeOfDay() >= ledger.endOf(window) + SETTLE_MILLISECONDS
+  }
+
+  private async _processWindow (context: CallContext, window: number, start: StoredEraStart): Promise<void> {
+    const outcome = await this._resolve(context, window, start)
+    if (outcome.kind === 'skip') return this._skipWindow(outcome.reason)
+    if (outcome.kind === 'reportable' && await this._report(context, window, outcome.reportable)) this._nextWindow++
+  }
+
+  /** Finds the counts that may be reported for a window. */
+  private async _resolve (context: CallContext, window: number, start: StoredEraStart): Promise<WindowOutcome> {
+    const decision = this._committed.decide(window, start)
+    if (decision.kind === 'skip') return { kind: 'skip', reason: 'possibly-reported' }
+    if (decision.kind === 'repeat') return { kind: 'reportable', reportable: { counts: decision.counts, source: 'remembered' } }
+    return await this._commit(context, window, decision.remembered, start)
+  }
+
+  private async _commit (context: CallContext, window: number, remembered: WorkspaceCounts | undefined, start: StoredEraStart): Promise<WindowOutcome> {
+    const counts = remembered ?? this._options.ledger.sum(window)
+    const outcome = await this._usageStore.commit(context, window, counts, start)
+    if (outcome.kind === 'exists') return this._compareStored(window, outcome.counts, remembered, start)
+    if (outcome.kind !== 'written') return RETRY
+    this._committed.observe(window, counts, start.era)
+    await this._removeOutdated(context, start)
+    return { kind: 'reportable', reportable: { counts, source: remembered ? 'remembered' : 'summed' } }
+  }
+
+  private _compareStored (window: number, stored: WorkspaceCounts, remembered: WorkspaceCounts | undefined, start: StoredEraStart): WindowOutcome {
+    if (remembered && !hasSameCounts(stored, remembered)) return { kind: 'skip', reason: 'contradicted' }
+    this._committed.observe(window, stored, start.era)
+    return { kind: 'reportable', reportable: { counts: stored, source: 'stored' } }
+  }
+
+  private async _removeOutdated (context: CallContext, start: StoredEraStart): Promise<void> {
+    const { ledger, timeOfDay, delayMilliseconds } = this._options
+    await this._usageStore.removeBefore(context, ledger.windowAt(timeOfDay() - delayMilliseconds() - RETENTION_MILLISECONDS), start)
+  }
+
+  /** Returns whether the cloud has accepted the report. */
+  private async _report (context: CallContext, window: number, { counts, source }: ReportableCounts): Promise<boolean> {
+    const { duty, cloud, holder, instrumentation } = this._options
+    const held = duty.getHeldDuty()
+    if (!held) return false
+    const outcome = await cloud.reportUsage(context, { name: holder, fencingNumber: held.fencingNumber }, { window, counts })
+    const result = outcome.isOk() ? outcome.value : 'unanswered'
+    const requests = [...counts.values()].reduce((sum, count) => sum + count, 0)
+    instrumentation.emit('usage-reported', { window, result, source, era: held.era, fencingNumber: held.fencingNumber, requests })
+    if (result === 'fenced') duty.abandon()
+    return result === 'accepted'
   }
 }
 
-/** Returns undefined when the text is not a set of counts. */
-function parseCounts (text: string | undefined): WorkspaceCounts | undefined {
-  const parsed = countsSchema.safeParse(parseJson(text))
-  return parsed.success ? new Map(Object.entries(parsed.data)) : undefined
+function hasSameCounts (left: WorkspaceCounts, right: WorkspaceCounts): boolean {
+  return left.size === right.size && [...left].every(([workspace, count]) => right.get(workspace) === count)
 }
