Infer the software of a stream only from an entry of the store's current era

The entry that names the software that may have begun streams counted as complete whenever it could be read. After a return of the store from a copy it may lack software that came later, and a gateway that starts then would continue a stream at the only version that the entry names. Also, a revision of an earlier era was a valid condition for writing the entry.

The entry now states the era in which it was written. One of an earlier era names software but does not count as complete, until a gateway that knows all software writes it again, which it does within a second; nothing is written while the era has changed since the entry was read. Entries of earlier releases state no era and count as of an earlier one. The new test fails on the code before (it infers v1 from the entry of the copy) and passes now; not seen at callers.

--- a/packages/serving/src/streams/softwareHistory.ts
+++ b/packages/serving/src/streams/softwareHistory.ts
@@ -16,6 +16,8 @@
   | { kind: 'unknown' }
   | { kind: 'absent' }
   | { kind: 'known', software: readonly ServiceSoftware[] }
+  /** The entry is of an earlier era of the store. A later one, with further software, may be lost. */
+  | { kind: 'outdated', software: readonly ServiceSoftware[] }
 
 /** The software that one gateway has seen in the list of upstreams, or read of in the store. */
 export class SoftwareHistory {
@@ -45,7 +47,7 @@
   /** Applies the entry of the store. What an earlier entry named stays known, since the store may come back from a copy. */
   applyStored (stored: StoredHistory): void {
     this._stored = stored
-    if (stored.kind === 'known') for (const software of stored.software) this._inherited.add(software)
+    if (stored.kind === 'known' || stored.kind === 'outdated') for (const software of stored.software) this._inherited.add(software)
     this._isComplete ||= stored.kind === 'known' || (stored.kind === 'absent' && this._isFirstStart)
   }
 
--- a/packages/serving/src/streams/softwareHistoryTask.ts
+++ b/packages/serving/src/streams/softwareHistoryTask.ts
@@ -7,7 +7,8 @@
 import * as z from 'zod'
 import { getLogger, parseJson } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
-import type { KeyValueChange, KeyValueEntry, KeyValueService } from '@plumstage/coordination'
+import { START_POSITION } from '@plumstage/coordination'
+import type { KeyValueChange, KeyValueEntry, KeyValueService, StorePosition } from '@plumstage/coordination'
 import type { StoreObserver } from '../deployment/deploymentTask.js'
 import type { DeploymentView } from '../deployment/deploymentView.js'
 import type { GatewayAddresses } from '../peers/gatewayAddresses.js'
@@ -18,7 +19,11 @@
 const CHECK_MILLISECONDS = 1000
 const CALL_TIMEOUT_MILLISECONDS = 1500
 
-const entrySchema = z.object({ software: z.array(z.string().min(1)) })
+const entrySchema = z.object({
+  software: z.array(z.string().min(1)),
+  /** Era of the store in which the entry was written; absent in entries of earlier releases. */
+  era: z.int().min(0).optional()
+})
 
 /** Dependencies of the task. */
 export interface SoftwareHistoryTaskOptions {
@@ -36,6 +41,8 @@
 export class SoftwareHistoryTask implements StoreObserver {
   private readonly _options: SoftwareHistoryTaskOptions
   private readonly _log = getLogger('streams')
+  /** Era of the store that was read last. */
+  private _era = START_POSITION.era
   /** Revision of the entry that was read last; 0 when there is none. */
   private _revision = 0
 
@@ -47,7 +54,8 @@
     return new SoftwareHistoryTask(options)
   }
 
-  onSnapshot (entries: readonly KeyValueEntry[]): void {
+  onSnapshot (entries: readonly KeyValueEntry[], { era }: StorePosition): void {
+    this._era = era
     this._apply(entries.find(entry => entry.key === this._options.key))
   }
 
@@ -63,7 +71,7 @@
     while (!context.cancelled) {
       const now = clock.now()
       history.observe(view.listUpstreams(), now)
-      const software = this._isWriter() ? history.planWrite(now) : undefined
+      const software = this._mayWrite() ? history.planWrite(now) : undefined
       if (software) await this._write(context, software)
       await context.sleepUntil(clock.now() + CHECK_MILLISECONDS)
     }
@@ -74,7 +82,7 @@
     const callContext = context.createChild(clock.now() + CALL_TIMEOUT_MILLISECONDS)
     const written = await store.transact(callContext, {
       conditions: [{ kind: 'mod-revision', key, revision: this._revision }],
-      onSuccess: [{ kind: 'put', key, value: JSON.stringify({ software }) }],
+      onSuccess: [{ kind: 'put', key, value: JSON.stringify({ software, era: this._era }) }],
       onFailure: []
     })
     callContext.finish()
@@ -82,6 +90,11 @@
     instrumentation.emit('software-history-written', { software: software.join(' '), result })
   }
 
+  /** The revision of the last entry means nothing in another era of the store. */
+  private _mayWrite (): boolean {
+    return this._era === this._options.store.era && this._isWriter()
+  }
+
   /** All gateways agree on the writer as far as they agree on the registrations; the condition settles the rest. */
   private _isWriter (): boolean {
     const { addresses, key } = this._options
@@ -96,7 +109,7 @@
 
   private _parse ({ key, value }: KeyValueEntry): StoredHistory {
     const parsed = entrySchema.safeParse(parseJson(value))
-    if (parsed.success) return { kind: 'known', software: parsed.data.software }
+    if (parsed.success) return { kind: parsed.data.era === this._era ? 'known' : 'outdated', software: parsed.data.software }
     this._log.error(`${key} can't be read. It is written again once this gateway has followed the list of upstreams for as long as a stream may be resumed.`)
     return { kind: 'unknown' }
   }
--- a/tests/serving/streamVersions.spec.ts
+++ b/tests/serving/streamVersions.spec.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { OriginLookup, OriginReplicas, SoftwareHistory, StreamOrigins, UpstreamTable, decodeStreamMessage, encodeStreamMessage, isInferenceSafe, softwareOf, streamExpiryOf, streamKeyOf } from '@plumstage/serving'
-import type { ListedUpstream, StreamMessage } from '@plumstage/serving'
+import type { KeyValueEntry } from '@plumstage/coordination'
+import { OriginLookup, OriginReplicas, SoftwareHistory, SoftwareHistoryTask, StreamOrigins, UpstreamTable, decodeStreamMessage, encodeStreamMessage, isInferenceSafe, softwareOf, streamExpiryOf, streamKeyOf } from '@plumstage/serving'
+
+import type { ListedUpstream, SoftwareHistoryTaskOptions, StreamMessage } from '@plumstage/serving'
 
 const MINUTE_MILLISECONDS = 60_000
 const STREAM_LIFETIME_MILLISECONDS = 600_000
@@ -159,6 +161,27 @@
     assert.deepEqual(history.planWrite(1000), ['model@v1', 'model@v2'])
   })
 
+  // Guards against: an entry that the store has come back to counts as complete, although software that came later is lost.
+  it('does not infer from an entry of an earlier era of the store until it is written again', () => {
+    const newcomer = SoftwareHistory.create(0, false)
+    newcomer.observe(v1, 0)
+    const task = SoftwareHistoryTask.create({ key: 'software', history: newcomer } as unknown as SoftwareHistoryTaskOptions)
+    const write = (era: number): KeyValueEntry => ({ key: 'software', value: JSON.stringify({ software: ['model@v1'], era }), createRevision: 5, modRevision: 5 })
+    task.onSnapshot([write(1)], { era: 2, revision: 9 })
+    assert.equal(newcomer.onlySoftwareOf('model', 1000), undefined)
+    assert.equal(newcomer.planWrite(1000), undefined)
+    task.onChanges([{ kind: 'put', entry: write(2) }])
+    assert.equal(newcomer.onlySoftwareOf('model', 2000), 'v1')
+  })
+
+  it('writes an entry of an earlier era again at a gateway that knows all software', () => {
+    const history = SoftwareHistory.create(0, true)
+    history.applyStored({ kind: 'absent' })
+    history.observe(v1, 0)
+    history.applyStored({ kind: 'outdated', software: ['model@v1'] })
+    assert.deepEqual(history.planWrite(1000), ['model@v1'])
+  })
+
   it('never names upstreams that state no version', () => {
     const history = SoftwareHistory.create(0, true)
     history.applyStored({ kind: 'absent' })
