Give each gateway of a process test links of its own to the upstreams

Cause: process tests can cut a gateway off from the store, but not from the upstreams, since all gateways reach an upstream at the same address.

Change: a proxy for each pair of gateway and upstream, whose link can be silent, reset, or closed for new connections only. Every gateway reads the addresses of its own proxies from its own address of the store. Upstream stand-ins answer requests for their health, without recording them. Tests that don't ask for proxies run as before.

--- a/tests/platform/support/gatewayProcesses.ts
+++ b/tests/platform/support/gatewayProcesses.ts
@@ -10,6 +10,7 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import type { ActionEvent } from '@plumstage/common'
+import { pickLoopbackNetwork } from './loopbackNetwork.js'
 
 const ENTRY = fileURLToPath(new URL('../../../packages/entry/dist/bin/entryMain.js', import.meta.url))
 const CALLER_PORT = 8080
@@ -19,7 +20,6 @@
 const PRESENT_GATEWAYS = /^plumstage_present_gateways (\d+)$/m
 const READY_POLL_MILLISECONDS = 50
 const OK = 200
-const MAXIMUM_OCTET = 250
 
 interface GatewayProcess {
   child: ChildProcess
@@ -31,8 +31,7 @@
   /** Returns the address of the store for a gateway. */
   private readonly _storeAddressOf: (number: number) => string
   private readonly _folder = mkdtempSync(join(tmpdir(), 'gateways-'))
-  /** The first three octets of the addresses, so that deployments of parallel tests do not collide. */
-  private readonly _network = `127.${randomOctet()}.${randomOctet()}`
+  private readonly _network = pickLoopbackNetwork()
   private readonly _processes = new Map<number, GatewayProcess>()
   private readonly _count: number
 
@@ -132,7 +131,3 @@
     return undefined
   }
 }
-
-function randomOctet (): number {
-  return 1 + Math.floor(Math.random() * MAXIMUM_OCTET)
-}
--- a/tests/platform/support/processDeployment.ts
+++ b/tests/platform/support/processDeployment.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { GatewayProcesses } from './gatewayProcesses.js'
+import { LinkProxies } from './linkProxies.js'
 import { TOKEN, formatConfiguration, formatUpstreamEntry } from './platformDeployment.js'
 import { StoreStandin } from './storeStandin.js'
 import { UpstreamStandin } from './upstreamStandin.js'
@@ -13,32 +14,43 @@
 /** No quota restricts the load. */
 const WORKSPACES = [{ name: 'notaries', api_keys: [TOKEN], unit: 'tokens', uncached_tokens: 10, rate_per_s: 0, burst: 0 }]
 
+/** Options of a deployment. */
+export interface ProcessDeploymentOptions {
+  /** Whether each gateway reaches each upstream through a proxy of its own, whose mode can be set. */
+  hasLinkProxies?: boolean
+}
+
 /** A running deployment; `stop` ends it. */
 export class ProcessDeployment {
   readonly store: StoreStandin
   readonly upstreams: UpstreamStandin[] = []
   gateways!: GatewayProcesses
+  /** Links of the gateways to the upstreams; without any unless the options ask for them. */
+  readonly links: LinkProxies
 
-  private constructor (store: StoreStandin) {
+  private constructor (store: StoreStandin, links: LinkProxies) {
     this.store = store
+    this.links = links
   }
 
   /**
    * Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. The
-   * first gateway has an address of the store of its own, so that it can be cut off.
+   * first gateway has an address of the store of its own, so that it can be cut off. With link proxies, every gateway has
+   * one, through which it reads the addresses of its own proxies.
    */
-  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>): Promise<ProcessDeployment> {
-    const deployment = new ProcessDeployment(await StoreStandin.create())
+  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
+    const deployment = new ProcessDeployment(await StoreStandin.create(), LinkProxies.create(hasLinkProxies ? gatewayCount : 0))
     deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES }))
     for (const fields of entries) await deployment.addUpstream(fields)
-    const firstAddress = await deployment.store.openSecondAddress()
-    deployment.gateways = await GatewayProcesses.create(number => number === 1 ? firstAddress : deployment.store.address, gatewayCount)
+    const storeAddresses = await deployment._openStoreAddresses(hasLinkProxies ? gatewayCount : 1)
+    deployment.gateways = await GatewayProcesses.create(number => storeAddresses[number - 1] ?? deployment.store.address, gatewayCount)
     return deployment
   }
 
   async addUpstream (fields: Record<string, unknown>, script?: ResponseScript): Promise<UpstreamStandin> {
     const upstream = await UpstreamStandin.create(`i-${this.upstreams.length + 1}`, script)
     this.upstreams.push(upstream)
+    await this.links.addUpstream(upstream.address)
     this.putEntry(upstream, fields)
     return upstream
   }
@@ -54,7 +66,13 @@
 
   async stop (): Promise<void> {
     await this.gateways.stop()
+    this.links.stop()
     await Promise.all(this.upstreams.map(async upstream => await upstream.stop()))
     await this.store.stop()
   }
+
+  /** Opens addresses of the store for the gateways from 1 to `count`. */
+  private async _openStoreAddresses (count: number): Promise<string[]> {
+    return await Promise.all(Array.from({ length: count }, async (_, index) => await this.store.openSecondAddress(this.links.transformOf(index + 1))))
+  }
 }
--- a/tests/platform/support/upstreamStandin.ts
+++ b/tests/platform/support/upstreamStandin.ts
@@ -21,6 +21,8 @@
 export type ResponseScript = (request: ReceivedRequest, upstream: UpstreamStandin) => void
 
 const HEAD_END = '\r\n\r\n'
+/** Requests for the upstream's health are answered by every upstream, and aren't among those that it records. */
+const HEALTH_PATH = '/health'
 
 /** A running upstream. */
 export class UpstreamStandin {
@@ -81,6 +83,7 @@
   }
 
   private _receive (request: ReceivedRequest): void {
+    if (request.method === 'GET' && request.target === HEALTH_PATH) return void request.socket.write(`HTTP/1.1 200 OK\r\nPlumstage-Instance-Id: ${this.id}\r\nContent-Length: 0${HEAD_END}`)
     this.requests.push(request)
     for (const wake of this._waiters) wake()
     this._waiters.clear()
