--- a/tests/platform/linkProxy.spec.ts
+++ b/tests/platform/linkProxy.spec.ts
@@ -109,6 +109,22 @@
     await openBoth()
   })
 
+  // Guards against: a cut that spares connections of which one direction has ended.
+  it('closes a connection of which one direction has ended', async () => {
+    const { near, far } = await openBoth()
+    near.end('question')
+    far.resume()
+    if (!far.readableEnded) await once(far, 'end')
+    const error = readError(near)
+    await proxy.setMode('reset')
+    assert.equal(await error, 'ECONNRESET')
+    const closed = new Promise(resolve => far.once('close', resolve))
+    far.write('answer')
+    await wait(HELD_MILLISECONDS)
+    far.write('more')
+    await closed
+  })
+
   // Guards against: a cut for new connections that touches the ones that are open.
   it('lets open connections live on while new ones are refused', async () => {
     const { near, far } = await openBoth()
--- a/tests/platform/support/proxiedConnection.ts
+++ b/tests/platform/support/proxiedConnection.ts
@@ -48,8 +48,8 @@
 
   /** Resets the connection on both sides. */
   reset (): void {
-    this._near.resetAndDestroy()
-    this._far?.resetAndDestroy()
+    resetSocket(this._near)
+    if (this._far) resetSocket(this._far)
   }
 
   private _connect (): void {
@@ -75,3 +75,9 @@
     if (this._near.destroyed && (this._far?.destroyed ?? true)) this._onClosed(this)
   }
 }
+
+/** A socket whose end was sent can't send a reset any more; the system answers what it still receives with one. */
+function resetSocket (socket: Socket): void {
+  if (socket.writableEnded) socket.destroy()
+  else socket.resetAndDestroy()
+}
