--- a/tests/platform/usageReports.spec.ts
+++ b/tests/platform/usageReports.spec.ts
@@ -26,7 +26,7 @@
   let present: number[]
   beforeEach(async () => {
     cloud = await CloudStandin.create()
-    deployment = await ProcessDeployment.create(GATEWAYS.length, [{}, {}], { cloud: { address: cloud.address, duties: ['usage'] }, bounds: { report_window_s: WINDOW_MILLISECONDS / 1000, lease_ms: 3000 } })
+    deployment = await ProcessDeployment.create(GATEWAYS.length, [{}, {}], { settings: { cloud: { address: cloud.address, duties: ['usage'] }, bounds: { report_window_s: WINDOW_MILLISECONDS / 1000, lease_ms: 3000 } } })
     present = GATEWAYS
   })
   afterEach(async () => {
