Show three cases in which not known is still taken for not happened

A store that loses counts and states no higher era: a gateway that saw the reported counts writes new ones (1, then 5 requests of window 21). A gateway that was cut off while a second version of an upstream came and went infers the first version for all streams, although the store's entry names both.

--- a/tests/serving/streamVersions.spec.ts
+++ b/tests/serving/streamVersions.spec.ts
@@ -174,6 +174,18 @@
     assert.equal(newcomer.onlySoftwareOf('model', 2000), 'v1')
   })
 
+  // Guards against: a gateway that was cut off while another version began streams takes its own view for the whole system's.
+  it('does not infer the software of a stream that began with a version of which only the store\'s entry tells', () => {
+    const history = SoftwareHistory.create(0, true)
+    history.observe([createListed('i-1', 'v1')], 0)
+    history.applyStored({ kind: 'known', software: ['model@v1'] })
+    const returned = STREAM_LIFETIME_MILLISECONDS + 60_000
+    for (let now = 0; now <= returned; now += 1000) history.observe([createListed('i-1', 'v1')], now)
+    history.applyStored({ kind: 'known', software: ['model@v1', 'model@v2'] })
+    assert.equal(history.onlySoftwareOf('model', returned), undefined)
+    assert.equal(history.planWrite(returned), undefined)
+  })
+
   it('writes an entry of an earlier era again at a gateway that knows all software', () => {
     const history = SoftwareHistory.create(0, true)
     history.applyStored({ kind: 'absent' })
--- a/tests/serving/usageReportTask.spec.ts
+++ b/tests/serving/usageReportTask.spec.ts
@@ -197,6 +197,57 @@
     assert.ok(firstWindow > 25, `first window ${firstWindow}`)
   })
 
+  // Guards against: a store that comes back without a higher era makes the gateway that reported a window write new counts.
+  it('reports the counts of a window as before when the store loses them and states no new era, at the gateway that reported them', async () => {
+    const { store, clock, reports, holder, successors: [successor], copy } = await reportWindow21()
+    holder.stop()
+    store.restore(copy)
+    store.era--
+    successor.holds = true
+    for (let count = 0; count < 5; count++) successor.ledger.record('press', 21 * WINDOW_MILLISECONDS)
+    await advance(clock, [successor], 3000)
+    successor.stop()
+    assert.deepEqual(reports.get(21), new Set(['{"press":1}']))
+  })
+
+  // Guards against: a holder that is frozen over a return starts the era with a window of the time before it was frozen.
+  it('starts the era with a window of the time at which it is known, at a holder that was frozen while its first read was on the way', async () => {
+    const world = createWorld()
+    const frozen = new Reporter(world.store, world.clock, world.reports)
+    const other = new Reporter(world.store, world.clock, world.reports)
+    const third = new Reporter(world.store, world.clock, world.reports)
+    third.client.isCut = true
+    const beginning = world.store.copy()
+    const read = frozen.client.get.bind(frozen.client)
+    let thaw = (): void => {}
+    const thawed = new Promise<void>(resolve => { thaw = resolve })
+    frozen.client.get = async (context, key) => {
+      await thawed
+      return await read(context, key)
+    }
+    frozen.holds = true
+    await advance(world.clock, [frozen], 1000)
+    frozen.holds = false
+    other.holds = true
+    for (let step = 0; step < 200; step++) {
+      other.count()
+      await advance(world.clock, [other], 100)
+    }
+    other.stop()
+    const window = windowsOf(world.reports).at(-1)!
+    for (let count = 0; count < 3; count++) third.ledger.record('press', window * WINDOW_MILLISECONDS)
+    world.store.restore(beginning)
+    frozen.follow()
+    thaw()
+    await advance(world.clock, [], 200)
+    frozen.stop()
+    third.client.isCut = false
+    third.holds = true
+    await advance(world.clock, [third], 5000)
+    third.stop()
+    assert.equal(world.reports.get(window)?.size, 1, JSON.stringify([...world.reports].map(([key, counts]) => [key, ...counts])))
+  })
+
   // Guards against: any order of returns, kills, cuts, lost and late writes, and holders at the same time, that reports a window twice.
   it(`never reports two counts of one window, whatever happens (${SEEDS} seeds)`, async () => {
     let reported = 0
