Report lost counts again as they were seen also when the store states no new era

Found by review of the windows that were reported twice (ONE): counts that a gateway had seen in the store counted as the reported ones only in a later era. When the store lost them without a higher era (missing, unreadable, fallen), a gateway that had seen 1 request wrote and sent 5. What was seen in an era, of windows from its first one on, now is the only thing that may be written or sent, whatever the era; other counts in the store leave the window out.

--- a/packages/serving/src/usage/committedCounts.ts
+++ b/packages/serving/src/usage/committedCounts.ts
@@ -22,7 +22,7 @@
 export type WindowDecision =
   /** Write counts to the store, unless there are some, then report those. `remembered` are the only counts to write, if set. */
   | { kind: 'commit', remembered: WorkspaceCounts | undefined }
-  /** Report these counts, which the store held in an earlier era. */
+  /** Report these counts, which the store held before. */
   | { kind: 'repeat', counts: WorkspaceCounts }
   /** Report nothing: the window may have been reported with counts that are not known here. */
   | { kind: 'skip' }
@@ -55,19 +55,19 @@
   }
 
   /** Decides about a window that is due, in the era that `start` begins. */
-  decide (window: number, { era, firstWindow }: EraStart): WindowDecision {
-    const remembered = this._findReported(window, era)
+  decide (window: number, { firstWindow }: EraStart): WindowDecision {
+    const remembered = this._findReported(window)
     if (window >= firstWindow) return { kind: 'commit', remembered }
     return remembered ? { kind: 'repeat', counts: remembered } : { kind: 'skip' }
   }
 
   /**
-   * Returns the counts that the store held in an era before `era`. Those of windows before the first one of their own era
-   * do not count: a gateway that did not know of the return may have written them.
+   * Returns the counts that the store held, in this era or an earlier one. Those of windows before the first one of their
+   * own era do not count: a gateway that did not know of the return may have written them.
    */
-  private _findReported (window: number, era: number): WorkspaceCounts | undefined {
+  private _findReported (window: number): WorkspaceCounts | undefined {
     const observed = this._observed.get(window)
-    if (!observed || observed.era >= era) return undefined
+    if (!observed) return undefined
     return window >= (this._firstWindows.get(observed.era) ?? Number.POSITIVE_INFINITY) ? observed.counts : undefined
   }
 }
