Choose the first window of an era once the era is known, and only while the duty is held

A holder that was frozen while that read was on its way, over a return of the store, started the new era with a window of before, and a gateway that knew nothing wrote 3 for a window that had been reported with 50. The window is now computed after the answer, and nothing is written if the call was cancelled or the duty is not held any more.

--- a/packages/serving/src/usage/usageReportTask.ts
+++ b/packages/serving/src/usage/usageReportTask.ts
@@ -139,8 +139,8 @@
   }
 
   private async _ensureEraStart (context: CallContext): Promise<StoredEraStart | undefined> {
-    const { ledger, timeOfDay } = this._options
-    const start = await this._usageStore.ensureEraStart(context, ledger.windowAt(timeOfDay() + CLOCK_TOLERANCE_MILLISECONDS))
+    const { ledger, timeOfDay, duty } = this._options
+    const start = await this._usageStore.ensureEraStart(context, () => duty.getHeldDuty() && ledger.windowAt(timeOfDay() + CLOCK_TOLERANCE_MILLISECONDS))
     if (start) this._committed.observeEraStart(start)
     return start
   }
--- a/packages/serving/src/usage/usageStore.ts
+++ b/packages/serving/src/usage/usageStore.ts
@@ -71,17 +71,23 @@
   }
 
   /**
-   * Returns the start of the current era. If there is none yet, the era starts with `firstWindow`. Undefined if the store
-   * did not answer or another gateway has just written it.
+   * Returns the start of the current era. If there is none yet, the era starts with the window that `chooseFirstWindow`
+   * returns once the era is known; undefined if this gateway may not start it. Returns undefined if the store did not answer
+   * or another gateway has just written the start.
    */
-  async ensureEraStart (context: CallContext, firstWindow: number): Promise<StoredEraStart | undefined> {
+  async ensureEraStart (context: CallContext, chooseFirstWindow: () => number | undefined): Promise<StoredEraStart | undefined> {
     if (this._start?.era === this._store.era) return this._start
     const read = await this._store.get(context, this._keys.usageEraKey)
     if (read.isErr()) return undefined
     const stored = decodeEraStart(read.value?.value)
     const { era } = this._store
-    if (read.value && stored?.era === era) this._start = { ...stored, revision: read.value.modRevision }
-    else this._start = await this._writeEraStart(context, { era, firstWindow }, read.value?.modRevision ?? 0, [])
+    if (read.value && stored?.era === era) {
+      this._start = { ...stored, revision: read.value.modRevision }
+      return this._start
+    }
+    const firstWindow = context.cancelled ? undefined : chooseFirstWindow()
+    if (firstWindow === undefined) return undefined
+    this._start = await this._writeEraStart(context, { era, firstWindow }, read.value?.modRevision ?? 0, [])
     return this._start
   }
 
