Count software that the store's entry names from when it was named, not from the gateway's start

Software that only the entry of the store names counted for ten minutes after the gateway's start. A gateway that had run longer and was cut off while another version began streams dropped that version when it read the entry, continued streams at the wrong one, and took it out of the entry if it was the writer. It now counts for ten minutes from when the entry named it first.

--- a/packages/serving/src/streams/softwareHistory.ts
+++ b/packages/serving/src/streams/softwareHistory.ts
@@ -28,10 +28,13 @@
   private _stored: StoredHistory = { kind: 'unknown' }
   /** Whether the store has ever named all software of the time before this gateway started. */
   private _isComplete = false
-  private readonly _inherited = new Set<ServiceSoftware>()
+  /** Software that the store names, with the time when it was named there first. */
+  private readonly _inheritedAt = new Map<ServiceSoftware, Timestamp>()
+  private _lastObservedAt: Timestamp
 
   private constructor (now: Timestamp, isFirstStart: boolean) {
     this._observedSince = now
+    this._lastObservedAt = now
     this._isFirstStart = isFirstStart
   }
 
@@ -41,13 +44,15 @@
 
   /** Applies the list of upstreams. */
   observe (listed: readonly ListedUpstream[], now: Timestamp): void {
+    this._lastObservedAt = now
     for (const upstream of listed) this._lastListedAt.set(serviceSoftwareOf(upstream), now)
   }
 
   /** Applies the entry of the store. What an earlier entry named stays known, since the store may come back from a copy. */
   applyStored (stored: StoredHistory): void {
+    const before = namedBy(this._stored)
+    for (const software of namedBy(stored)) if (!before.includes(software)) this._inheritedAt.set(software, this._lastObservedAt)
     this._stored = stored
-    if (stored.kind === 'known' || stored.kind === 'outdated') for (const software of stored.software) this._inherited.add(software)
     this._isComplete ||= stored.kind === 'known' || (stored.kind === 'absent' && this._isFirstStart)
   }
 
@@ -73,7 +78,11 @@
   }
 
   private _list (now: Timestamp): Set<ServiceSoftware> {
-    const recent = [...this._lastListedAt].filter(([, listedAt]) => listedAt > now - MAXIMUM_STREAM_LIFETIME_MILLISECONDS).map(([software]) => software)
-    return new Set([...recent, ...(now < this._observedSince + MAXIMUM_STREAM_LIFETIME_MILLISECONDS ? this._inherited : [])])
+    const known = [...this._lastListedAt, ...this._inheritedAt]
+    return new Set(known.filter(([, knownAt]) => knownAt > now - MAXIMUM_STREAM_LIFETIME_MILLISECONDS).map(([software]) => software))
   }
 }
+
+function namedBy (stored: StoredHistory): readonly ServiceSoftware[] {
+  return stored.kind === 'known' || stored.kind === 'outdated' ? stored.software : []
+}
