Read the health path of services

The configuration names the path of the health check of each service's upstreams, but the decoder dropped it, so nothing could check an upstream without a request of a caller. Service records now carry it as an optional field; both record schemas can express it. A path that can't be sent counts as none, so that the configuration still comes into force.

--- a/packages/records/src/model.ts
+++ b/packages/records/src/model.ts
@@ -106,6 +106,8 @@
   drainedUpstreams: readonly string[]
   /** Maximum number of connections to one upstream from all gateways together; undefined when it is not limited. */
   maximumConnections?: number
+  /** Path of the HTTP health check of its upstreams; undefined when they have none. */
+  healthPath?: string
   scaling?: ScalingBounds
   engine?: EngineLimits
 }
--- a/packages/records/src/schemaV1.ts
+++ b/packages/records/src/schemaV1.ts
@@ -16,6 +16,7 @@
 export const addressSchema = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'must be an IP number and a port, for example 10.0.0.7:9000')
 export const tokenDigestSchema = z.string().regex(/^[0-9a-f]{64}$/, 'must be the SHA-256 digest of a token in lower-case hexadecimal; `plumstage token` prints one')
 const pathPrefixSchema = z.string().regex(/^\/[^?#\s]*$/, 'must be a path that starts with a slash').refine(path => !path.startsWith('/v1/'), 'must not start with /v1/, which is reserved for the OpenAI-compatible interface; choose another prefix')
+export const healthPathSchema = z.string().regex(/^\/[!-~]*$/, 'must be a path that starts with a slash and has neither spaces nor characters outside ASCII')
 const positiveInteger = z.int().min(1)
 
 export const metadataSchema = z.strictObject({
@@ -53,7 +54,8 @@
   weights: weightsSchema.prefault({}),
   prices: z.record(z.string(), z.number().min(0)).default({}),
   orders: z.strictObject({ adapter: z.string().min(1) }).optional(),
-  drainedUpstreams: z.array(addressSchema).default([])
+  drainedUpstreams: z.array(addressSchema).default([]),
+  healthPath: healthPathSchema.optional()
 }).refine(spec => spec.upstreams.length > 0 || spec.pool !== undefined, 'has no upstreams; list them under upstreams or set pool to a pool of the instance list')
   .refine(spec => spec.type === 'plain' || spec.models.length > 0, 'has no models; list the models that the engines serve under models')
 
--- a/packages/records/src/schemaV1beta1.ts
+++ b/packages/records/src/schemaV1beta1.ts
@@ -7,7 +7,7 @@
  */
 import * as z from 'zod'
 import type { ConfigurationRecord, ServiceRecord } from './model.js'
-import { abilitiesSchema, addressSchema, metadataSchema, nameSchema, tokenDigestSchema } from './schemaV1.js'
+import { abilitiesSchema, addressSchema, healthPathSchema, metadataSchema, nameSchema, tokenDigestSchema } from './schemaV1.js'
 
 export const API_VERSION_V1BETA1 = 'plumstage/v1beta1'
 
@@ -21,7 +21,8 @@
   addresses: z.array(addressSchema).min(1, 'must list at least one address'),
   failureDomain: nameSchema,
   abilities: abilitiesSchema.prefault({}),
-  maxConcurrency: positiveInteger.default(DEFAULT_MAX_CONCURRENCY)
+  maxConcurrency: positiveInteger.default(DEFAULT_MAX_CONCURRENCY),
+  healthPath: healthPathSchema.optional()
 })
 
 const workspaceSpecSchema = z.strictObject({ tokenDigest: tokenDigestSchema })
@@ -92,6 +93,7 @@
     prefillTokensPerSecond: DEFAULT_PREFILL_TOKENS_PER_SECOND,
     weights: { price: 0, recomputation: 0 },
     prices: {},
-    drainedUpstreams: []
+    drainedUpstreams: [],
+    healthPath: spec.healthPath
   }
 }
--- a/tests/platform/documents.spec.ts
+++ b/tests/platform/documents.spec.ts
@@ -27,6 +27,12 @@
     assert.equal(version, 7)
   })
 
+  it('names the health path of a service, and comes into force without it if the path can\'t be sent', () => {
+    const healthPathOf = (value: unknown) => parseConfiguration({ services: [{ ...SERVICE, health_path: value }] })._unsafeUnwrap().configuration.services.get('model')?.healthPath
+    assert.equal(healthPathOf('/health?deep=1'), '/health?deep=1')
+    for (const value of [undefined, 'health', '/a b', '/caf\u00e9\u20ac', 7]) assert.equal(healthPathOf(value), undefined)
+  })
+
   it('is rejected with an error that lists the invalid fields', () => {
     const problem = parseConfiguration({ routes: [{ ...ROUTE, route_type: 'odd', host: 3 }] })._unsafeUnwrapErr().message
     assert.match(problem, /routes\.0\.route_type/)
--- a/tests/records/recordFile.spec.ts
+++ b/tests/records/recordFile.spec.ts
@@ -32,6 +32,17 @@
     assert.equal(configuration.services.get('old')?.upstreams[0].failureDomain, 'zona-4')
   })
 
+  it('reads the health path of a service in both schema versions', () => {
+    const specs = ['v1\nspec: { type: plain, pool: p, healthPath: /health }', 'v1beta1\nspec: { addresses: ["10.0.0.1:9000"], failureDomain: zona-4, healthPath: /health }']
+    for (const spec of specs) {
+      const { declarations, problems } = parseRecordFile('a.yaml', `kind: Service\nmetadata: { name: s }\napiVersion: plumstage/${spec}\n`)
+      assert.deepEqual(problems, [])
+      const { record } = declarations[0]
+      assert.equal(record.kind === 'Service' && record.healthPath, '/health')
+    }
+    assert.match(listProblems('apiVersion: plumstage/v1\nkind: Service\nmetadata: { name: s }\nspec: { type: plain, pool: p, healthPath: health }')[0], /spec\.healthPath must be a path that starts with a slash/)
+  })
+
   it('reports the file, line, field and remedy of an error', () => {
     const [problem] = listProblems(`${PRIORITY}---
 apiVersion: plumstage/v1
