Decide whether this gateway's links to all upstreams are lost

Callers of a gateway that had lost its links to all upstreams waited for their deadlines, because it could not tell a lost link from the failure of single upstreams. Failures and silence of direct requests now raise a doubt, and a round of up to three probes of upstreams in different services and failure domains settles it: one response shows that the links work. Upstreams that have failed lately, and full ones, are probed last. Silent probes count for nothing if bytes arrived meanwhile, because probes wait in the queues of busy upstreams too; refusals of all count even then. A time in which this process was suspended is not taken for silence. Nothing uses the result yet.

--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -33,6 +33,8 @@
   private readonly _limitedAttempts: Counter
   private readonly _ignoredConfigurations: Counter
   private readonly _snapshots: Counter
+  private readonly _linkProbes: Counter
+  private readonly _linkChanges: Counter
   private readonly _firstEvent: Histogram
   private readonly _duration: Histogram
 
@@ -44,6 +46,8 @@
     this._limitedAttempts = new Counter({ name: 'plumstage_limited_attempts_total', help: 'Attempts sent to upstreams that state a request limit, by kind.', labelNames: ['kind'], registers })
     this._ignoredConfigurations = new Counter({ name: 'plumstage_ignored_configurations_total', help: 'Configurations that were received and did not come into force, by reason.', labelNames: ['reason'], registers })
     this._snapshots = new Counter({ name: 'plumstage_store_snapshots_total', help: 'Snapshots of all entries that were read from the store, by reason.', labelNames: ['reason'], registers })
+    this._linkProbes = new Counter({ name: 'plumstage_link_probes_total', help: 'Probes of upstreams that show whether the links of this gateway work.', registers })
+    this._linkChanges = new Counter({ name: 'plumstage_link_changes_total', help: 'How often the links of this gateway to all upstreams were lost and regained, by change.', labelNames: ['change'], registers })
     this._firstEvent = new Histogram({ name: 'plumstage_first_event_seconds', help: 'Time from acceptance to the first event of a stream.', buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._duration = new Histogram({ name: 'plumstage_request_seconds', help: 'Time from acceptance to the end of a request.', labelNames: ['route'], buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._registry.addGauge('plumstage_running_requests', 'Requests that run at an upstream.', sources.running)
@@ -81,6 +85,9 @@
     else if (kind === 'configuration-ignored') this._ignoredConfigurations.inc({ reason: String(attributes?.reason) })
     else if (kind === 'store-snapshot-read') this._snapshots.inc({ reason: String(attributes?.reason) })
     else if (kind === 'limited-attempt-started') this._limitedAttempts.inc({ kind: String(attributes?.attemptKind) })
+    else if (kind === 'upstream-links-probed') this._linkProbes.inc(Number(attributes?.probes))
+    else if (kind === 'upstream-links-lost') this._linkChanges.inc({ change: 'lost' })
+    else if (kind === 'upstream-links-regained') this._linkChanges.inc({ change: 'regained' })
     else if (kind === 'attempt-failed') this._attemptFailures.inc({ failure: String(attributes?.failure) })
     else if (kind === 'first-event') this._firstEvent.observe(Number(attributes?.milliseconds) / MILLISECONDS_PER_SECOND)
   }
