Share the observation of resets and the pools of connections to upstreams

Tunnels through other gateways will need the same settings of their pools and the same flag for a response that ends because its connection is reset. Both move out of the connections to upstreams into modules of their own.

--- a/packages/serving/src/upstreams/upstreamConnections.ts
+++ b/packages/serving/src/upstreams/upstreamConnections.ts
@@ -3,18 +3,14 @@
  *
  * @module
  */
-import type { Socket } from 'node:net'
-import { Pool, buildConnector } from 'undici'
-import type { Dispatcher as HttpClient } from 'undici'
+import { buildConnector } from 'undici'
+import type { Dispatcher as HttpClient, Pool } from 'undici'
+import { ResetObserver } from './resetObserver.js'
+import { createUpstreamPool } from './upstreamPool.js'
 import type { Upstream } from './upstreamTable.js'
 
 /** Time limit for establishing a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 700
-/** Used when an upstream does not state how long it keeps an idle connection open. */
-const KEEP_ALIVE_MILLISECONDS = 4000
-const MAXIMUM_KEEP_ALIVE_MILLISECONDS = 60_000
-/** A connection is no longer reused from this long before the upstream closes it. */
-const KEEP_ALIVE_MARGIN_MILLISECONDS = 400
 
 /** Provides the connections to upstreams. */
 export interface UpstreamConnections {
@@ -30,14 +26,18 @@
 export class PooledUpstreamConnections implements UpstreamConnections {
   private readonly _pools = new Map<Upstream, Pool>()
   private readonly _connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS })
-  private _resetting = false
+  private readonly _resets: ResetObserver
 
-  static create (): PooledUpstreamConnections {
-    return new PooledUpstreamConnections()
+  private constructor (resets: ResetObserver) {
+    this._resets = resets
+  }
+
+  static create (resets: ResetObserver = ResetObserver.create()): PooledUpstreamConnections {
+    return new PooledUpstreamConnections(resets)
   }
 
   get resetting (): boolean {
-    return this._resetting
+    return this._resets.resetting
   }
 
   clientOf (upstream: Upstream): HttpClient {
@@ -61,42 +61,10 @@
   }
 
   private _createPool (address: string): Pool {
-    return new Pool(`http://${address}`, {
-      connections: null,
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
-      keepAliveMaxTimeout: MAXIMUM_KEEP_ALIVE_MILLISECONDS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: (options, callback) => this._connect(options, (...outcome) => {
-        const [, socket] = outcome
-        if (socket) this._observeResets(socket)
-        callback(...outcome)
-      })
-    })
-  }
-
-  /**
-   * undici treats a response without a length as complete when its connection is reset. It does so in its own listeners
-   * of the same events, which run after these.
-   */
-  private _observeResets (socket: Socket): void {
-    socket.on('error', () => this._markResetting())
-    socket.on('end', () => { if (wasReset(socket)) this._markResetting() })
-  }
-
-  private _markResetting (): void {
-    this._resetting = true
-    queueMicrotask(() => { this._resetting = false })
+    return createUpstreamPool(address, (options, callback) => this._connect(options, (...outcome) => {
+      const [, socket] = outcome
+      if (socket) this._resets.observe(socket)
+      callback(...outcome)
+    }))
   }
 }
-
-/**
- * Whether a connection that has ended was reset. Node reports a reset that arrives together with data as an ordinary
- * end; but a socket that was reset has no remote address any more, while one that was closed properly still has one.
- * Nothing may read the remote address earlier, because Node caches it at the first read.
- */
-function wasReset (socket: Socket): boolean {
-  return socket.remoteAddress === undefined
-}
