Open tunnels to upstreams through other gateways

A gateway whose links to all upstreams are lost has no way to them, although its peers still reach them. A gateway now opens tunnels for others on its port for peers: HTTP CONNECT with the id of an upstream of its own list.

--- a/packages/serving/src/observability/internalServers.ts
+++ b/packages/serving/src/observability/internalServers.ts
@@ -10,17 +10,20 @@
 import type { Instrumentation } from '@plumstage/common'
 import type { DeploymentView } from '../deployment/deploymentView.js'
 import { SNAPSHOT_PATH } from '../peers/gossipTask.js'
+import type { RelayServer } from '../relay/relayServer.js'
 import { ServingMetrics } from './servingMetrics.js'
 import type { ServingMetricSources } from './servingMetrics.js'
 
 const METRICS_PATH = '/metrics'
 const OK = 200
 
-/** Creates the server from which peers pull deployment snapshots. */
-export function createPeerServer (view: DeploymentView): Server {
+/** Creates the server from which peers pull deployment snapshots, and through which they open tunnels if `relay` is given. */
+export function createPeerServer (view: DeploymentView, relay?: RelayServer): Server {
   const application = new Hono()
   application.get(SNAPSHOT_PATH, context => context.json(view.exportSnapshot()))
-  return createAdaptorServer(application) as Server
+  const server = createAdaptorServer(application) as Server
+  relay?.attach(server)
+  return server
 }
 
 /** Creates the server for metrics in the Prometheus text format. */
