Keep pools of tunnels to upstreams

Attempts through a peer use the same client interface, keep-alive and observation of resets as those on the gateway's own connections. When no tunnel can be opened, the handler of the request gets the RelayError unchanged and was never told that its request began, so that nothing was dispatched.

--- /dev/null
+++ b/packages/serving/src/relay/relayConnections.ts
@@ -0,0 +1,93 @@
+/**
+ * Connections to upstreams through other gateways: each is a tunnel that carries one request at a time and is reused
+ * while the upstream keeps it open.
+ *
+ * @module
+ */
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import type { Dispatcher as HttpClient, Pool, buildConnector } from 'undici'
+import type { ResetObserver } from '../upstreams/resetObserver.js'
+import { createUpstreamPool } from '../upstreams/upstreamPool.js'
+import type { Upstream } from '../upstreams/upstreamTable.js'
+import type { RelayDialer } from './relayDialer.js'
+
+/** Dependencies of the connections. */
+export interface RelayConnectionsOptions {
+  dialer: RelayDialer
+  /** Observes the tunnels for resets. */
+  resets: ResetObserver
+}
+
+/** Keeps a pool of tunnels for each peer and incarnation of an upstream. */
+export class RelayConnections {
+  private readonly _options: RelayConnectionsOptions
+  private readonly _poolsByPeer = new Map<string, Map<Upstream, Pool>>()
+  /** Pools that are closed once the requests on them have ended. */
+  private readonly _retired = new Set<Pool>()
+
+  private constructor (options: RelayConnectionsOptions) {
+    this._options = options
+  }
+
+  static create (options: RelayConnectionsOptions): RelayConnections {
+    return new RelayConnections(options)
+  }
+
+  /** Whether a connection is being reset at this moment: a response that ends with its connection is then incomplete. */
+  get resetting (): boolean {
+    return this._options.resets.resetting
+  }
+
+  /** Returns the client whose requests reach an upstream through a peer. It fails with a `RelayError` when no tunnel can be opened. */
+  clientThrough (peerAddress: string, upstream: Upstream): HttpClient {
+    const pools = this._poolsByPeer.get(peerAddress) ?? new Map<Upstream, Pool>()
+    this._poolsByPeer.set(peerAddress, pools)
+    const pool = pools.get(upstream) ?? this._createPool(peerAddress, upstream)
+    pools.set(upstream, pool)
+    return pool
+  }
+
+  /** Closes the tunnels through a peer, after the requests that use them. */
+  retirePeer (peerAddress: string): void {
+    for (const pool of this._poolsByPeer.get(peerAddress)?.values() ?? []) this._retire(pool)
+    this._poolsByPeer.delete(peerAddress)
+  }
+
+  /** Closes all tunnels, after the requests that use them. */
+  retireAll (): void {
+    for (const peerAddress of [...this._poolsByPeer.keys()]) this.retirePeer(peerAddress)
+  }
+
+  /** Closes the tunnels to a removed upstream, after the requests that use them. */
+  forget (upstream: Upstream): void {
+    for (const pools of this._poolsByPeer.values()) {
+      const pool = pools.get(upstream)
+      pools.delete(upstream)
+      if (pool) this._retire(pool)
+    }
+  }
+
+  /** Closes all tunnels immediately. */
+  async close (): Promise<void> {
+    this.retireAll()
+    await Promise.all([...this._retired].map(async pool => await pool.destroy()))
+  }
+
+  private _retire (pool: Pool): void {
+    this._retired.add(pool)
+    void pool.close().then(() => this._retired.delete(pool))
+  }
+
+  private _createPool (peerAddress: string, upstream: Upstream): Pool {
+    return createUpstreamPool(upstream.listed.address, (_options, callback) => { void this._connect(peerAddress, upstream, callback) })
+  }
+
+  private async _connect (peerAddress: string, upstream: Upstream, callback: buildConnector.Callback): Promise<void> {
+    const opened = await this._options.dialer.open(peerAddress, upstream.listed.id)
+    if (opened.isErr()) return callback(opened.error, null)
+    this._options.resets.observe(opened.value)
+    // undici uses a connection as a stream only.
+    callback(null, opened.value as Duplex as Socket)
+  }
+}
