State in the reports between gateways whether the sender reaches upstreams itself

Gateways without links to any upstream (RECOVER) need peers that have some. Each report states it in two bytes; a report of an earlier release states nothing, which tells that no tunnel can be opened there, and a state of a later release counts the same. The tests of the reports that are encoded and decoded cover it.

--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -56,6 +56,11 @@
   uses: WorkspaceUsage[]
 }
 
+/** What a gateway reports of its own links to upstreams. */
+export type ReportedLinks = 'working' | 'lost' | 'unstated'
+
+const LINK_STATES = { working: gossip.LinkState.WORKING, lost: gossip.LinkState.LOST, unstated: gossip.LinkState.UNSPECIFIED }
+
 /** State of one gateway. */
 export interface GatewayReport {
   name: string
@@ -75,6 +80,8 @@
   demands: ReportedDemand[]
   knownAddresses: string[]
   limits: ReportedLimit[]
+  /** Whether it reaches upstreams itself; gateways of earlier releases do not state it and open no tunnels. */
+  links: ReportedLinks
   /** Only in the reports of relays. */
   relayed?: RelayedReports
 }
@@ -92,6 +99,7 @@
     uses: report.uses.map(encodeUsage),
     relayed: report.relayed && { ...report.relayed, uses: report.relayed.uses.map(encodeUsage) },
     windows: report.windows.map(count => ({ ...count, window: BigInt(count.window) })),
+    links: LINK_STATES[report.links],
     suspicions: report.suspicions.map(({ digest, crashes, cleared }) => ({ digest, crashes: [...crashes], cleared: [...cleared] })),
     partSuspicions: report.partSuspicions.map(encodePartSuspicion)
   }))
@@ -113,6 +121,7 @@
       demands,
       knownAddresses,
       limits: message.limits.filter(isReadable),
+      links: decodeLinks(message.links),
       sequence: Number(message.sequence),
       configuration: decodeConfigurationPosition(message),
       upstreams: { era: message.upstreamsEra, revision: Number(message.upstreamsRevision) },
@@ -131,6 +140,12 @@
   return { version, era: configurationEra, revision: Number(configurationRevision) }
 }
 
+/** A state of a later release that is not known here counts as not stated. */
+function decodeLinks (state: gossip.LinkState): ReportedLinks {
+  if (state === gossip.LinkState.WORKING) return 'working'
+  return state === gossip.LinkState.LOST ? 'lost' : 'unstated'
+}
+
 /** A limit that is not a number of requests would be taken for one that has ended, or for none at all. */
 function isReadable ({ requestsPerSecond }: gossip.UpstreamLimit): boolean {
   return requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0)
--- a/packages/serving/src/peers/reportExchange.ts
+++ b/packages/serving/src/peers/reportExchange.ts
@@ -5,7 +5,7 @@
  */
 import type { Timestamp } from '@plumstage/common'
 import type { ServingState } from '../servingState.js'
-import type { GatewayReport, RelayedReports, ReportedDemand, ReportedLoad } from './gatewayReport.js'
+import type { GatewayReport, RelayedReports, ReportedDemand, ReportedLinks, ReportedLoad } from './gatewayReport.js'
 import type { Peer } from './peerTable.js'
 
 /** Reports include the counts of this many windows before the current one, whose usage may not have been reported to the cloud yet. */
@@ -29,15 +29,18 @@
 export class ReportExchange {
   private readonly _sender: ReportSender
   private readonly _state: ServingState
+  private readonly _links: () => ReportedLinks
   private _sequence = 0
 
-  private constructor (sender: ReportSender, state: ServingState) {
+  private constructor (sender: ReportSender, state: ServingState, links: () => ReportedLinks) {
     this._sender = sender
     this._state = state
+    this._links = links
   }
 
-  static create (sender: ReportSender, state: ServingState): ReportExchange {
-    return new ReportExchange(sender, state)
+  /** `links` returns whether this gateway reaches upstreams itself. */
+  static create (sender: ReportSender, state: ServingState, links: () => ReportedLinks = () => 'working'): ReportExchange {
+    return new ReportExchange(sender, state, links)
   }
 
   /** Number of reports created since the start, which tells peers how long this gateway has run. */
@@ -56,6 +59,7 @@
       upstreams: view.upstreamsPosition,
       loads: upstreams.list().filter(upstream => upstream.localLoad.requests > 0).map(({ listed, localLoad: load }) => ({ upstream: listed.id, requests: load.requests, waitingTokens: Math.round(load.waitingTokens) })),
       limits: limits.createReport(upstreams.list(), now),
+      links: this._links(),
       uses: quotas.createReport(now),
       windows: usage.listLocal(usage.windowAt(timeOfDay) - REPORTED_WINDOWS),
       suspicions: quarantine.list(now).slice(-MAXIMUM_REPORTED_SUSPICIONS),
--- a/tests/serving/gatewayReport.spec.ts
+++ b/tests/serving/gatewayReport.spec.ts
@@ -18,6 +18,7 @@
   partSuspicions: [{ part: 4_000_000_000, crashes: [{ crash: 17, companions: [5, 4_100_000_000], isTrial: true }], cleared: [17, 18], ageMilliseconds: 1200 }],
   demands: [{ service: 'model', promptTokensPerSecond: 4000, outputTokensPerSecond: 200, prefillTokensPerSecond: 61_000, prefillSamples: 90 }],
   knownAddresses: ['10.1.0.1:7600'],
+  links: 'lost',
   limits: [{ upstream: 'i-1', incarnation: '1', requestsPerSecond: 2.5, ageMilliseconds: 300, origin: 2_000_000_000, number: 9 }, { upstream: 'i-2', incarnation: '1', ageMilliseconds: 12, origin: 3, number: 1 }],
   relayed: { gateways: 7, loads: [{ upstream: 'i-1', requests: 20, waitingTokens: 100 }], uses: [{ workspace: 'press', admittedUnits: 1_000_000, offeredUnitsPerSecond: 7000 }] }
 }
--- a/tests/serving/prefillModel.spec.ts
+++ b/tests/serving/prefillModel.spec.ts
@@ -47,7 +47,7 @@
 
 describe('service capacities', () => {
   const demand = { service: 'model', promptTokensPerSecond: 1, outputTokensPerSecond: 1 }
-  const report: GatewayReport = { name: 'edge-2', incarnation: 'a', sequence: 1, failureDomain: 'east', leaving: false, configuration: undefined, upstreams: { era: 1, revision: 1 }, loads: [], uses: [], windows: [], suspicions: [], partSuspicions: [], demands: [], knownAddresses: [], limits: [] }
+  const report: GatewayReport = { name: 'edge-2', incarnation: 'a', sequence: 1, failureDomain: 'east', leaving: false, configuration: undefined, upstreams: { era: 1, revision: 1 }, loads: [], uses: [], windows: [], suspicions: [], partSuspicions: [], demands: [], knownAddresses: [], limits: [], links: 'working' }
 
   it('are known to a gateway that has just started, from the reports of its peers', () => {
     const peers = PeerTable.create({ address: '10.0.0.1:1', processorCores: 1 })
--- a/tests/serving/upstreamLimits.spec.ts
+++ b/tests/serving/upstreamLimits.spec.ts
@@ -70,7 +70,7 @@
 
   it('take equal shares when far more gateways are heard than are registered', () => {
     const peers = createPeers('10.0.0.1:7600', ['10.0.0.2:7600'])
-    const report = { name: 'relay', incarnation: 'a', sequence: 1, failureDomain: 'east', leaving: false, configuration: undefined, upstreams: { era: 1, revision: 1 }, loads: [], uses: [], windows: [], suspicions: [], partSuspicions: [], demands: [], knownAddresses: [], limits: [], relayed: { gateways: 88, loads: [], uses: [] } }
+    const report = { name: 'relay', incarnation: 'a', sequence: 1, failureDomain: 'east', leaving: false, configuration: undefined, upstreams: { era: 1, revision: 1 }, loads: [], uses: [], windows: [], suspicions: [], partSuspicions: [], demands: [], knownAddresses: [], limits: [], links: 'working' as const, relayed: { gateways: 88, loads: [], uses: [] } }
     peers.apply(report, '10.0.0.2:7600', 0)
     const share = LimitHolders.create(peers).shareOf(UPSTREAM, 9, 0)
     assert.ok(share !== undefined && share.requestsPerSecond <= 9 / 88)
