Probe after failures only when they are at several upstreams, or nothing else is heard

Each failure of a connection caused probes of three upstreams, and a retry waited for them: up to 350 ms after a single crash while others answered. Now failures at one upstream cause none while another one has been heard within 250 ms, and a retry waits only for a round that runs.

--- a/packages/serving/src/links/upstreamLinks.ts
+++ b/packages/serving/src/links/upstreamLinks.ts
@@ -8,7 +8,9 @@
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import { ProbeRotation } from './probeRotation.js'
 
-/** A round that was caused by a failure begins at the earliest this long after the previous round. */
+/** Failures at a single upstream cause no round while another one has been heard within this time. */
+const CONTACT_MILLISECONDS = 250
+/** A round that was caused by failures begins at the earliest this long after the previous round. */
 const PROBE_INTERVAL_MILLISECONDS = 250
 /** Silence of all direct exchanges after which upstreams are probed. */
 const SILENCE_MILLISECONDS = 400
@@ -45,6 +47,8 @@
   /** Undefined while no exchange runs. */
   private _silentSince: Timestamp | undefined
   private _lastContactAt: Timestamp = Number.NEGATIVE_INFINITY
+  /** Upstreams at which connections have failed since the last round that had a result. */
+  private readonly _failedUpstreams = new Set<string>()
   private _pendingFailures = 0
   private _isRoundRunning = false
   private _roundBeganAt: Timestamp = Number.NEGATIVE_INFINITY
@@ -59,9 +63,9 @@
     return this._state
   }
 
-  /** Whether a failure is not explained yet, or a round of probes runs that may find that the links are lost. */
+  /** Whether a round of probes runs that may find that the links are lost. */
   get isDoubtful (): boolean {
-    return this._state === 'working' && (this._isRoundRunning || this._pendingFailures > 0)
+    return this._state === 'working' && this._isRoundRunning
   }
 
   get isRoundRunning (): boolean {
@@ -99,7 +103,9 @@
   /** Records that a direct connection could not be established, or was lost. */
   recordFailure (upstreamId: string, now: Timestamp): void {
     this._rotation.recordFailure(upstreamId, now)
-    if (this._state === 'working') this._pendingFailures++
+    if (this._state !== 'working') return
+    this._pendingFailures++
+    this._failedUpstreams.add(upstreamId)
   }
 
   /** Returns the upstreams to probe now; to be called at short intervals. A round that was returned ends with `recordRound`. */
@@ -108,7 +114,7 @@
     if (this._isRoundRunning || !this._isRoundDue(now)) return []
     const present = upstreams.filter(upstream => !upstream.isLeaving)
     if (this._state === 'working' && present.length < MINIMUM_PROBES) {
-      this._pendingFailures = 0
+      this._forgetFailures()
       return []
     }
     const chosen = this._rotation.choose(present, this._state === 'working' ? PROBES_PER_ROUND : LOST_PROBES_PER_ROUND, now)
@@ -143,8 +149,13 @@
     else this._rotation.recordFailure(upstreamId, now)
   }
 
-  private _enter (state: UpstreamLinkState): UpstreamLinkChange | undefined {
+  private _forgetFailures (): void {
     this._pendingFailures = 0
+    this._failedUpstreams.clear()
+  }
+
+  private _enter (state: UpstreamLinkState): UpstreamLinkChange | undefined {
+    this._forgetFailures()
     if (state === this._state) return undefined
     this._state = state
     return state === 'lost' ? 'lost' : 'regained'
@@ -153,10 +164,14 @@
   private _isRoundDue (now: Timestamp): boolean {
     const sinceRound = now - this._roundBeganAt
     if (this._state === 'lost') return sinceRound >= LOST_PROBE_INTERVAL_MILLISECONDS
-    if (this._pendingFailures > 0 && sinceRound >= PROBE_INTERVAL_MILLISECONDS) return true
+    if (this._areFailuresDoubtful(now) && sinceRound >= PROBE_INTERVAL_MILLISECONDS) return true
     return this._silentSince !== undefined && now - this._silentSince >= SILENCE_MILLISECONDS && sinceRound >= SILENCE_PROBE_INTERVAL_MILLISECONDS
   }
 
+  private _areFailuresDoubtful (now: Timestamp): boolean {
+    return this._failedUpstreams.size >= MINIMUM_PROBES || (this._failedUpstreams.size > 0 && now >= this._lastContactAt + CONTACT_MILLISECONDS)
+  }
+
   private _isCheckLate (now: Timestamp): boolean {
     return this._lastCheckAt !== undefined && now - this._lastCheckAt > MAXIMUM_CHECK_GAP_MILLISECONDS
   }
--- a/tests/serving/upstreamLinks.spec.ts
+++ b/tests/serving/upstreamLinks.spec.ts
@@ -141,10 +141,23 @@
     gateway.runUntil(2000)
     assert.deepEqual(gateway.changes, [])
     gateway.fail('i-3')
+    gateway.fail('i-4')
     gateway.runUntil(6000)
     assert.deepEqual(gateway.changes, ['lost 2010'])
   })
 
+  // Guards against: each connection that fails at one crashing upstream costs probes of the others.
+  it('cause no probes while only one upstream fails and others are heard', () => {
+    const gateway = SimulatedGateway.create(createUpstreams(6))
+    sendTraffic(gateway, () => true)
+    for (let at = 1000; at < 3000; at += 500) {
+      gateway.runUntil(at)
+      gateway.fail('i-3')
+    }
+    gateway.runUntil(5000)
+    assert.equal(gateway.rounds.length, 0)
+  })
+
   it('stay working when one upstream is silent for 1.5 s and others respond, at the price of two rounds', () => {
     const gateway = SimulatedGateway.create(createUpstreams(6))
     sendTraffic(gateway, now => now < 1000 || now >= 2500)
@@ -171,6 +184,7 @@
     gateway.outcomeOf = () => 'silent'
     gateway.runUntil(2000)
     gateway.fail('i-1')
+    gateway.fail('i-2')
     gateway.runUntil(5000)
     assert.equal(gateway.rounds.length, 1)
     assert.deepEqual(gateway.changes, [])
