Send attempts through peers while the links to all upstreams are lost

Cause: a gateway took its own links for the state of the upstreams. Nothing of the product took a request to an upstream on another way; where connections were refused it retried without a pause and used up its processor time, where they hung it waited.

Change: UpstreamAccess chooses the path of each attempt. While UpstreamLinks knows that the links to all upstreams are lost, attempts go through tunnels of peers that report working links and hear upstreams; the peer carries bytes only, so that the dispatch boundary, resets, limits and counts stay with the gateway that accepted the request. Silent attempts are given up and repeated if they may run twice, within the retry budget. Failures over lost links leave no mark on the upstreams, and a crash is one only if another upstream accepts connections or a peer was refused. A gateway that shuts down waits for the tunnels that it carries, and counts requests that wait for their next attempt as running.

--- a/packages/serving/src/attempts/attemptLog.ts
+++ b/packages/serving/src/attempts/attemptLog.ts
@@ -31,6 +31,8 @@
 /** What is known when an attempt has failed. */
 export interface FailedAttempt {
   upstream: Upstream
+  /** Address of the peer that carried it; undefined if there was none. */
+  peer: string | undefined
   outcome: AttemptOutcome
   /** Revision of the list of upstreams that the gateway knows. */
   listRevision: number
@@ -60,11 +62,11 @@
     this._recordContinuation(attempt)
   }
 
-  recordFailed ({ upstream, outcome, listRevision, events, hasBegun }: FailedAttempt): void {
+  recordFailed ({ upstream, peer, outcome, listRevision, events, hasBegun }: FailedAttempt): void {
     if (outcome.kind === 'complete') return
     const { failure, detail } = outcome
     const { requests, waitingTokens } = upstream
-    this._instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, failure, detail, requests, waitingTokens, listRevision, events, hasBegun, promptParts: this._promptParts }, this._head.requestId)
+    this._instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, peer, failure, detail, requests, waitingTokens, listRevision, events, hasBegun, promptParts: this._promptParts }, this._head.requestId)
   }
 
   /** Only a statement that can't be read has a line. */
--- a/packages/serving/src/attempts/attemptPolicy.ts
+++ b/packages/serving/src/attempts/attemptPolicy.ts
@@ -11,6 +11,10 @@
 export type AttemptFailure =
   /** No connection could be established; nothing was sent. */
   | 'unreachable'
+  /** The peer that was to carry the attempt opened no tunnel; nothing was sent. */
+  | 'peer-unavailable'
+  /** This gateway's links to the upstreams were lost. The request may have executed if it was sent. */
+  | 'links-lost'
   /** The upstream stated that it did not execute the request. */
   | 'not-run'
   /** The address now belongs to another instance, which did not execute the request. */
@@ -39,12 +43,19 @@
   | { kind: 'cut' }
 
 const RETRY_AFTER_REFUSED_MILLISECONDS = 300
+/** Attempts that failed so did not reach their upstream, or were cut off from it; they do not count. */
+const UNCOUNTED_FAILURES: ReadonlySet<AttemptFailure> = new Set(['unreachable', 'peer-unavailable', 'links-lost', 'other-instance'])
 
 /** Whether a request may be executed more than once. */
 export function mayRepeat (route: RouteRecord): boolean {
   return route.idempotency === 'idempotent' || route.stream?.resumable === true
 }
 
+/** Whether an attempt with this failure does not count towards the attempts of its request. */
+export function isUncounted (failure: AttemptFailure): boolean {
+  return UNCOUNTED_FAILURES.has(failure)
+}
+
 /** Whether a server error allows another attempt; otherwise it is forwarded to the caller. */
 export function mayRetryServerError (progress: RequestProgress): boolean {
   return !progress.started && progress.route.idempotency === 'idempotent' && progress.route.stream === undefined && hasAttemptsLeft(progress)
@@ -61,7 +72,7 @@
 function isRetryAllowed (failure: AttemptFailure, progress: RequestProgress): boolean {
   if (progress.started && progress.route.stream?.resumable !== true) return false
   if (progress.mayHaveRun && !mayRepeat(progress.route)) return false
-  if (failure === 'unreachable' || failure === 'other-instance') return true
+  if (isUncounted(failure)) return true
   return hasAttemptsLeft(progress)
 }
 
--- a/packages/serving/src/attempts/runningRequests.ts
+++ b/packages/serving/src/attempts/runningRequests.ts
@@ -9,6 +9,8 @@
 /** This gateway's running requests, by upstream. */
 export class RunningRequests {
   private readonly _tasks = new Map<Upstream, Set<RequestTask>>()
+  /** Requests that have not ended, also those that wait for their next attempt. */
+  private readonly _open = new Set<RequestTask>()
   private _count = 0
 
   static create (): RunningRequests {
@@ -19,6 +21,19 @@
     return this._count
   }
 
+  /** Number of requests that have not ended, also those that wait for their next attempt. */
+  get openCount (): number {
+    return this._open.size
+  }
+
+  open (task: RequestTask): void {
+    this._open.add(task)
+  }
+
+  close (task: RequestTask): void {
+    this._open.delete(task)
+  }
+
   add (upstream: Upstream, task: RequestTask): void {
     const tasks = this._tasks.get(upstream) ?? new Set<RequestTask>()
     this._tasks.set(upstream, tasks)
@@ -33,6 +48,10 @@
     if (tasks.size === 0) this._tasks.delete(upstream)
   }
 
+  list (): RequestTask[] {
+    return [...this._tasks.values()].flatMap(tasks => [...tasks])
+  }
+
   listOf (upstream: Upstream): RequestTask[] {
     return [...this._tasks.get(upstream) ?? []]
   }
--- a/packages/serving/src/attempts/upstreamAttempt.ts
+++ b/packages/serving/src/attempts/upstreamAttempt.ts
@@ -32,7 +32,7 @@
 /** How an attempt ended. */
 export type AttemptOutcome =
   | { kind: 'complete' }
-  | { kind: 'failed', failure: AttemptFailure, detail: string, connectionLost: boolean }
+  | { kind: 'failed', failure: AttemptFailure, detail: string, connectionLost: boolean, error?: Error }
 
 /** The HTTP request that is sent to an upstream. */
 export interface UpstreamRequest {
@@ -108,7 +108,7 @@
     // undici also reports the abort of an attempt that has already ended.
     if (this._ended) return
     const failure = this._dispatched ? 'broken' : 'unreachable'
-    this._end({ kind: 'failed', failure, detail: error.message, connectionLost: this._dispatched })
+    this._end({ kind: 'failed', failure, detail: error.message, connectionLost: this._dispatched, error })
   }
 
   private _applyDecision (decision: ReceiveDecision): void {
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -19,6 +19,8 @@
   presentGateways: () => number
   limitedUpstreams: () => number
   quarantinedParts: () => number
+  areLinksLost: () => boolean
+  openTunnels: () => number
   droppedLogLines: () => number
   streamRecords: () => number
   isFollowingStore: () => boolean
@@ -57,6 +59,8 @@
     this._registry.addGauge('plumstage_present_gateways', 'Gateways that are heard, this one included.', sources.presentGateways)
     this._registry.addGauge('plumstage_limited_upstreams', 'Upstreams that state a request limit, as known to this gateway.', sources.limitedUpstreams)
     this._registry.addGauge('plumstage_quarantined_prompt_parts', 'Parts of prompts that are rejected because upstreams crashed when they began to respond to them.', sources.quarantinedParts)
+    this._registry.addGauge('plumstage_upstream_links_lost', 'Whether this gateway reaches no upstream itself.', () => Number(sources.areLinksLost()))
+    this._registry.addGauge('plumstage_open_tunnels', 'Tunnels to upstreams that this gateway carries for others.', sources.openTunnels)
     this._registry.addGauge('plumstage_dropped_log_lines', 'Log lines that the reader did not take in time.', sources.droppedLogLines)
     this._registry.addGauge('plumstage_stream_records', 'Streams of which this gateway keeps the software that began them.', sources.streamRecords)
     this._registry.addGauge('plumstage_store_followed', 'Whether the store answers.', () => Number(sources.isFollowingStore()))
--- a/packages/serving/src/relay/relayDialer.ts
+++ b/packages/serving/src/relay/relayDialer.ts
@@ -26,7 +26,7 @@
   'too-many-tunnels': 'peer-refused',
   'upstream-unlisted': 'upstream-unlisted',
   'upstream-leaving': 'upstream-unlisted',
-  'upstream-refused': 'upstream-unreachable',
+  'upstream-refused': 'upstream-refused',
   'upstream-timeout': 'upstream-unreachable'
 }
 
--- a/packages/serving/src/relay/relayError.ts
+++ b/packages/serving/src/relay/relayError.ts
@@ -11,7 +11,9 @@
   | 'peer-unavailable'
   /** The peer does not accept the tunnel: it has lost its own links, is stopping, has too many, or does not know the sender. */
   | 'peer-refused'
-  /** The peer could not connect to the upstream. */
+  /** The upstream refused the connection of the peer. */
+  | 'upstream-refused'
+  /** The upstream did not accept the connection of the peer in time. */
   | 'upstream-unreachable'
   /** The upstream is not in the list of the peer, or is about to be removed from it. */
   | 'upstream-unlisted'
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -18,6 +18,7 @@
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
 import { CloudDuties } from './duties/cloudDuties.js'
+import { UpstreamAccess } from './links/upstreamAccess.js'
 import { GatewayRegistry } from './peers/gatewayRegistry.js'
 import type { LimitSource } from './limits/upstreamLimits.js'
 import { GatewayAddresses } from './peers/gatewayAddresses.js'
@@ -33,8 +34,6 @@
 import { SoftwareHistory } from './streams/softwareHistory.js'
 import { SoftwareHistoryTask } from './streams/softwareHistoryTask.js'
 import { StreamOriginTask } from './streams/streamOriginTask.js'
-import { ConnectionCrashProbe } from './upstreams/crashProbe.js'
-import { PooledUpstreamConnections } from './upstreams/upstreamConnections.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
 
 /** The lease of the cloud duty is renewed, and failed calls are retried, this many times within its duration. */
@@ -83,7 +82,7 @@
   private readonly _environment: ServingEnvironment
   private readonly _context: CallContext
   private readonly _running = RunningRequests.create()
-  private readonly _connections = PooledUpstreamConnections.create()
+  private readonly _access: UpstreamAccess
   private readonly _keys: StoreKeys
   private readonly _duty: DutyTask
   private readonly _deploymentTask: DeploymentTask
@@ -114,7 +113,8 @@
     this.state.partQuarantine.onChange((part, change, crashes) => instrumentation.emit(`prompt-part-${change}`, { part: formatPart(part), crashes }))
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
-    this._exchange = ReportExchange.create({ name: settings.name, incarnation: instrumentation.incarnation, failureDomain: settings.failureDomain }, this.state)
+    this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, reconsiderPaths: () => this._reconsiderPaths() })
+    this._exchange = ReportExchange.create({ name: settings.name, incarnation: instrumentation.incarnation, failureDomain: settings.failureDomain }, this.state, () => this._access.linkState)
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
     const addresses = GatewayAddresses.create(this.state.peers)
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
@@ -168,7 +168,7 @@
     this._callerServer.server.close()
     this._callerServer.server.closeIdleConnections()
     const drainDeadline = startedAt + this._settings.graceMilliseconds - STOP_MARGIN_MILLISECONDS
-    while (this._running.count > 0 && clock.now() < drainDeadline) {
+    while ((this._running.openCount > 0 || this._access.tunnels.openTunnels > 0) && clock.now() < drainDeadline) {
       await this._context.sleepUntil(clock.now() + STOP_POLL_MILLISECONDS)
       this._callerServer.server.closeIdleConnections()
     }
@@ -182,7 +182,7 @@
     this._socket.close()
     for (const timer of this._migrationTimers.values()) timer.cancel()
     await this._internalListenersOpened
-    await Promise.all([...this._listeners.map(async listener => await listener.destroy()), this._connections.close()])
+    await Promise.all([...this._listeners.map(async listener => await listener.destroy()), this._access.close()])
   }
 
   private async _listen (): Promise<void> {
@@ -214,7 +214,7 @@
   private _createCallerServer (): CallerServer {
     const { clock, timeOfDay, instrumentation, upstreamProtocol, callerProtocol } = this._environment
     return CallerServer.create({
-      services: { clock, timeOfDay, instrumentation, state: this.state, protocol: upstreamProtocol, connections: this._connections, running: this._running, streamOrigins: this._streamOrigins, crashProbe: ConnectionCrashProbe.create() },
+      services: { clock, timeOfDay, instrumentation, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, streamOrigins: this._streamOrigins, crashProbe: this._access },
       admission: RequestAdmission.create(this.state),
       protocol: callerProtocol,
       closesConnection: () => this._stopping
@@ -238,7 +238,7 @@
       createAggregate: address => this._exchange.createAggregate(address, clock.now()),
       dutyHolder: () => this._registry.dutyHolder,
       isReportUrgent: () => this.state.isReportUrgent,
-      onReport: peer => this._exchange.apply(peer, clock.now()),
+      onReport: peer => this._applyReport(peer),
       onPeersUnresponsive: peers => this._exchange.clearLoads(peers),
       onPeersExpired: peers => this._removeExpiredPeers(peers),
       onChange: change => this._applyChange(change)
@@ -251,6 +251,7 @@
     for (const seed of peerSeeds) this.state.peers.addKnownAddress(seed, clock.now())
     void this._deploymentTask.run(this._context)
     void this._gossip.run()
+    void this._access.run(this._context)
     void this._softwareHistoryTask.run(this._context)
     this._internalListenersOpened = this._openInternalListeners()
     void this._pullInitialDeployment()
@@ -265,7 +266,7 @@
     const { clock, instrumentation, droppedLogLines, metricsAddress } = this._environment
     try {
       const { createMetricsServer, createPeerServer } = await import('./observability/internalServers.js')
-      this._listeners.push(await Listener.create(createPeerServer(this.state.view), this._settings.peerAddress))
+      this._listeners.push(await Listener.create(createPeerServer(this.state.view, this._access.tunnels), this._settings.peerAddress))
       if (metricsAddress === undefined) return
       this._listeners.push(await Listener.create(createMetricsServer({
         running: () => this._running.count,
@@ -273,6 +274,8 @@
         upstreamsRevision: () => this.state.view.upstreamsRevision,
         storeEra: () => this.state.view.upstreamsPosition.era,
         presentGateways: () => this.state.peers.countPresent(clock.now()),
+        areLinksLost: () => this._access.linkState === 'lost',
+        openTunnels: () => this._access.tunnels.openTunnels,
         quarantinedParts: () => this.state.partQuarantine.countQuarantined(clock.now()),
         limitedUpstreams: () => this.state.upstreams.list().filter(upstream => upstream.limit.requestsPerSecond !== undefined).length,
         droppedLogLines,
@@ -284,6 +287,15 @@
     }
   }
 
+  private _applyReport (peer: Peer): void {
+    this._exchange.apply(peer, this._environment.clock.now())
+    if (peer.report.leaving) this._access.retirePeer(peer.address)
+  }
+
+  private _reconsiderPaths (): void {
+    for (const task of this._running.list()) task.reconsiderPath()
+  }
+
   /** Pulls the deployment from peers when the gateway starts while the store is unavailable. */
   private async _pullInitialDeployment (): Promise<void> {
     const { clock } = this._environment
@@ -321,7 +333,7 @@
     this._softwareHistory.observe(listed, clock.now())
     const removed = this.state.upstreams.apply(listed, clock.now())
     for (const upstream of removed) {
-      this._connections.forget(upstream)
+      this._access.forget(upstream)
       this.state.limits.remove(upstream)
       this.state.prefixCache.removeUpstream(upstream.listed.id)
       instrumentation.emit('upstream-removed', { upstream: upstream.listed.id, service: upstream.listed.service, revision: this.state.view.upstreamsRevision })
--- a/packages/serving/src/upstreams/upstreamHealth.ts
+++ b/packages/serving/src/upstreams/upstreamHealth.ts
@@ -38,6 +38,13 @@
     this._suspendedUntil = 0
   }
 
+  /** Forgets all results, because they say nothing about the upstream. */
+  reset (): void {
+    this._consecutiveFailures = 0
+    this._failureRate = 0
+    this._suspendedUntil = 0
+  }
+
   recordFailure (now: Timestamp): void {
     this._consecutiveFailures++
     this._failureRate += FAILURE_WEIGHT * (1 - this._failureRate)
--- a/tests/serving/attemptPolicy.spec.ts
+++ b/tests/serving/attemptPolicy.spec.ts
@@ -40,6 +40,18 @@
     assert.equal(decide('other-instance', { route: { ...NON_IDEMPOTENT_ROUTE, maximumAttempts: 1 }, attempts: 1 }).kind, 'retry')
   })
 
+  // Guards against: a request that may run once is sent through a peer although its first attempt may arrive later.
+  it('repeats an attempt on lost links only if nothing was sent or the request may be repeated', () => {
+    assert.equal(decide('links-lost', { mayHaveRun: true, attempts: 2 }).kind, 'retry')
+    assert.equal(decide('links-lost', { route: NON_IDEMPOTENT_ROUTE, attempts: 0 }).kind, 'retry')
+    assert.equal(statusOf(decide('links-lost', { route: NON_IDEMPOTENT_ROUTE, mayHaveRun: true })), 502)
+  })
+
+  it('does not count a peer that opened no tunnel as an attempt', () => {
+    assert.equal(decide('peer-unavailable', { route: NON_IDEMPOTENT_ROUTE, attempts: 1 }).kind, 'retry')
+    assert.equal(statusOf(decide('peer-unavailable', { route: NON_IDEMPOTENT_ROUTE, mayHaveRun: true })), 502)
+  })
+
   it('continues a started stream only if it is resumable, and cuts it otherwise', () => {
     assert.equal(decide('broken', { route: RESUMABLE_STREAM_ROUTE, mayHaveRun: true, started: true }).kind, 'retry')
     assert.equal(decide('broken', { route: STREAM_ROUTE, mayHaveRun: true, started: true }).kind, 'cut')
