--- a/packages/serving/src/attempts/attemptLog.ts
+++ b/packages/serving/src/attempts/attemptLog.ts
@@ -1,5 +1,5 @@
 /**
- * The log lines about the attempts of one request.
+ * The log lines about one request and its attempts.
  *
  * @module
  */
@@ -7,6 +7,7 @@
 import type { CallerHead } from '../callers/callerProtocol.js'
 import type { LimitStatement } from '../limits/statedLimit.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
+import type { AcceptedRequest } from './acceptedRequest.js'
 import type { AttemptOutcome } from './upstreamAttempt.js'
 
 /** Values of upstreams that can't be read, and ids that callers choose, are cut to this length. */
@@ -42,6 +43,30 @@
   hasBegun: boolean
 }
 
+/** The first event of a stream. */
+export interface FirstEvent {
+  upstream: Upstream
+  /** Time since the request was accepted. */
+  milliseconds: number
+  prefillTokens: number
+  backlogTokens: number
+}
+
+/** What is known when a request has ended. */
+export interface EndedRequest {
+  outcome: string
+  status: number
+  attempts: number
+  events: number
+  /** Time from acceptance to the first event; undefined when there was none. */
+  firstEventMilliseconds: number | undefined
+  /** Time since the request was accepted. */
+  milliseconds: number
+  /** Upstream of the last attempt. */
+  upstream: Upstream | undefined
+  configurationRevision: number | undefined
+}
+
 /** Writes the lines of one request. */
 export class AttemptLog {
   private readonly _instrumentation: Instrumentation
@@ -69,6 +94,17 @@
     this._instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, peer, failure, detail, requests, waitingTokens, listRevision, events, hasBegun, promptParts: this._promptParts }, this._head.requestId)
   }
 
+  recordFirstEvent ({ upstream, ...event }: FirstEvent): void {
+    const { requestId, resumedRequestId: resumedRequest, lastEventId: resumeAfter } = this._head
+    const { listed, requests } = upstream
+    this._instrumentation.emit('first-event', { upstream: listed.id, softwareVersion: listed.softwareVersion, resumedRequest, resumeAfter, ...event, requests }, requestId)
+  }
+
+  recordEnded ({ route, service, workspace, quotaUnits, acceptedAt, deadline }: AcceptedRequest, { upstream, ...ended }: EndedRequest): void {
+    const allowedMilliseconds = Math.round(deadline - acceptedAt)
+    this._instrumentation.emit('request-ended', { ...ended, route: route.name, service: service.name, workspace, quotaUnits, allowedMilliseconds, upstream: upstream?.listed.id }, this._head.requestId)
+  }
+
   /** Only a statement that can't be read has a line. */
   recordStatement (upstream: Upstream, statement: LimitStatement): void {
     if (statement.kind !== 'unreadable') return
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -258,7 +258,7 @@
     this._load.recordFirstEvent(this._services.clock.now())
     this._recordUsage()
     this._firstEventMilliseconds ??= this._elapsedMilliseconds()
-    this._services.instrumentation.emit('first-event', { upstream: this._upstream?.listed.id, softwareVersion: this._upstream?.listed.softwareVersion, resumedRequest: this._request.head.resumedRequestId, resumeAfter: this._request.head.lastEventId, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._load.prefillTokens, backlogTokens: this._load.backlogTokens, requests: this._upstream?.requests }, this._request.head.requestId)
+    this._log.recordFirstEvent({ upstream: this._upstream!, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._load.prefillTokens, backlogTokens: this._load.backlogTokens })
   }
 
   private _recordUsage (): void {
@@ -335,9 +335,10 @@
     this._pauseTimer?.cancel()
     this._services.running.close(this)
     this._crashes.endAttempt()
-    const { route, workspace, service, acceptedAt, deadline } = this._request
-    const configurationRevision = this._services.state.view.configurationRevision
-    this._services.instrumentation.emit('request-ended', { outcome, status, route: route.name, service: service.name, workspace, attempts: this._progress.attempts, events: this._relay.eventCount, quotaUnits: this._request.quotaUnits, firstEventMilliseconds: this._firstEventMilliseconds, milliseconds: this._elapsedMilliseconds(), allowedMilliseconds: Math.round(deadline - acceptedAt), upstream: this._upstream?.listed.id, configurationRevision }, this._request.head.requestId)
+    const { attempts } = this._progress
+    const { configurationRevision } = this._services.state.view
+    const { eventCount: events } = this._relay
+    this._log.recordEnded(this._request, { outcome, status, attempts, events, firstEventMilliseconds: this._firstEventMilliseconds, milliseconds: this._elapsedMilliseconds(), upstream: this._upstream, configurationRevision })
   }
 
   private _applyLimit (statement: LimitStatement): void {
