Open the listeners for peers and metrics in the bundled program

Cause: the bundle leaves out node:http2, which undici does without, but the server library of the listeners for peers and metrics loads it too.

Tests run the unbundled program and did not see it.

Change: HTTP/2 is left out for undici only.

--- a/packages/entry/bundle.mjs
+++ b/packages/entry/bundle.mjs
@@ -10,15 +10,18 @@
 const BUNDLE = path.join(TARGET, 'plumstage-entry.bundle.cjs')
 const CACHE = path.join(TARGET, 'plumstage-entry.cache')
 
+/** Path of the modules of undici, in which HTTP/2 is left out. */
+const UNDICI_PATH = `${path.sep}undici${path.sep}`
+
 /**
- * Replaces the main module of undici by the parts that a gateway uses, and leaves out HTTP/2, which no upstream speaks:
- * undici goes on without it when it can't be loaded.
+ * Replaces the main module of undici by the parts that a gateway uses, and leaves out its HTTP/2, which no upstream speaks:
+ * undici goes on without it when it can't be loaded. The servers for peers and metrics need Node's module to load.
  */
 const usesUndiciClients = {
   name: 'undici-clients',
   setup (build) {
     build.onResolve({ filter: /^undici$/ }, () => ({ path: path.resolve('packages/entry/undiciClients.cjs') }))
-    build.onResolve({ filter: /^node:http2$/ }, () => ({ path: 'http2', namespace: 'left-out' }))
+    build.onResolve({ filter: /^node:http2$/ }, ({ importer }) => importer.includes(UNDICI_PATH) ? { path: 'http2', namespace: 'left-out' } : undefined)
     build.onLoad({ filter: /.*/, namespace: 'left-out' }, () => ({ contents: "throw new Error('HTTP/2 is not part of this bundle.')" }))
   }
 }
