--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -51,6 +51,8 @@
 /** The process exits this long before it would be killed. */
 const STOP_MARGIN_MILLISECONDS = 700
 const STOP_POLL_MILLISECONDS = 50
+/** The listeners for peers and metrics open this long after the start, so that a gateway that was killed serves callers first. */
+const INTERNAL_LISTENERS_DELAY_MILLISECONDS = 1000
 /** A gateway that has no configuration this long after its start pulls the deployment from peers. */
 const INITIAL_PULL_DELAY_MILLISECONDS = 400
 const PULL_RETRY_MILLISECONDS = 500
@@ -264,6 +266,8 @@
   /** Opens the listeners for peers and metrics. Their modules are loaded after callers are served, to shorten the start. */
   private async _openInternalListeners (): Promise<void> {
     const { clock, instrumentation, droppedLogLines, metricsAddress } = this._environment
+    await this._context.sleepUntil(clock.now() + INTERNAL_LISTENERS_DELAY_MILLISECONDS)
+    if (this._context.cancelled) return
     try {
       const { createMetricsServer, createPeerServer } = await import('./observability/internalServers.js')
       this._listeners.push(await Listener.create(createPeerServer(this.state.view, this._access.tunnels), this._settings.peerAddress))
