Report back only to gateways that request it

Cause: a gateway counted as a relay when it heard more than four peers, and a relay reported back to all that it heard. While few gateways are registered all report to each other; once more have come, each hears the others, counts as a relay, and reports back, so that the full mesh lasts for good. The simulated network of the tests knew all gateways from its first moment and missed it. Change: a report says whether the sender uses the recipient as a relay; only those that do get reports back. Reports of earlier releases, which do not say so, are answered by the gateways that rank first.

--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -84,6 +84,8 @@
   links: ReportedLinks
   /** Only in the reports of relays. */
   relayed?: RelayedReports
+  /** Whether the sender expects the reports of the recipient; undefined from gateways of earlier releases, which don't state it. */
+  requestsReports?: boolean
 }
 
 /** Encodes a report as one datagram. */
@@ -122,6 +124,7 @@
       knownAddresses,
       limits: message.limits.filter(isReadable),
       links: decodeLinks(message.links),
+      requestsReports: message.requestsReports,
       sequence: Number(message.sequence),
       configuration: decodeConfigurationPosition(message),
       upstreams: { era: message.upstreamsEra, revision: Number(message.upstreamsRevision) },
--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -97,8 +97,10 @@
     const recipients = this._topology.chooseRecipients(dutyHolder(), now)
     if (recipients.length === 0) return
     const report = createReport()
-    const bytes = encodeReport(report)
-    for (const address of recipients) socket.sendReport(isRelay ? encodeReport({ ...report, relayed: createAggregate(address) }) : bytes, address)
+    for (const { address, requestsReports } of recipients) {
+      const relayed = isRelay ? createAggregate(address) : undefined
+      socket.sendReport(encodeReport({ ...report, requestsReports, relayed }), address)
+    }
   }
 
   /** Applies the snapshot of a peer; returns whether that succeeded. Used when this gateway is behind or the store is unavailable. */
--- a/packages/serving/src/peers/reportTopology.ts
+++ b/packages/serving/src/peers/reportTopology.ts
@@ -1,17 +1,19 @@
 /**
  * Chooses the recipients of a gateway's reports: all peers in a small deployment, otherwise a few relays and the holder of
  * the cloud duty, which needs usage counts and demand that the aggregates of relays don't include. All gateways rank the
- * relays in the same order. A gateway that receives reports from many peers is a relay and reports back to all of them.
+ * relays in the same order. A gateway whose reports are requested is a relay and reports back to those that request them.
  *
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
 import { rendezvousWeight } from '../routing/rendezvousHash.js'
 import type { GatewayRegistration } from './gatewayRegistration.js'
-import type { PeerTable } from './peerTable.js'
+import type { Peer, PeerTable } from './peerTable.js'
 import { MAXIMUM_MESH_GATEWAYS, unresponsiveAfterMilliseconds, reportIntervalMilliseconds } from './reportInterval.js'
 
 const RELAY_COUNT = 3
+/** Gateways of earlier releases skip relays, so that they may use one that ranks after the first few. */
+const EARLIER_RELEASE_RELAY_COUNT = 2 * RELAY_COUNT
 /** A relay that does not report back is skipped for this long. */
 const RELAY_SKIP_MILLISECONDS = 10_000
 const RANKING_KEY = 'relay'
@@ -23,6 +25,13 @@
   skippedUntil?: Timestamp
 }
 
+/** A gateway to which a report is sent. */
+export interface ReportRecipient {
+  address: string
+  /** Whether it is asked to report back. */
+  requestsReports: boolean
+}
+
 /** Chooses the recipients and the interval of the reports of one gateway. */
 export class ReportTopology {
   private readonly _peers: PeerTable
@@ -41,12 +50,9 @@
     return this._peers.listRegistrations().length <= MAXIMUM_MESH_GATEWAYS
   }
 
-  /**
-   * Whether peers use this gateway as a relay and expect aggregates from it: more peers report to it than the relays and
-   * the duty holder, which report to every gateway.
-   */
+  /** Whether more peers use this gateway as a relay, and expect aggregates from it, than a few that have skipped others. */
   isRelay (now: Timestamp): boolean {
-    return !this.isMesh && this._peers.listPresent(now).length > RELAY_COUNT + 1
+    return !this.isMesh && this._listRequesters(now).length > RELAY_COUNT + 1
   }
 
   /** Time until the next report, in milliseconds. */
@@ -54,14 +60,30 @@
     return reportIntervalMilliseconds(this._peers.listRegistrations().length, this.isRelay(now))
   }
 
-  /** Returns the addresses for the next report; `dutyHolder` is the name of the gateway that holds the cloud duty. */
-  chooseRecipients (dutyHolder: string | undefined, now: Timestamp): string[] {
-    if (this.isMesh) return this._peers.listAddresses()
+  /** Returns the recipients of the next report; `dutyHolder` is the name of the gateway that holds the cloud duty. */
+  chooseRecipients (dutyHolder: string | undefined, now: Timestamp): ReportRecipient[] {
+    if (this.isMesh) return this._peers.listAddresses().map(address => ({ address, requestsReports: true }))
     const holder = dutyHolder === undefined ? undefined : this._peers.addressOf(dutyHolder)
-    const recipients = new Set([...this._chooseRelays(now), ...this._peers.listPresent(now).map(peer => peer.address)])
-    if (holder !== undefined) recipients.add(holder)
-    recipients.delete(this._peers.self.address)
-    return [...recipients]
+    const relays = new Set(this._chooseRelays(now))
+    const addresses = new Set([...relays, ...this._listRequesters(now).map(peer => peer.address)])
+    if (holder !== undefined) addresses.add(holder)
+    addresses.delete(this._peers.self.address)
+    return [...addresses].map(address => ({ address, requestsReports: relays.has(address) }))
+  }
+
+  /**
+   * Returns the peers that expect reports of this gateway. One that only reports back does not: if it counted, gateways
+   * that reported to each other while few were known would do so for good.
+   */
+  private _listRequesters (now: Timestamp): Peer[] {
+    const present = this._peers.listPresent(now)
+    const servesEarlierReleases = present.some(isOfEarlierRelease) && this._ranksAmongRelays()
+    return present.filter(peer => isOfEarlierRelease(peer) ? servesEarlierReleases : peer.report.requestsReports)
+  }
+
+  private _ranksAmongRelays (): boolean {
+    const first = rankRelays(this._peers.listRegistrations()).slice(0, EARLIER_RELEASE_RELAY_COUNT)
+    return first.some(({ address }) => address === this._peers.self.address)
   }
 
   /** Returns the highest-ranked relays, without those that are skipped because they did not report back. */
@@ -89,6 +111,10 @@
   }
 }
 
+function isOfEarlierRelease ({ report }: Peer): boolean {
+  return report.requestsReports === undefined
+}
+
 /** Ranks gateways with more processor cores first, and ties by a hash of the address, so that all gateways agree on the order. */
 function rankRelays (registrations: readonly GatewayRegistration[]): GatewayRegistration[] {
   return [...registrations].sort((left, right) => right.processorCores - left.processorCores || rendezvousWeight(RANKING_KEY, right.address) - rendezvousWeight(RANKING_KEY, left.address))
--- a/tests/serving/reportTopology.spec.ts
+++ b/tests/serving/reportTopology.spec.ts
@@ -77,6 +77,23 @@
     assert.ok(sent.at(-1)! / 10 <= 110, `${sent.at(-1)! / 10} reports a second from a relay`)
   })
 
+  // Guards against: gateways that reported to each other while few were registered keep doing so for good.
+  for (const count of [30, 89]) {
+    it(`bounds the number of reports when ${count} gateways start one after the other`, () => {
+      const network = ReportNetwork.createUnregistered(count)
+      for (const gateway of network.gateways) {
+        network.register([gateway])
+        network.run(50)
+      }
+      network.run(3 * unresponsiveAfterMilliseconds(count))
+      for (const gateway of network.gateways) gateway.sentReports = 0
+      network.run(10_000)
+      const sent = network.gateways.map(gateway => gateway.sentReports).sort((left, right) => left - right)
+      assert.ok(sent[Math.floor(count / 2)] / 10 <= 8, `${sent[Math.floor(count / 2)] / 10} reports a second from the median gateway`)
+      assert.ok(sent.filter(reports => reports / 10 > 10).length <= 4, 'few gateways relay')
+    })
+  }
+
   it('replaces relays that stop reporting', () => {
     const network = ReportNetwork.create(72)
     setLocalRequests(network, 1)
--- a/tests/support/reportNetwork.ts
+++ b/tests/support/reportNetwork.ts
@@ -69,15 +69,29 @@
     this.gateways = gateways
   }
 
+  /** Each gateway knows all others from the start on. */
   static create (count: number): ReportNetwork {
+    const network = ReportNetwork.createUnregistered(count)
+    network.register(network.gateways)
+    return network
+  }
+
+  /** No gateway knows of another one. */
+  static createUnregistered (count: number): ReportNetwork {
     const gateways = Array.from({ length: count }, (_, index) => createGateway(index))
     for (const { state } of gateways) {
-      for (const { name, state: other } of gateways) state.peers.register(name, other.peers.self)
       state.upstreams.apply([{ id: 'i-1', incarnation: '1', service: 'model', address: '10.2.0.1:90', failureDomain: 'east', capacity: 64, state: 'ready', reclaimable: false, warmupMilliseconds: 0 }], 0)
     }
     return new ReportNetwork(gateways)
   }
 
+  /** Makes these gateways known to all, as the store does. */
+  register (registered: readonly ReportingGateway[]): void {
+    for (const { state } of this.gateways) {
+      for (const { name, state: other } of registered) state.peers.register(name, other.peers.self)
+    }
+  }
+
   /** Advances the clock; calls `onStep` for each gateway that is up in each step. */
   run (milliseconds: number, onStep?: (gateway: ReportingGateway) => void): void {
     const end = this.now + milliseconds
@@ -100,8 +114,8 @@
     sender.nextReportAt = now + sender.topology.intervalMilliseconds(now)
     sender.nextUrgentAt = isRelay ? now + sender.topology.intervalMilliseconds(now) / 2 : now
     const report = sender.exchange.createReport(false, now, now)
-    for (const address of sender.topology.chooseRecipients(undefined, now)) {
-      const bytes = encodeReport({ ...report, relayed: isRelay ? sender.exchange.createAggregate(address, now) : undefined })
+    for (const { address, requestsReports } of sender.topology.chooseRecipients(undefined, now)) {
+      const bytes = encodeReport({ ...report, requestsReports, relayed: isRelay ? sender.exchange.createAggregate(address, now) : undefined })
       sender.sentReports++
       sender.sentBytes += bytes.length
       this._pending.push({ bytes, sender, recipient: address, at: now + sender.delayMilliseconds })
