Sum the state of all gateways in rounds over a tree

Cause: reports through three relays cost and age with the number of gateways. Change: beyond 16 gateways, the root of a tree asks for sums each 750 ms, each gateway adds its children's to its own, and the total goes down the same way. Who does not acknowledge is bypassed; when the root is silent the next in rank starts the rounds. Messages are carried by reports, so that positions, limits, suspicions and links travel with them. Relays stay in use while a gateway is registered that does not state that it takes part. Usage of windows still goes to the holder of the duty directly.

--- /dev/null
+++ b/packages/serving/src/aggregation/aggregationNode.ts
@@ -0,0 +1,359 @@
+/**
+ * Sums the state of all gateways in rounds over a tree. The root asks its children for the sums over their parts of the
+ * tree, they ask theirs, the sums come back, and the root sends the total down the same way. A gateway that does not
+ * acknowledge is bypassed: its children are asked in its place. When the root falls silent, the gateway that ranks next
+ * starts the rounds.
+ *
+ * A gateway answers one parent in each round, so that nothing is counted twice even while gateways disagree about the
+ * members.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+import { addAggregate, emptyAggregate, subtractAggregate } from './aggregate.js'
+import type { Aggregate } from './aggregate.js'
+import type { AggregationStep, RoundId } from './aggregationStep.js'
+import type { AggregationTree } from './aggregationTree.js'
+
+/** Time between the starts of two rounds. */
+export const ROUND_MILLISECONDS = 750
+/** Time that a level of the tree has for asking and answering. */
+const LEVEL_MILLISECONDS = 60
+/** A gateway that has not acknowledged for this long is bypassed. */
+const ACKNOWLEDGE_MILLISECONDS = 45
+/** A root that was not heard for this long is replaced, by the gateways in the order of their ranks. */
+const ROOT_SILENCE_MILLISECONDS = 2 * ROUND_MILLISECONDS
+/** Time between the takeovers of two gateways that rank next to each other. */
+const TAKEOVER_STEP_MILLISECONDS = 150
+/** A partial sum that is late is used in the next round in place of the one that is missing there. */
+const MAXIMUM_REUSED_ROUNDS = 1
+/** Number of past rounds whose own contribution is remembered. */
+const REMEMBERED_ROUNDS = 4
+/** Bounds the messages of a gateway below which many don't acknowledge. */
+const MAXIMUM_ASKED = 16
+
+/** What the task of a gateway has to do. */
+export type AggregationAction =
+  | { kind: 'send', address: string, step: AggregationStep }
+  /** The sums over all other gateways have changed. `gateways` includes this one. */
+  | { kind: 'apply', others: Aggregate, gateways: number }
+
+/** What a node needs to know of its gateway. */
+export interface AggregationNodeOptions {
+  address: string
+  /** Identity of this run of the process. */
+  run: string
+  /** The tree of the gateways that are known now. */
+  tree: () => AggregationTree
+  /** Whether rounds are wanted: false while all gateways report to each other. */
+  startsRounds: () => boolean
+  /** Returns the state of this gateway alone. */
+  createOwn: (now: Timestamp) => Aggregate
+}
+
+interface Answer {
+  number: number
+  aggregate: Aggregate
+}
+
+interface Child {
+  /** Whether it did not acknowledge when it was last asked. */
+  isSilent: boolean
+  lastAnswer?: Answer
+}
+
+interface Round {
+  id: RoundId
+  /** Undefined at the root. */
+  parent: string | undefined
+  own: Aggregate
+  asked: Set<string>
+  unacknowledged: Set<string>
+  /** Silent gateways by those that were asked in their place. */
+  bypassed: Map<string, string>
+  /** Children whose answers are waited for. */
+  pending: Set<string>
+  answers: Map<string, Answer>
+  bypassAt: Timestamp
+  deadline: Timestamp
+}
+
+interface FinishedRound {
+  number: number
+  own: Aggregate
+  recipients: readonly string[]
+  /** Numbers of the rounds whose partial sums of the children are included. */
+  includedNumbers: ReadonlyMap<string, number>
+}
+
+interface FollowedRoot {
+  root: string
+  position: number
+  heardAt: Timestamp
+  /** The gateway that asked this one in the last round. */
+  parent?: string
+  lastCollected: number
+  lastTotal: number
+}
+
+/** Takes part in the rounds of one gateway. */
+export class AggregationNode {
+  private readonly _options: AggregationNodeOptions
+  private readonly _children = new Map<string, Child>()
+  private readonly _self: string
+  private _followed: FollowedRoot
+  private _round: Round | undefined
+  private _finished: FinishedRound[] = []
+  private _nextRoundAt: Timestamp
+  private _roundNumber = 0
+  private _actions: AggregationAction[] = []
+
+  private constructor (options: AggregationNodeOptions, now: Timestamp) {
+    this._options = options
+    this._self = `${options.address}/${options.run}`
+    this._followed = { root: '', position: Number.POSITIVE_INFINITY, heardAt: now, lastCollected: 0, lastTotal: 0 }
+    this._nextRoundAt = now
+  }
+
+  static create (options: AggregationNodeOptions, now: Timestamp): AggregationNode {
+    return new AggregationNode(options, now)
+  }
+
+  /** When `advance` has to be called next, if nothing is received before. */
+  get nextActionAt (): Timestamp {
+    const startsAt = Math.max(this._nextRoundAt, this._takeoverAt)
+    return this._round ? Math.min(this._round.bypassAt, this._round.deadline, startsAt) : startsAt
+  }
+
+  /** Does what is due. */
+  advance (now: Timestamp): AggregationAction[] {
+    if (now >= Math.max(this._nextRoundAt, this._takeoverAt)) this._startRound(now)
+    if (this._round && now >= this._round.bypassAt) this._bypassSilent(this._round, now)
+    if (this._round && now >= this._round.deadline) this._finish(this._round)
+    return this._takeActions()
+  }
+
+  /** Applies a step that another gateway has sent. */
+  receive (step: AggregationStep, sender: string, now: Timestamp): AggregationAction[] {
+    if (step.kind === 'collect') this._receiveCollect(step.round, step.budgetMilliseconds, sender, now)
+    if (step.kind === 'acknowledge') this._receiveAcknowledgement(step.round, sender)
+    if (step.kind === 'decline') this._receiveDecline(step.round, sender)
+    if (step.kind === 'partial') this._receivePartial(step.round, step.aggregate, sender)
+    if (step.kind === 'total') this._receiveTotal(step.round, step.aggregate, step.includedNumber, now)
+    return this._takeActions()
+  }
+
+  /** When this gateway starts rounds itself unless it hears those of another one. */
+  private get _takeoverAt (): Timestamp {
+    if (this._followed.root === this._self) return Number.NEGATIVE_INFINITY
+    const position = this._options.tree().positionOf(this._options.address)
+    if (position === 0) return Number.NEGATIVE_INFINITY
+    return this._followed.heardAt + ROOT_SILENCE_MILLISECONDS + position * TAKEOVER_STEP_MILLISECONDS
+  }
+
+  private _startRound (now: Timestamp): void {
+    this._nextRoundAt = now + ROUND_MILLISECONDS
+    if (!this._options.startsRounds()) return
+    const tree = this._options.tree()
+    if (this._followed.root !== this._self) this._follow(this._self, tree.positionOf(this._options.address), now)
+    this._followed.heardAt = now
+    const id = { root: this._self, number: ++this._roundNumber }
+    this._begin(id, undefined, tree.height * LEVEL_MILLISECONDS, now)
+  }
+
+  private _receiveCollect (id: RoundId, budgetMilliseconds: number, sender: string, now: Timestamp): void {
+    if (this._hasAccepted(id)) return this._send(sender, { kind: sender === this._followed.parent ? 'acknowledge' : 'decline', round: id })
+    if (!this._accepts(id, now)) return
+    this._followed.heardAt = now
+    this._followed.parent = sender
+    this._followed.lastCollected = id.number
+    this._send(sender, { kind: 'acknowledge', round: id })
+    this._begin(id, sender, budgetMilliseconds, now)
+  }
+
+  private _hasAccepted ({ root, number }: RoundId): boolean {
+    return root === this._followed.root && number === this._followed.lastCollected
+  }
+
+  /** Accepts new rounds of the followed root, or of one that ranks before it or replaces it. */
+  private _accepts ({ root, number }: RoundId, now: Timestamp): boolean {
+    if (root === this._self) return false
+    if (root === this._followed.root) return number > this._followed.lastCollected
+    const position = this._options.tree().positionOf(addressOfRoot(root))
+    const isOutdated = this._followed.heardAt + ROOT_SILENCE_MILLISECONDS <= now
+    if (position > this._followed.position && !isOutdated) return false
+    this._follow(root, position, now)
+    return true
+  }
+
+  private _follow (root: string, position: number, now: Timestamp): void {
+    this._followed = { root, position, heardAt: now, lastCollected: 0, lastTotal: 0 }
+    this._finished = []
+    this._round = undefined
+    for (const child of this._children.values()) child.lastAnswer = undefined
+  }
+
+  private _begin (id: RoundId, parent: string | undefined, budgetMilliseconds: number, now: Timestamp): void {
+    const round: Round = {
+      id,
+      parent,
+      own: this._options.createOwn(now),
+      asked: new Set(),
+      unacknowledged: new Set(),
+      bypassed: new Map(),
+      pending: new Set(),
+      answers: new Map(),
+      bypassAt: now + ACKNOWLEDGE_MILLISECONDS,
+      deadline: now + budgetMilliseconds
+    }
+    this._round = round
+    const { address, tree } = this._options
+    this._ask(round, parent === undefined ? tree().childrenOfActingRoot(address) : tree().childrenOf(address), now)
+    this._removeFormerChildren(round)
+    if (round.pending.size === 0) this._finish(round)
+  }
+
+  /** Asks gateways for their sums; also the children of those that were silent before, without waiting for these. */
+  private _ask (round: Round, addresses: readonly string[], now: Timestamp): void {
+    for (const address of addresses) {
+      if (round.asked.has(address) || round.asked.size >= MAXIMUM_ASKED || address === round.parent) continue
+      const child = this._childAt(address)
+      round.asked.add(address)
+      round.unacknowledged.add(address)
+      this._send(address, { kind: 'collect', round: round.id, budgetMilliseconds: round.deadline - now - LEVEL_MILLISECONDS })
+      if (child.isSilent) this._askInPlaceOf(round, address, now)
+      else round.pending.add(address)
+    }
+  }
+
+  private _askInPlaceOf (round: Round, silent: string, now: Timestamp): void {
+    const children = this._options.tree().childrenOf(silent)
+    for (const address of children) round.bypassed.set(address, silent)
+    this._ask(round, children, now)
+  }
+
+  private _bypassSilent (round: Round, now: Timestamp): void {
+    const silent = [...round.unacknowledged].filter(address => round.pending.has(address))
+    round.bypassAt = silent.length > 0 ? now + ACKNOWLEDGE_MILLISECONDS : Number.POSITIVE_INFINITY
+    for (const address of silent) {
+      this._childAt(address).isSilent = true
+      round.pending.delete(address)
+      this._askInPlaceOf(round, address, now)
+    }
+    if (round.pending.size === 0) this._finish(round)
+  }
+
+  private _receiveAcknowledgement (id: RoundId, sender: string): void {
+    const child = this._children.get(sender)
+    const round = this._round
+    if (!child || !round || !this._isCurrent(id)) return
+    this._recordAlive(round, sender)
+  }
+
+  /** An asked gateway that is alive will answer, even if others were asked in its place meanwhile. */
+  private _recordAlive (round: Round, address: string): void {
+    this._childAt(address).isSilent = false
+    round.unacknowledged.delete(address)
+    if (round.asked.has(address) && !round.answers.has(address)) round.pending.add(address)
+  }
+
+  private _receiveDecline (id: RoundId, sender: string): void {
+    const round = this._round
+    if (!round || !this._isCurrent(id) || !round.asked.has(sender)) return
+    this._recordAlive(round, sender)
+    const bypassed = round.bypassed.get(sender)
+    if (bypassed !== undefined && round.asked.has(bypassed)) this._recordAlive(round, bypassed)
+    round.asked.delete(sender)
+    round.pending.delete(sender)
+    if (round.pending.size === 0) this._finish(round)
+  }
+
+  private _receivePartial (id: RoundId, aggregate: Aggregate, sender: string): void {
+    const child = this._children.get(sender)
+    if (!child || id.root !== this._followed.root) return
+    const answer = { number: id.number, aggregate }
+    child.isSilent = false
+    child.lastAnswer = answer
+    const round = this._round
+    if (!round || !this._isCurrent(id) || !round.asked.has(sender)) return
+    round.answers.set(sender, answer)
+    round.unacknowledged.delete(sender)
+    round.pending.delete(sender)
+    // They have answered the sender, and answer nobody else in this round.
+    for (const address of this._options.tree().childrenOf(sender)) round.pending.delete(address)
+    if (round.pending.size === 0) this._finish(round)
+  }
+
+  private _isCurrent ({ root, number }: RoundId): boolean {
+    return this._round?.id.root === root && this._round.id.number === number
+  }
+
+  private _finish (round: Round): void {
+    this._round = undefined
+    this._reuseLateAnswers(round)
+    const sum = emptyAggregate()
+    addAggregate(sum, round.own)
+    for (const { aggregate } of round.answers.values()) addAggregate(sum, aggregate)
+    this._finished.push({
+      number: round.id.number,
+      own: round.own,
+      recipients: [...round.asked].filter(address => !round.unacknowledged.has(address)),
+      includedNumbers: new Map([...round.answers].map(([address, { number }]) => [address, number]))
+    })
+    this._finished = this._finished.slice(-REMEMBERED_ROUNDS)
+    if (round.parent === undefined) this._deliverTotal(round.id, sum, round.id.number)
+    else this._send(round.parent, { kind: 'partial', round: round.id, aggregate: sum })
+  }
+
+  private _reuseLateAnswers (round: Round): void {
+    for (const address of round.pending) {
+      const answer = this._children.get(address)?.lastAnswer
+      if (!answer || round.unacknowledged.has(address) || answer.number < round.id.number - MAXIMUM_REUSED_ROUNDS) continue
+      round.answers.set(address, answer)
+    }
+  }
+
+  private _receiveTotal (id: RoundId, aggregate: Aggregate, includedNumber: number | undefined, now: Timestamp): void {
+    if (id.root !== this._followed.root || id.number <= this._followed.lastTotal) return
+    this._followed.heardAt = now
+    this._deliverTotal(id, aggregate, includedNumber)
+  }
+
+  /** Applies the sums over all gateways, and passes them on to those that take part in the round. */
+  private _deliverTotal (id: RoundId, aggregate: Aggregate, includedNumber: number | undefined): void {
+    this._followed.lastTotal = id.number
+    const included = this._finished.find(({ number }) => number === includedNumber)
+    const recipients = this._finished.find(({ number }) => number === id.number)?.recipients ?? []
+    for (const address of recipients) this._send(address, { kind: 'total', round: id, aggregate, includedNumber: included?.includedNumbers.get(address) })
+    const others = emptyAggregate()
+    addAggregate(others, aggregate)
+    if (included) subtractAggregate(others, included.own)
+    this._actions.push({ kind: 'apply', others, gateways: aggregate.gateways })
+  }
+
+  private _childAt (address: string): Child {
+    const known = this._children.get(address)
+    if (known) return known
+    const child: Child = { isSilent: false }
+    this._children.set(address, child)
+    return child
+  }
+
+  private _removeFormerChildren (round: Round): void {
+    for (const address of this._children.keys()) if (!round.asked.has(address)) this._children.delete(address)
+  }
+
+  private _send (address: string, step: AggregationStep): void {
+    this._actions.push({ kind: 'send', address, step })
+  }
+
+  private _takeActions (): AggregationAction[] {
+    const actions = this._actions
+    this._actions = []
+    return actions
+  }
+}
+
+function addressOfRoot (root: string): string {
+  return root.slice(0, root.lastIndexOf('/'))
+}
--- a/packages/serving/src/capacity/serviceCapacities.ts
+++ b/packages/serving/src/capacity/serviceCapacities.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
+import { hashName } from '../aggregation/aggregate.js'
+import type { DemandSum } from '../aggregation/aggregate.js'
 import type { PeerTable } from '../peers/peerTable.js'
 import { PrefillModel, isSufficient, mergeRates } from './prefillModel.js'
 import type { MeasuredRate } from './prefillModel.js'
@@ -61,9 +63,17 @@
   }
 
   private _listPeerRates (service: string, now: Timestamp): MeasuredRate[] {
+    const totals = this._peers.currentTotals(now)
+    if (totals) return listAggregatedRate(totals.others.demands.get(hashName(service)))
     return this._peers.listPresent(now)
       .map(peer => peer.report.demands.find(demand => demand.service === service))
       .filter(demand => demand !== undefined)
       .map(demand => ({ tokensPerMillisecond: demand.prefillTokensPerSecond / MILLISECONDS_PER_SECOND, samples: demand.prefillSamples }))
   }
 }
+
+/** Returns the mean rate that the other gateways have measured, if they have measured any. */
+function listAggregatedRate (demand: DemandSum | undefined): MeasuredRate[] {
+  if (!demand || demand.prefillSamples === 0) return []
+  return [{ tokensPerMillisecond: demand.weightedPrefillRate / demand.prefillSamples / MILLISECONDS_PER_SECOND, samples: demand.prefillSamples }]
+}
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -6,6 +6,7 @@
 import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
 import type { DutyTask } from '@plumstage/coordination'
 import type { ScalingBounds } from '@plumstage/records'
+import { hashName } from '../aggregation/aggregate.js'
 import type { Cloud, UpstreamOrder } from '../duties/cloud.js'
 import { countMissingUpstreams } from '../limits/missingCapacity.js'
 import type { ServingState } from '../servingState.js'
@@ -128,11 +129,18 @@
   private _demandOf (service: string): Demand {
     const { state, clock } = this._options
     const total = { ...state.demand.demandOf(service, clock.now()) }
+    const totals = state.peers.currentTotals(clock.now())
+    if (totals) return addDemand(total, totals.others.demands.get(hashName(service)))
     for (const peer of state.peers.listPresent(clock.now())) {
       const demand = peer.report.demands.find(candidate => candidate.service === service)
-      total.promptTokensPerSecond += demand?.promptTokensPerSecond ?? 0
-      total.outputTokensPerSecond += demand?.outputTokensPerSecond ?? 0
+      addDemand(total, demand)
     }
     return total
   }
 }
+
+function addDemand (total: Demand, demand: Demand | undefined): Demand {
+  total.promptTokensPerSecond += demand?.promptTokensPerSecond ?? 0
+  total.outputTokensPerSecond += demand?.outputTokensPerSecond ?? 0
+  return total
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -5,6 +5,11 @@
  */
 export * from './admission/overloadGuard.js'
 export * from './admission/retryBudget.js'
+export * from './aggregation/aggregate.js'
+export * from './aggregation/aggregationNode.js'
+export * from './aggregation/aggregationState.js'
+export * from './aggregation/aggregationStep.js'
+export * from './aggregation/aggregationTree.js'
 export * from './attempts/acceptedRequest.js'
 export * from './attempts/attemptPolicy.js'
 export * from './attempts/crashTracking.js'
--- a/packages/serving/src/peers/gatewayRegistration.ts
+++ b/packages/serving/src/peers/gatewayRegistration.ts
@@ -12,7 +12,9 @@
   /** Address for peers: datagrams and HTTP on the same port. */
   address: z.string().min(1),
   /** Number of processor cores available to the gateway. */
-  processorCores: z.number()
+  processorCores: z.number(),
+  /** Whether the gateway takes part in aggregation rounds; gateways of earlier releases don't state it. */
+  aggregates: z.boolean().optional()
 })
 
 /** Address and processing capacity of a gateway. */
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -9,6 +9,8 @@
 import { gossip } from '@plumstage/protocol'
 import { describeError } from '@plumstage/common'
 import type { StorePosition } from '@plumstage/coordination'
+import { decodeStep, encodeStep } from '../aggregation/aggregationStep.js'
+import type { AggregationStep } from '../aggregation/aggregationStep.js'
 import type { ConfigurationPosition } from '../deployment/configurationPosition.js'
 import type { ReportedLimit } from '../limits/reportedLimit.js'
 import type { WorkspaceUsage } from '../quotas/workspaceUsage.js'
@@ -86,6 +88,8 @@
   relayed?: RelayedReports
   /** Whether the sender expects the reports of the recipient; undefined from gateways of earlier releases, which don't state it. */
   requestsReports?: boolean
+  /** A step of an aggregation round; loads, usage, windows and demands of the sender are then left out. */
+  aggregation?: AggregationStep
 }
 
 /** Encodes a report as one datagram. */
@@ -102,6 +106,7 @@
     relayed: report.relayed && { ...report.relayed, uses: report.relayed.uses.map(encodeUsage) },
     windows: report.windows.map(count => ({ ...count, window: BigInt(count.window) })),
     links: LINK_STATES[report.links],
+    aggregation: report.aggregation && encodeStep(report.aggregation),
     suspicions: report.suspicions.map(({ digest, crashes, cleared }) => ({ digest, crashes: [...crashes], cleared: [...cleared] })),
     partSuspicions: report.partSuspicions.map(encodePartSuspicion)
   }))
@@ -125,6 +130,7 @@
       limits: message.limits.filter(isReadable),
       links: decodeLinks(message.links),
       requestsReports: message.requestsReports,
+      aggregation: decodeStep(message.aggregation),
       sequence: Number(message.sequence),
       configuration: decodeConfigurationPosition(message),
       upstreams: { era: message.upstreamsEra, revision: Number(message.upstreamsRevision) },
--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -9,6 +9,7 @@
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import { isLater } from '@plumstage/coordination'
 import { supersedes } from '../deployment/configurationPosition.js'
+import type { AggregationStep } from '../aggregation/aggregationStep.js'
 import type { DeploymentView, ViewChange } from '../deployment/deploymentView.js'
 import { parseDeploymentSnapshot } from '../deployment/snapshotSchema.js'
 import { decodeReport, encodeReport } from './gatewayReport.js'
@@ -39,6 +40,8 @@
   peers: PeerTable
   view: DeploymentView
   createReport: () => GatewayReport
+  /** Handles a step of an aggregation round that a peer has sent. */
+  onAggregationStep: (step: AggregationStep, sender: string) => void
   /** Creates the aggregate that a relay adds to its report for the gateway at an address. */
   createAggregate: (address: string) => RelayedReports | undefined
   /** Name of the gateway that holds the cloud duty; undefined when none does. */
@@ -77,7 +80,7 @@
   async run (): Promise<void> {
     const { clock, peers, context } = this._options
     while (!context.cancelled) {
-      if (clock.now() >= this._nextReportAt || (clock.now() >= this._nextUrgentAt && this._options.isReportUrgent())) this.sendReport()
+      if (clock.now() >= this._nextReportAt || (clock.now() >= this._nextUrgentAt && this._isReportUrgent)) this.sendReport()
       const unresponsive = peers.takeUnresponsive(clock.now())
       if (unresponsive.length > 0) this._options.onPeersUnresponsive(unresponsive)
       const expired = peers.expire(clock.now())
@@ -86,6 +89,11 @@
     }
   }
 
+  /** In aggregation rounds, what is urgent goes with the next one. */
+  private get _isReportUrgent (): boolean {
+    return this._options.peers.reportMode !== 'rounds' && this._options.isReportUrgent()
+  }
+
   /** Sends a report immediately to all recipients that the topology chooses. */
   sendReport (): void {
     const { socket, clock, dutyHolder, createReport, createAggregate } = this._options
@@ -126,7 +134,8 @@
   private _receive (bytes: Buffer, sender: string): void {
     const report = decodeReport(bytes)
     if (report.isErr()) return this._log.warn(`${sender}: ${report.error.message}`)
-    const { clock, peers } = this._options
+    const { clock, peers, onAggregationStep } = this._options
+    if (report.value.aggregation) onAggregationStep(report.value.aggregation, sender)
     const peer = peers.apply(report.value, sender, clock.now())
     if (!peer) return
     for (const address of report.value.knownAddresses) peers.addKnownAddress(address, clock.now())
--- a/packages/serving/src/peers/peerTable.ts
+++ b/packages/serving/src/peers/peerTable.ts
@@ -5,9 +5,11 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
+import type { Aggregate } from '../aggregation/aggregate.js'
+import { ROUND_MILLISECONDS } from '../aggregation/aggregationNode.js'
 import type { GatewayRegistration } from './gatewayRegistration.js'
 import type { GatewayReport, RelayedReports } from './gatewayReport.js'
-import { unresponsiveAfterMilliseconds } from './reportInterval.js'
+import { MAXIMUM_MESH_GATEWAYS, unresponsiveAfterMilliseconds } from './reportInterval.js'
 
 /** A peer that sends no reports, and an address that is not named again, are removed after this time. */
 const PEER_EXPIRY_MILLISECONDS = 15_000
@@ -19,6 +21,26 @@
 /** An aggregate is used only if it covers this many times the peers that report directly. */
 const MINIMUM_RELAY_COVERAGE_RATIO = 1.1
 
+/** Sums over all gateways are used for this long after a round; then the gateway counts as cut off from the others. */
+const TOTALS_LIFETIME_MILLISECONDS = 4 * ROUND_MILLISECONDS
+
+/** Sums over the other gateways, from an aggregation round. */
+export interface PeerTotals {
+  /** Number of gateways that took part, this one included. */
+  gateways: number
+  others: Aggregate
+  receivedAt: Timestamp
+}
+
+/** How gateways learn of each other's state. */
+export type ReportMode =
+  /** Each reports to all others. */
+  | 'mesh'
+  /** Through a few relays, while gateways of earlier releases are there. */
+  | 'relays'
+  /** By aggregation rounds. */
+  | 'rounds'
+
 /** A gateway from which a report was received. */
 export interface Peer {
   address: string
@@ -46,6 +68,10 @@
   /** Addresses named by the settings or by peers, with the time when they were last named. */
   private readonly _knownAddresses = new Map<string, Timestamp>()
   private _addressesVersion = 0
+  private _totals: PeerTotals | undefined
+  private _gateways: readonly GatewayRegistration[] = []
+  /** Version of the addresses for which `_gateways` was collected. */
+  private _gatewaysVersion = -1
 
   private constructor (self: GatewayRegistration) {
     this._self = self
@@ -106,8 +132,33 @@
   }
 
   /** Gateways that are registered or from which a report was received, this one included. */
-  listRegistrations (): GatewayRegistration[] {
-    const byAddress = new Map([...this._peers.values()].map(({ address }) => [address, { address, processorCores: 0 }]))
+  listRegistrations (): readonly GatewayRegistration[] {
+    if (this._gatewaysVersion === this._addressesVersion) return this._gateways
+    this._gatewaysVersion = this._addressesVersion
+    this._gateways = this._collectRegistrations()
+    return this._gateways
+  }
+
+  /** How this gateway takes part in the exchange of reports. */
+  get reportMode (): ReportMode {
+    const gateways = this.listRegistrations()
+    if (gateways.length <= MAXIMUM_MESH_GATEWAYS) return 'mesh'
+    return gateways.every(({ aggregates }) => aggregates) ? 'rounds' : 'relays'
+  }
+
+  /** Stores the sums of an aggregation round. */
+  setTotals (totals: PeerTotals): void {
+    this._totals = totals
+  }
+
+  /** The sums over all other gateways; undefined when none have arrived lately. */
+  currentTotals (now: Timestamp): PeerTotals | undefined {
+    return this._totals && this._totals.receivedAt > now - TOTALS_LIFETIME_MILLISECONDS ? this._totals : undefined
+  }
+
+  private _collectRegistrations (): GatewayRegistration[] {
+    const heard = [...this._peers.values()].map(({ address, report }): GatewayRegistration => ({ address, processorCores: 0, aggregates: report.requestsReports !== undefined }))
+    const byAddress = new Map(heard.map(registration => [registration.address, registration]))
     for (const registration of this._registrations.values()) byAddress.set(registration.address, registration)
     byAddress.set(this._self.address, this._self)
     return [...byAddress.values()]
@@ -134,14 +185,16 @@
 
   /** Number of gateways that are present, this one included. */
   countPresent (now: Timestamp): number {
-    return this._countWith(this.widestAggregate(now), now)
+    const totals = this.currentTotals(now)
+    return totals ? Math.max(1, totals.gateways) : this._countWith(this.widestAggregate(now), now)
   }
 
   /** Counts the present gateways and computes their share of the gateways presumed to be serving. */
   measureCoverage (now: Timestamp): PeerCoverage {
-    const relayed = this.widestAggregate(now)
-    const gateways = this._countWith(relayed, now)
-    if (relayed) return { gateways, reachableShare: Math.min(1, gateways / this.listRegistrations().length) }
+    const totals = this.currentTotals(now)
+    const relayed = totals ? undefined : this.widestAggregate(now)
+    const gateways = totals ? Math.max(1, totals.gateways) : this._countWith(relayed, now)
+    if (totals || relayed || this.reportMode === 'rounds') return { gateways, reachableShare: Math.min(1, gateways / this.listRegistrations().length) }
     const unresponsive = [...this._peers.values()].filter(peer => !peer.report.leaving && !this._isResponsive(peer, now)).length
     return { gateways, reachableShare: gateways / (gateways + unresponsive) }
   }
--- a/packages/serving/src/peers/reportExchange.ts
+++ b/packages/serving/src/peers/reportExchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
+import type { AggregationStep } from '../aggregation/aggregationStep.js'
 import type { ServingState } from '../servingState.js'
 import type { GatewayReport, RelayedReports, ReportedDemand, ReportedLinks, ReportedLoad } from './gatewayReport.js'
 import type { Peer } from './peerTable.js'
@@ -69,6 +70,30 @@
     }
   }
 
+  /** Creates the report that carries a step of an aggregation round. Short steps leave out what the others spread. */
+  createCarrier (aggregation: AggregationStep, leaving: boolean, now: Timestamp): GatewayReport {
+    const { view, upstreams, limits, quarantine, partQuarantine } = this._state
+    const isShort = aggregation.kind !== 'partial' && aggregation.kind !== 'total'
+    return {
+      ...this._sender,
+      sequence: ++this._sequence,
+      leaving,
+      configuration: view.configurationPosition,
+      upstreams: view.upstreamsPosition,
+      links: this._links(),
+      limits: isShort ? [] : limits.createReport(upstreams.list(), now),
+      suspicions: isShort ? [] : quarantine.list(now).slice(-MAXIMUM_REPORTED_SUSPICIONS),
+      partSuspicions: isShort ? [] : partQuarantine.createReport(now),
+      loads: [],
+      uses: [],
+      windows: [],
+      demands: [],
+      knownAddresses: [],
+      requestsReports: false,
+      aggregation
+    }
+  }
+
   private _createDemands (now: Timestamp): ReportedDemand[] {
     return this._state.demand.list(now).map(demand => {
       const { tokensPerMillisecond, samples } = this._state.capacities.measuredRateOf(demand.service)
@@ -92,17 +117,22 @@
 
   /** Applies the report of a peer to the state of this gateway. */
   apply ({ report, isContinuous }: Peer, now: Timestamp): void {
-    const { upstreams, quotas, usage, quarantine, partQuarantine } = this._state
-    const loads = indexByUpstream(report.loads)
-    for (const upstream of upstreams.list()) upstream.setPeerLoad(report.name, loads.get(upstream.listed.id))
+    const { quotas, usage, quarantine, partQuarantine } = this._state
+    if (!report.aggregation) this._applyLoads(report, isContinuous, now)
     this._applyLimits(report, now)
-    this._applyAggregate(report, isContinuous, now)
     quotas.applyReport(incarnationKey(report), report.uses, isContinuous)
     usage.applyReport(incarnationKey(report), report.windows)
     quarantine.mergeReports(report.suspicions, now)
     partQuarantine.applyReport(report.partSuspicions, now)
   }
 
+  private _applyLoads (report: GatewayReport, isContinuous: boolean, now: Timestamp): void {
+    const { upstreams } = this._state
+    const loads = indexByUpstream(report.loads)
+    for (const upstream of upstreams.list()) upstream.setPeerLoad(report.name, loads.get(upstream.listed.id))
+    if (!this._state.peers.currentTotals(now)) this._applyAggregate(report, isContinuous, now)
+  }
+
   /** A limit of another incarnation than the one listed here does not apply. */
   private _applyLimits ({ limits }: GatewayReport, now: Timestamp): void {
     for (const reported of limits) {
@@ -127,7 +157,7 @@
   private _applyAggregate (report: GatewayReport, isContinuous: boolean, now: Timestamp): void {
     const { upstreams, quotas, peers } = this._state
     const widest = peers.widestAggregate(now)
-    quotas.followRelays(widest !== undefined)
+    quotas.follow(widest ? 'relays' : 'direct')
     if (!widest) {
       for (const upstream of upstreams.list()) upstream.setAggregatedPeerLoad(undefined)
       return
--- a/packages/serving/src/peers/reportTopology.ts
+++ b/packages/serving/src/peers/reportTopology.ts
@@ -9,7 +9,7 @@
 import { rendezvousWeight } from '../routing/rendezvousHash.js'
 import type { GatewayRegistration } from './gatewayRegistration.js'
 import type { Peer, PeerTable } from './peerTable.js'
-import { MAXIMUM_MESH_GATEWAYS, unresponsiveAfterMilliseconds, reportIntervalMilliseconds } from './reportInterval.js'
+import { unresponsiveAfterMilliseconds, reportIntervalMilliseconds } from './reportInterval.js'
 
 const RELAY_COUNT = 3
 /** Gateways of earlier releases skip relays, so that they may use one that ranks after the first few. */
@@ -47,7 +47,7 @@
 
   /** Whether all gateways report to each other without relays. */
   get isMesh (): boolean {
-    return this._peers.listRegistrations().length <= MAXIMUM_MESH_GATEWAYS
+    return this._peers.reportMode === 'mesh'
   }
 
   /** Whether more peers use this gateway as a relay, and expect aggregates from it, than a few that have skipped others. */
@@ -64,7 +64,7 @@
   chooseRecipients (dutyHolder: string | undefined, now: Timestamp): ReportRecipient[] {
     if (this.isMesh) return this._peers.listAddresses().map(address => ({ address, requestsReports: true }))
     const holder = dutyHolder === undefined ? undefined : this._peers.addressOf(dutyHolder)
-    const relays = new Set(this._chooseRelays(now))
+    const relays = new Set(this._peers.reportMode === 'rounds' ? [] : this._chooseRelays(now))
     const addresses = new Set([...relays, ...this._listRequesters(now).map(peer => peer.address)])
     if (holder !== undefined) addresses.add(holder)
     addresses.delete(this._peers.self.address)
--- a/packages/serving/src/quotas/peerQuotaUsage.ts
+++ b/packages/serving/src/quotas/peerQuotaUsage.ts
@@ -1,12 +1,19 @@
 /**
- * Quota usage at the other gateways, from their own reports or from the sums of relays.
+ * Quota usage at the other gateways, from their own reports, from the sums of relays, or from aggregation rounds.
  *
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
+import { hashName } from '../aggregation/aggregate.js'
+import type { Aggregate, NameHash } from '../aggregation/aggregate.js'
+import { AggregatedUsage } from './aggregatedUsage.js'
+import type { ObservedRound } from './aggregatedUsage.js'
 import { RelayedUsage } from './relayedUsage.js'
 import type { WorkspaceUsage } from './workspaceUsage.js'
 
+/** Where the usage at the other gateways is taken from. */
+export type PeerUsageSource = 'direct' | 'relays' | 'rounds'
+
 /** Usage of one workspace as reported by one gateway. */
 interface ReportedUsage {
   admittedUnits: number
@@ -27,17 +34,28 @@
   private readonly _byIncarnation = new Map<string, Map<string, ReportedUsage>>()
   private readonly _directTotals = new Map<string, DirectTotals>()
   private readonly _relayedUsage = new Map<string, RelayedUsage>()
-  private _followsRelays = false
+  private readonly _aggregatedUsage = new Map<NameHash, AggregatedUsage>()
+  /** The last round that was applied; undefined before the first. */
+  private _lastRound: ObservedRound | undefined
+  private _source: PeerUsageSource = 'direct'
 
   static create (): PeerQuotaUsage {
     return new PeerQuotaUsage()
   }
 
-  /** Selects the source of the usage: the sums of relays, or the other gateways' own reports. */
-  followRelays (followsRelays: boolean): void {
-    if (followsRelays === this._followsRelays) return
-    this._followsRelays = followsRelays
+  follow (source: PeerUsageSource): void {
+    if (source === this._source) return
+    this._source = source
     this._relayedUsage.clear()
+    this._aggregatedUsage.clear()
+    this._lastRound = undefined
+  }
+
+  /** Applies the sums of an aggregation round, and returns the units to charge by workspace. */
+  applyAggregated ({ usage, fingerprint }: Aggregate, now: Timestamp): Map<NameHash, number> {
+    for (const workspace of usage.keys()) if (!this._aggregatedUsage.has(workspace)) this._aggregatedUsage.set(workspace, AggregatedUsage.create(this._lastRound))
+    this._lastRound = { fingerprint, observedAt: now }
+    return new Map([...this._aggregatedUsage].map(([workspace, aggregated]) => [workspace, aggregated.apply(usage.get(workspace), fingerprint, now)]))
   }
 
   /**
@@ -54,12 +72,12 @@
     this._directTotals.set(workspace, totals)
     totals.observedUnits += units
     totals.offeredUnitsPerSecond += offeredUnitsPerSecond - previous.offeredUnitsPerSecond
-    return this._followsRelays ? 0 : units
+    return this._source === 'direct' ? units : 0
   }
 
   /** Applies the sum of a relay and returns the units to charge. */
   applyRelayed (relayIncarnation: string, usage: WorkspaceUsage, isContinuous: boolean, now: Timestamp): number {
-    if (!this._followsRelays) return 0
+    if (this._source !== 'relays') return 0
     const relayed = this._relayedUsage.get(usage.workspace) ?? RelayedUsage.create()
     this._relayedUsage.set(usage.workspace, relayed)
     return relayed.apply(relayIncarnation, usage, isContinuous, now)
@@ -80,7 +98,8 @@
 
   /** Recent rate of requested units per second of a workspace at the other gateways. */
   offeredUnitsPerSecond (workspace: string): number {
-    if (this._followsRelays) return this._relayedUsage.get(workspace)?.offeredUnitsPerSecond ?? 0
+    if (this._source === 'rounds') return this._aggregatedUsage.get(hashName(workspace))?.offeredUnitsPerSecond ?? 0
+    if (this._source === 'relays') return this._relayedUsage.get(workspace)?.offeredUnitsPerSecond ?? 0
     return this._directTotals.get(workspace)?.offeredUnitsPerSecond ?? 0
   }
 
--- a/packages/serving/src/quotas/workspaceQuotas.ts
+++ b/packages/serving/src/quotas/workspaceQuotas.ts
@@ -7,9 +7,12 @@
  */
 import type { Timestamp } from '@plumstage/common'
 import type { WorkspaceQuota } from '@plumstage/records'
+import { hashName } from '../aggregation/aggregate.js'
+import type { Aggregate, NameHash, UsageSum } from '../aggregation/aggregate.js'
 import type { PeerCoverage } from '../peers/peerTable.js'
 import { SlidingSum } from '../slidingSum.js'
 import { PeerQuotaUsage } from './peerQuotaUsage.js'
+import type { PeerUsageSource } from './peerQuotaUsage.js'
 import { widenQuota } from './quotaTolerance.js'
 import type { QuotaTolerance, WidenedQuota } from './quotaTolerance.js'
 import type { WorkspaceUsage } from './workspaceUsage.js'
@@ -43,6 +46,7 @@
   burstUnits: number
   /** Recently requested units at this gateway, admitted or not. */
   offeredUnits: SlidingSum
+  recentlyAdmittedUnits: SlidingSum
 }
 
 /** Units by which a request may overdraw a bucket: over all gateways, and of the local share. */
@@ -86,6 +90,7 @@
     bucket.units -= units
     bucket.localUnits -= units
     bucket.admittedUnits += units
+    bucket.recentlyAdmittedUnits.record(units, now)
     return { kind: 'admitted' }
   }
 
@@ -106,9 +111,30 @@
     for (const usage of usages) this._charge(usage.workspace, this._peerUsage.applyDirect(gatewayIncarnation, usage, isContinuous))
   }
 
-  /** Selects the source of the peers' usage: the sums of relays, or their own reports. */
-  followRelays (followsRelays: boolean): void {
-    this._peerUsage.followRelays(followsRelays)
+  /** Selects the source of the peers' usage. */
+  follow (source: PeerUsageSource): void {
+    this._peerUsage.follow(source)
+  }
+
+  /** Applies the sums of an aggregation round over the other gateways. */
+  applyAggregated (others: Aggregate, now: Timestamp): void {
+    this._peerUsage.follow('rounds')
+    const units = this._peerUsage.applyAggregated(others, now)
+    for (const workspace of this._buckets.keys()) this._charge(workspace, units.get(hashName(workspace)) ?? 0)
+  }
+
+  /** Returns the usage at this gateway for an aggregation round, and records it as reported. */
+  aggregateOwn (now: Timestamp): Map<NameHash, UsageSum> {
+    const usage = new Map<NameHash, UsageSum>()
+    for (const [workspace, bucket] of this._buckets) {
+      bucket.reportedUnits = bucket.admittedUnits
+      usage.set(hashName(workspace), {
+        admittedUnits: Math.max(0, Math.round(bucket.admittedUnits)),
+        admittedUnitsPerSecond: Math.round(bucket.recentlyAdmittedUnits.sum(now) / OFFERED_WINDOW_SECONDS),
+        offeredUnitsPerSecond: Math.round(bucket.offeredUnits.sum(now) / OFFERED_WINDOW_SECONDS)
+      })
+    }
+    return usage
   }
 
   /** Applies the sums of a relay over other gateways. */
@@ -147,7 +173,7 @@
     let bucket = this._buckets.get(workspace)
     if (!bucket) {
       const units = quota.burstUnits * INITIAL_FILL * peers.reachableShare
-      bucket = { units, localUnits: units / peers.gateways, localShare: 1 / peers.gateways, refilledAt: now, admittedUnits: 0, reportedUnits: 0, burstUnits: quota.burstUnits, offeredUnits: SlidingSum.create(OFFERED_WINDOW_SECONDS) }
+      bucket = { units, localUnits: units / peers.gateways, localShare: 1 / peers.gateways, refilledAt: now, admittedUnits: 0, reportedUnits: 0, burstUnits: quota.burstUnits, offeredUnits: SlidingSum.create(OFFERED_WINDOW_SECONDS), recentlyAdmittedUnits: SlidingSum.create(OFFERED_WINDOW_SECONDS) }
       this._buckets.set(workspace, bucket)
       return bucket
     }
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -7,6 +7,8 @@
 import type { Clock, Instrumentation, SeededRandom, Timer, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
 import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
+import { AggregationState } from './aggregation/aggregationState.js'
+import { AggregationTask } from './aggregation/aggregationTask.js'
 import { RunningRequests } from './attempts/runningRequests.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
 import type { CallerProtocol } from './callers/callerProtocol.js'
@@ -25,6 +27,7 @@
 import { GossipTask } from './peers/gossipTask.js'
 import { MembershipTask } from './peers/membershipTask.js'
 import { PeerSocket } from './peers/peerSocket.js'
+import { encodeReport } from './peers/gatewayReport.js'
 import type { Peer } from './peers/peerTable.js'
 import { ReportExchange } from './peers/reportExchange.js'
 import { formatPart } from './recovery/promptPart.js'
@@ -93,6 +96,7 @@
   private readonly _log = getLogger('serving')
   private readonly _listeners: Listener[] = []
   private readonly _gossip: GossipTask
+  private readonly _aggregation: AggregationTask
   private readonly _socket: PeerSocket
   private readonly _softwareHistory: SoftwareHistory
   private readonly _softwareHistoryTask: SoftwareHistoryTask
@@ -124,6 +128,7 @@
     this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
     this._duties = this._createDuties()
     this._gossip = this._createGossip()
+    this._aggregation = this._createAggregation()
     this._deploymentTask = this._createDeploymentTask()
     this._callerServer = this._createCallerServer()
   }
@@ -237,6 +242,7 @@
       peers: this.state.peers,
       view: this.state.view,
       createReport: () => this._exchange.createReport(this._stopping, clock.now(), this._environment.timeOfDay()),
+      onAggregationStep: (step, sender) => this._aggregation.receive(step, sender),
       createAggregate: address => this._exchange.createAggregate(address, clock.now()),
       dutyHolder: () => this._registry.dutyHolder,
       isReportUrgent: () => this.state.isReportUrgent,
@@ -247,12 +253,26 @@
     })
   }
 
+  private _createAggregation (): AggregationTask {
+    const { clock, instrumentation: { incarnation } } = this._environment
+    const isStopping = (): boolean => this._stopping
+    return AggregationTask.create({
+      peers: this.state.peers,
+      state: AggregationState.create(this.state, incarnation),
+      run: incarnation,
+      clock,
+      isStopping,
+      send: (address, step) => this._socket.sendReport(encodeReport(this._exchange.createCarrier(step, isStopping(), clock.now())), address)
+    })
+  }
+
   private _startTasks (): void {
     const { store, clock, leaseClock, instrumentation } = this._environment
     const { name, peerSeeds } = this._settings
     for (const seed of peerSeeds) this.state.peers.addKnownAddress(seed, clock.now())
     void this._deploymentTask.run(this._context)
     void this._gossip.run()
+    this._aggregation.start(this._context)
     void this._access.run(this._context)
     void this._softwareHistoryTask.run(this._context)
     this._internalListenersOpened = this._openInternalListeners()
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -58,7 +58,7 @@
 
   private constructor (settings: ServingSettings, decoder: DeploymentDecoder, random: SeededRandom) {
     this.view = DeploymentView.create(decoder)
-    this.peers = PeerTable.create({ address: settings.peerAddress, processorCores: settings.processorCores })
+    this.peers = PeerTable.create({ address: settings.peerAddress, processorCores: settings.processorCores, aggregates: true })
     const ranking = GatewayRanking.create(this.peers)
     this.partQuarantine = PartQuarantine.create(part => ranking.rankFor(String(part)))
     this.limits = UpstreamLimits.create(this.peers, random.nextInteger(1, MAXIMUM_ORIGIN))
--- a/tests/support/reportNetwork.ts
+++ b/tests/support/reportNetwork.ts
@@ -5,8 +5,8 @@
  */
 import { SeededRandom } from '@plumstage/common'
 import { DeploymentAdapter } from '@plumstage/platform'
-import { NO_QUOTA_TOLERANCE, ReportExchange, ReportTopology, ServingState, decodeReport, encodeReport } from '@plumstage/serving'
-import type { ServingSettings } from '@plumstage/serving'
+import { AggregationNode, AggregationState, AggregationTree, NO_QUOTA_TOLERANCE, ReportExchange, ReportTopology, ServingState, decodeReport, encodeReport } from '@plumstage/serving'
+import type { AggregationAction, GatewayReport, ServingSettings } from '@plumstage/serving'
 
 const STEP_MILLISECONDS = 50
 const STRONG_CORES = 1.35
@@ -41,6 +41,8 @@
   state: ServingState
   topology: ReportTopology
   exchange: ReportExchange
+  node: AggregationNode
+  aggregation: AggregationState
   isUp: boolean
   /** Whether no message passes between it and the others, although it serves its callers. */
   isCutOff: boolean
@@ -101,6 +103,8 @@
         if (!gateway.isUp) continue
         onStep?.(gateway)
         this._report(gateway)
+        this._aggregate(gateway)
+        this._deliverDue()
         gateway.exchange.clearLoads(gateway.state.peers.takeUnresponsive(this.now))
       }
     }
@@ -114,24 +118,47 @@
     sender.nextReportAt = now + sender.topology.intervalMilliseconds(now)
     sender.nextUrgentAt = isRelay ? now + sender.topology.intervalMilliseconds(now) / 2 : now
     const report = sender.exchange.createReport(false, now, now)
+    if (sender.state.peers.reportMode === 'rounds') return
     for (const { address, requestsReports } of sender.topology.chooseRecipients(undefined, now)) {
-      const bytes = encodeReport({ ...report, requestsReports, relayed: isRelay ? sender.exchange.createAggregate(address, now) : undefined })
-      sender.sentReports++
-      sender.sentBytes += bytes.length
-      this._pending.push({ bytes, sender, recipient: address, at: now + sender.delayMilliseconds })
+      this._send(sender, address, { ...report, requestsReports, relayed: isRelay ? sender.exchange.createAggregate(address, now) : undefined })
     }
   }
 
+  private _send (sender: ReportingGateway, recipient: string, report: GatewayReport): void {
+    const bytes = encodeReport(report)
+    sender.sentReports++
+    sender.sentBytes += bytes.length
+    this._pending.push({ bytes, sender, recipient, at: this.now + sender.delayMilliseconds })
+  }
+
+  private _aggregate (gateway: ReportingGateway): void {
+    gateway.aggregation.expire(this.now)
+    if (gateway.node.nextActionAt <= this.now) this._execute(gateway, gateway.node.advance(this.now))
+  }
+
+  private _execute (gateway: ReportingGateway, actions: readonly AggregationAction[]): void {
+    for (const action of actions) {
+      if (action.kind === 'send') this._send(gateway, action.address, gateway.exchange.createCarrier(action.step, false, this.now))
+      else gateway.aggregation.apply(action.others, action.gateways, this.now)
+    }
+  }
+
+  /** Delivers also what the recipients send at once. */
   private _deliverDue (): void {
-    const due = this._pending.filter(delivery => delivery.at <= this.now)
-    this._pending = this._pending.filter(delivery => delivery.at > this.now)
-    for (const delivery of due) this._deliver(delivery)
+    for (;;) {
+      const due = this._pending.filter(delivery => delivery.at <= this.now)
+      if (due.length === 0) return
+      this._pending = this._pending.filter(delivery => delivery.at > this.now)
+      for (const delivery of due) this._deliver(delivery)
+    }
   }
 
   private _deliver ({ bytes, sender, recipient: address }: PendingDelivery): void {
     const recipient = this.gateways.find(gateway => gateway.address === address)
     if (!recipient?.isUp || recipient.isCutOff || sender.isCutOff) return
-    const peer = recipient.state.peers.apply(decodeReport(bytes)._unsafeUnwrap(), sender.address, this.now)
+    const report = decodeReport(bytes)._unsafeUnwrap()
+    if (report.aggregation) this._execute(recipient, recipient.node.receive(report.aggregation, sender.address, this.now))
+    const peer = recipient.state.peers.apply(report, sender.address, this.now)
     if (peer) recipient.exchange.apply(peer, this.now)
   }
 }
@@ -141,11 +168,29 @@
   const address = `10.1.0.${index}:7600`
   const processorCores = index < STRONG_GATEWAYS ? STRONG_CORES : WEAK_CORES
   const state = ServingState.create({ ...SERVING_SETTINGS, name, peerAddress: address, processorCores }, DeploymentAdapter.create(), SeededRandom.create(index))
+  const aggregation = AggregationState.create(state, name)
+  const { peers } = state
+  let tree = AggregationTree.create([])
+  let treeVersion = -1
+  const currentTree = (): AggregationTree => {
+    if (treeVersion === peers.addressesVersion) return tree
+    treeVersion = peers.addressesVersion
+    tree = AggregationTree.create(peers.listRegistrations().filter(({ aggregates }) => aggregates))
+    return tree
+  }
   return {
     name,
     address,
     state,
-    topology: ReportTopology.create(state.peers),
+    topology: ReportTopology.create(peers),
+    aggregation,
+    node: AggregationNode.create({
+      address,
+      run: 'first',
+      tree: currentTree,
+      startsRounds: () => peers.reportMode === 'rounds',
+      createOwn: now => aggregation.createOwn(false, now)
+    }, 0),
     exchange: ReportExchange.create({ name, incarnation: 'first', failureDomain: 'east' }, state),
     isUp: true,
     isCutOff: false,
