Bound what the steps of aggregation rounds carry, and test rounds between releases and processes

Cause: a gateway sends several steps in each round; with all known limits and suspicions in each, spans in which many upstreams state limits would cost more than the bound. A fixed time for each level did not fit trees of 12 levels into one round. A stopping gateway no longer reported to those that have tunnels open through it. Change: each step carries at most 8 limits and suspicions, the latest first; the time of a level follows the height of the tree; a gateway with open tunnels tells all known gateways that it stops.

--- a/packages/serving/src/aggregation/aggregationNode.ts
+++ b/packages/serving/src/aggregation/aggregationNode.ts
@@ -17,10 +17,12 @@
 
 /** Time between the starts of two rounds. */
 export const ROUND_MILLISECONDS = 750
-/** Time that a level of the tree has for asking and answering. */
-const LEVEL_MILLISECONDS = 60
-/** A gateway that has not acknowledged for this long is bypassed. */
-const ACKNOWLEDGE_MILLISECONDS = 45
+/** Most time that a level of the tree has for asking and answering. */
+const MAXIMUM_LEVEL_MILLISECONDS = 80
+/** All levels together have this share of the time between two rounds. */
+const COLLECTING_SHARE = 0.8
+/** A gateway that has not acknowledged within this share of the time of a level is bypassed. */
+const ACKNOWLEDGE_SHARE = 0.6
 /** A root that was not heard for this long is replaced, by the gateways in the order of their ranks. */
 const ROOT_SILENCE_MILLISECONDS = 2 * ROUND_MILLISECONDS
 /** Time between the takeovers of two gateways that rank next to each other. */
@@ -143,6 +145,14 @@
     return this._takeActions()
   }
 
+  private get _levelMilliseconds (): number {
+    return Math.min(MAXIMUM_LEVEL_MILLISECONDS, COLLECTING_SHARE * ROUND_MILLISECONDS / Math.max(1, this._options.tree().height))
+  }
+
+  private get _acknowledgeMilliseconds (): number {
+    return ACKNOWLEDGE_SHARE * this._levelMilliseconds
+  }
+
   /** When this gateway starts rounds itself unless it hears those of another one. */
   private get _takeoverAt (): Timestamp {
     if (this._followed.root === this._self) return Number.NEGATIVE_INFINITY
@@ -158,7 +168,7 @@
     if (this._followed.root !== this._self) this._follow(this._self, tree.positionOf(this._options.address), now)
     this._followed.heardAt = now
     const id = { root: this._self, number: ++this._roundNumber }
-    this._begin(id, undefined, tree.height * LEVEL_MILLISECONDS, now)
+    this._begin(id, undefined, tree.height * this._levelMilliseconds, now)
   }
 
   private _receiveCollect (id: RoundId, budgetMilliseconds: number, sender: string, now: Timestamp): void {
@@ -203,7 +213,7 @@
       bypassed: new Map(),
       pending: new Set(),
       answers: new Map(),
-      bypassAt: now + ACKNOWLEDGE_MILLISECONDS,
+      bypassAt: now + this._acknowledgeMilliseconds,
       deadline: now + budgetMilliseconds
     }
     this._round = round
@@ -220,7 +230,7 @@
       const child = this._childAt(address)
       round.asked.add(address)
       round.unacknowledged.add(address)
-      this._send(address, { kind: 'collect', round: round.id, budgetMilliseconds: round.deadline - now - LEVEL_MILLISECONDS })
+      this._send(address, { kind: 'collect', round: round.id, budgetMilliseconds: round.deadline - now - this._levelMilliseconds })
       if (child.isSilent) this._askInPlaceOf(round, address, now)
       else round.pending.add(address)
     }
@@ -234,7 +244,7 @@
 
   private _bypassSilent (round: Round, now: Timestamp): void {
     const silent = [...round.unacknowledged].filter(address => round.pending.has(address))
-    round.bypassAt = silent.length > 0 ? now + ACKNOWLEDGE_MILLISECONDS : Number.POSITIVE_INFINITY
+    round.bypassAt = silent.length > 0 ? now + this._acknowledgeMilliseconds : Number.POSITIVE_INFINITY
     for (const address of silent) {
       this._childAt(address).isSilent = true
       round.pending.delete(address)
--- a/packages/serving/src/limits/upstreamLimits.ts
+++ b/packages/serving/src/limits/upstreamLimits.ts
@@ -90,14 +90,14 @@
     if (upstream.limit.applyReport(observation, now)) this._recordChange(upstream, before, 'report')
   }
 
-  /** Returns what to report to the other gateways. */
-  createReport (upstreams: readonly Upstream[], now: Timestamp): ReportedLimit[] {
+  /** Returns what to report to the other gateways: the limits that were stated last, up to a maximum. */
+  createReport (upstreams: readonly Upstream[], now: Timestamp, maximum = MAXIMUM_REPORTED_LIMITS): ReportedLimit[] {
     this._isReportUrgent = false
     const reported = upstreams
       .map(upstream => describeLimit(upstream, now))
       .filter(limit => limit !== undefined)
-    if (reported.length <= MAXIMUM_REPORTED_LIMITS) return reported
-    return reported.sort((left, right) => left.ageMilliseconds - right.ageMilliseconds).slice(0, MAXIMUM_REPORTED_LIMITS)
+    if (reported.length <= maximum) return reported
+    return reported.sort((left, right) => left.ageMilliseconds - right.ageMilliseconds).slice(0, maximum)
   }
 
   /** Forgets an upstream that has been removed. */
--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -111,6 +111,13 @@
     }
   }
 
+  /** Sends a report to all known gateways, which may have something open at this one. */
+  sendReportToAll (): void {
+    const { socket, peers, createReport } = this._options
+    const bytes = encodeReport({ ...createReport(), requestsReports: false })
+    for (const address of peers.listAddresses()) socket.sendReport(bytes, address)
+  }
+
   /** Applies the snapshot of a peer; returns whether that succeeded. Used when this gateway is behind or the store is unavailable. */
   async pull (address: string): Promise<boolean> {
     const { clock, view, instrumentation, context } = this._options
--- a/packages/serving/src/peers/reportExchange.ts
+++ b/packages/serving/src/peers/reportExchange.ts
@@ -15,6 +15,8 @@
 const REPORTS_PER_ADDRESS_LIST = 8
 const MILLISECONDS_PER_SECOND = 1000
 const MAXIMUM_REPORTED_SUSPICIONS = 40
+/** A gateway sends several steps of each aggregation round, so each of them carries only the latest of what is known. */
+const MAXIMUM_CARRIED_ITEMS = 8
 const MAXIMUM_KNOWN_ADDRESSES = 8
 /** An aggregate is applied if it covers at least this fraction of the gateways that the widest one covers. */
 const MINIMUM_COVERAGE_RATIO = 0.9
@@ -81,9 +83,9 @@
       configuration: view.configurationPosition,
       upstreams: view.upstreamsPosition,
       links: this._links(),
-      limits: isShort ? [] : limits.createReport(upstreams.list(), now),
-      suspicions: isShort ? [] : quarantine.list(now).slice(-MAXIMUM_REPORTED_SUSPICIONS),
-      partSuspicions: isShort ? [] : partQuarantine.createReport(now),
+      limits: isShort ? [] : limits.createReport(upstreams.list(), now, MAXIMUM_CARRIED_ITEMS),
+      suspicions: isShort ? [] : quarantine.list(now).slice(-MAXIMUM_CARRIED_ITEMS),
+      partSuspicions: isShort ? [] : partQuarantine.createReport(now).slice(0, MAXIMUM_CARRIED_ITEMS),
       loads: [],
       uses: [],
       windows: [],
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -170,7 +170,8 @@
     const startedAt = clock.now()
     this._stopping = true
     instrumentation.emit('stopping', { running: this._running.count })
-    this._gossip.sendReport()
+    if (this._access.tunnels.openTunnels > 0) this._gossip.sendReportToAll()
+    else this._gossip.sendReport()
     await this._context.sleepUntil(startedAt + STOP_ACCEPTING_MILLISECONDS)
     this._callerServer.server.close()
     this._callerServer.server.closeIdleConnections()
--- a/tests/platform/support/gatewayProcesses.ts
+++ b/tests/platform/support/gatewayProcesses.ts
@@ -101,11 +101,16 @@
     return `${this._network}.${number}`
   }
 
+  /** Number of gateways that a gateway counts as present, itself included; NaN while its metrics can't be read. */
+  async countPresent (number: number): Promise<number> {
+    const metrics = await fetchText(`http://${this._addressOf(number)}:${METRICS_PORT}/metrics`)
+    const [, present] = PRESENT_GATEWAYS.exec(metrics ?? '') ?? []
+    return Number(present)
+  }
+
   private async _waitForPeers (number: number): Promise<void> {
     for (;;) {
-      const metrics = await fetchText(`http://${this._addressOf(number)}:${METRICS_PORT}/metrics`)
-      const [, present] = PRESENT_GATEWAYS.exec(metrics ?? '') ?? []
-      if (Number(present) === this._count) return
+      if (await this.countPresent(number) === this._count) return
       await new Promise(resolve => setTimeout(resolve, READY_POLL_MILLISECONDS))
     }
   }
--- a/tests/serving/reportTopology.spec.ts
+++ b/tests/serving/reportTopology.spec.ts
@@ -77,6 +77,33 @@
     assert.ok(sent.at(-1)! / 10 <= 110, `${sent.at(-1)! / 10} reports a second from a relay`)
   })
 
+  // Guards against: gateways of two releases side by side do not know each other's load.
+  it('uses relays while a gateway of an earlier release is registered, and aggregation rounds afterwards', () => {
+    const network = ReportNetwork.create(30)
+    const earlier = network.gateways[20]
+    earlier.state.peers.self.aggregates = undefined
+    network.register([earlier])
+    setLocalRequests(network, 2)
+    network.run(3 * unresponsiveAfterMilliseconds(30))
+    for (const gateway of network.gateways) assert.equal(knownRequests(gateway), 60, gateway.name)
+    assert.ok(network.gateways.some(gateway => gateway.topology.isRelay(network.now)))
+    earlier.state.peers.self.aggregates = true
+    network.register(network.gateways)
+    network.run(3 * unresponsiveAfterMilliseconds(30))
+    for (const gateway of network.gateways) assert.equal(knownRequests(gateway), 60, gateway.name)
+    assert.ok(!network.gateways.some(gateway => gateway.topology.isRelay(network.now)))
+  })
+
+  it('counts on its share of the quota alone while a gateway of a large deployment hears no other', () => {
+    const network = ReportNetwork.create(72)
+    network.run(3000)
+    network.gateways[40].isCutOff = true
+    network.run(6000)
+    const { gateways, reachableShare } = network.gateways[40].state.peers.measureCoverage(network.now)
+    assert.equal(gateways, 1)
+    assert.ok(reachableShare <= 1 / 70, `${reachableShare}`)
+  })
+
   // Guards against: gateways that reported to each other while few were registered keep doing so for good.
   for (const count of [30, 89]) {
     it(`bounds the number of reports when ${count} gateways start one after the other`, () => {
