Give the exchange with peers a class of its own

Change: PeerExchange owns the tasks and their wiring; the gateway says what it needs of them. No behaviour changes.

--- /dev/null
+++ b/packages/serving/src/peers/peerExchange.ts
@@ -0,0 +1,145 @@
+/**
+ * Exchanges state with the other gateways: by reports, by aggregation rounds, and by snapshots of the deployment.
+ *
+ * @module
+ */
+import { getLogger } from '@plumstage/common'
+import type { CallContext, Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
+import { AggregationState } from '../aggregation/aggregationState.js'
+import { AggregationTask } from '../aggregation/aggregationTask.js'
+import type { AggregationStep } from '../aggregation/aggregationStep.js'
+import type { ViewChange } from '../deployment/deploymentView.js'
+import type { ServingState } from '../servingState.js'
+import { encodeReport } from './gatewayReport.js'
+import type { ReportedLinks } from './gatewayReport.js'
+import { GossipTask } from './gossipTask.js'
+import type { PeerSocket } from './peerSocket.js'
+import type { Peer } from './peerTable.js'
+import { ReportExchange } from './reportExchange.js'
+
+/** A gateway that has no configuration this long after its start pulls the deployment from peers. */
+const INITIAL_PULL_DELAY_MILLISECONDS = 400
+const PULL_RETRY_MILLISECONDS = 500
+
+/** Dependencies and callbacks of the exchange. */
+export interface PeerExchangeOptions {
+  name: string
+  failureDomain: string
+  state: ServingState
+  socket: PeerSocket
+  /** Cancelled when the gateway shuts down. */
+  context: CallContext
+  clock: Clock
+  timeOfDay: () => Timestamp
+  random: SeededRandom
+  instrumentation: Instrumentation
+  /** Whether this gateway reaches upstreams itself. */
+  links: () => ReportedLinks
+  /** Name of the gateway that holds the cloud duty; undefined when none does. */
+  dutyHolder: () => string | undefined
+  isStopping: () => boolean
+  onPeerLeaving: (address: string) => void
+  onChange: (change: ViewChange) => void
+}
+
+/** The exchange of one gateway with its peers. */
+export class PeerExchange {
+  private readonly _options: PeerExchangeOptions
+  private readonly _reports: ReportExchange
+  private readonly _gossip: GossipTask
+  private readonly _aggregation: AggregationTask
+  private readonly _log = getLogger('peers')
+
+  private constructor (options: PeerExchangeOptions) {
+    const { name, failureDomain, state, links, instrumentation: { incarnation } } = options
+    this._options = options
+    this._reports = ReportExchange.create({ name, incarnation, failureDomain }, state, links)
+    this._gossip = this._createGossip()
+    this._aggregation = this._createAggregation()
+  }
+
+  static create (options: PeerExchangeOptions): PeerExchange {
+    return new PeerExchange(options)
+  }
+
+  /** Whether a peer that is heard has sent more reports, and so has run longer. */
+  get hasSenior (): boolean {
+    const { state, clock } = this._options
+    return state.peers.listPresent(clock.now()).some(peer => peer.report.sequence > this._reports.sequence)
+  }
+
+  /** Starts the exchange; it ends with the context. */
+  start (): void {
+    void this._gossip.run()
+    this._aggregation.start(this._options.context)
+    void this._pullInitialDeployment()
+  }
+
+  /** Tells the peers that this gateway shuts down: all of them if some have tunnels open through it. */
+  announceStop (hasOpenTunnels: boolean): void {
+    if (hasOpenTunnels) this._gossip.sendReportToAll()
+    else this._gossip.sendReport()
+  }
+
+  private _createGossip (): GossipTask {
+    const { socket, context, clock, timeOfDay, instrumentation, state, dutyHolder, isStopping, onChange } = this._options
+    return GossipTask.create({
+      socket,
+      context,
+      clock,
+      instrumentation,
+      peers: state.peers,
+      view: state.view,
+      createReport: () => this._reports.createReport(isStopping(), clock.now(), timeOfDay()),
+      onAggregationStep: (step, sender) => this._aggregation.receive(step, sender),
+      createAggregate: address => this._reports.createAggregate(address, clock.now()),
+      dutyHolder,
+      isReportUrgent: () => state.isReportUrgent,
+      onReport: peer => this._applyReport(peer),
+      onPeersUnresponsive: peers => this._reports.clearLoads(peers),
+      onPeersExpired: peers => this._removeExpired(peers),
+      onChange
+    })
+  }
+
+  private _createAggregation (): AggregationTask {
+    const { state, clock, isStopping, instrumentation: { incarnation } } = this._options
+    return AggregationTask.create({
+      peers: state.peers,
+      state: AggregationState.create(state, incarnation),
+      run: incarnation,
+      clock,
+      isStopping,
+      send: (address, step) => this._sendStep(address, step)
+    })
+  }
+
+  private _sendStep (address: string, step: AggregationStep): void {
+    const { socket, clock, isStopping } = this._options
+    socket.sendReport(encodeReport(this._reports.createCarrier(step, isStopping(), clock.now())), address)
+  }
+
+  private _applyReport (peer: Peer): void {
+    this._reports.apply(peer, this._options.clock.now())
+    if (peer.report.leaving) this._options.onPeerLeaving(peer.address)
+  }
+
+  private _removeExpired (peers: readonly Peer[]): void {
+    this._reports.removePeers(peers)
+    for (const { report } of peers) {
+      this._options.instrumentation.emit('gateway-gone', { name: report.name })
+      this._log.info(`Gateway ${report.name} was removed after a long time without reports.`)
+    }
+  }
+
+  /** Pulls the deployment from peers when the gateway starts while the store is unavailable. */
+  private async _pullInitialDeployment (): Promise<void> {
+    const { clock, context, state, random } = this._options
+    await context.sleepUntil(clock.now() + INITIAL_PULL_DELAY_MILLISECONDS)
+    while (!context.cancelled && state.view.configuration === undefined) {
+      const address = random.pick(state.peers.listAddresses())
+      if (address !== undefined) await this._gossip.pull(address)
+      await context.sleepUntil(clock.now() + PULL_RETRY_MILLISECONDS)
+    }
+  }
+}
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -7,8 +7,6 @@
 import type { Clock, Instrumentation, SeededRandom, Timer, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
 import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
-import { AggregationState } from './aggregation/aggregationState.js'
-import { AggregationTask } from './aggregation/aggregationTask.js'
 import { RunningRequests } from './attempts/runningRequests.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
 import type { CallerProtocol } from './callers/callerProtocol.js'
@@ -24,12 +22,9 @@
 import { GatewayRegistry } from './peers/gatewayRegistry.js'
 import type { LimitSource } from './limits/upstreamLimits.js'
 import { GatewayAddresses } from './peers/gatewayAddresses.js'
-import { GossipTask } from './peers/gossipTask.js'
 import { MembershipTask } from './peers/membershipTask.js'
 import { PeerSocket } from './peers/peerSocket.js'
-import { encodeReport } from './peers/gatewayReport.js'
-import type { Peer } from './peers/peerTable.js'
-import { ReportExchange } from './peers/reportExchange.js'
+import { PeerExchange } from './peers/peerExchange.js'
 import { formatPart } from './recovery/promptPart.js'
 import type { ServingSettings } from './servingSettings.js'
 import { ServingState } from './servingState.js'
@@ -56,9 +51,6 @@
 const STOP_POLL_MILLISECONDS = 50
 /** The listeners for peers and metrics open this long after the start, so that a gateway that was killed serves callers first. */
 const INTERNAL_LISTENERS_DELAY_MILLISECONDS = 1000
-/** A gateway that has no configuration this long after its start pulls the deployment from peers. */
-const INITIAL_PULL_DELAY_MILLISECONDS = 400
-const PULL_RETRY_MILLISECONDS = 500
 
 /** External dependencies of a serving gateway. */
 export interface ServingEnvironment {
@@ -95,8 +87,7 @@
   private readonly _migrationTimers = new Map<Upstream, Timer>()
   private readonly _log = getLogger('serving')
   private readonly _listeners: Listener[] = []
-  private readonly _gossip: GossipTask
-  private readonly _aggregation: AggregationTask
+  private readonly _peerExchange: PeerExchange
   private readonly _socket: PeerSocket
   private readonly _softwareHistory: SoftwareHistory
   private readonly _softwareHistoryTask: SoftwareHistoryTask
@@ -104,7 +95,6 @@
   /** Undefined when the gateway does not call the cloud. */
   private readonly _duties: CloudDuties | undefined
   private _internalListenersOpened: Promise<void> = Promise.resolve()
-  private readonly _exchange: ReportExchange
   private readonly _registry: GatewayRegistry
   private _stopping = false
 
@@ -120,15 +110,13 @@
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, reconsiderPaths: () => this._reconsiderPaths() })
-    this._exchange = ReportExchange.create({ name: settings.name, incarnation: instrumentation.incarnation, failureDomain: settings.failureDomain }, this.state, () => this._access.linkState)
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
     const addresses = GatewayAddresses.create(this.state.peers)
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
     this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
     this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
     this._duties = this._createDuties()
-    this._gossip = this._createGossip()
-    this._aggregation = this._createAggregation()
+    this._peerExchange = this._createPeerExchange()
     this._deploymentTask = this._createDeploymentTask()
     this._callerServer = this._createCallerServer()
   }
@@ -170,8 +158,7 @@
     const startedAt = clock.now()
     this._stopping = true
     instrumentation.emit('stopping', { running: this._running.count })
-    if (this._access.tunnels.openTunnels > 0) this._gossip.sendReportToAll()
-    else this._gossip.sendReport()
+    this._peerExchange.announceStop(this._access.tunnels.openTunnels > 0)
     await this._context.sleepUntil(startedAt + STOP_ACCEPTING_MILLISECONDS)
     this._callerServer.server.close()
     this._callerServer.server.closeIdleConnections()
@@ -233,51 +220,36 @@
     this._environment.instrumentation.emit('upstream-limit-changed', { upstream: listed.id, service: listed.service, requestsPerSecond: limit.requestsPerSecond, source })
   }
 
-  private _createGossip (): GossipTask {
-    const { clock, instrumentation } = this._environment
-    return GossipTask.create({
+  private _createPeerExchange (): PeerExchange {
+    const { clock, timeOfDay, random, instrumentation } = this._environment
+    const { name, failureDomain } = this._settings
+    return PeerExchange.create({
+      name,
+      failureDomain,
+      state: this.state,
       socket: this._socket,
       context: this._context,
       clock,
+      timeOfDay,
+      random,
       instrumentation,
-      peers: this.state.peers,
-      view: this.state.view,
-      createReport: () => this._exchange.createReport(this._stopping, clock.now(), this._environment.timeOfDay()),
-      onAggregationStep: (step, sender) => this._aggregation.receive(step, sender),
-      createAggregate: address => this._exchange.createAggregate(address, clock.now()),
+      links: () => this._access.linkState,
       dutyHolder: () => this._registry.dutyHolder,
-      isReportUrgent: () => this.state.isReportUrgent,
-      onReport: peer => this._applyReport(peer),
-      onPeersUnresponsive: peers => this._exchange.clearLoads(peers),
-      onPeersExpired: peers => this._removeExpiredPeers(peers),
+      isStopping: () => this._stopping,
+      onPeerLeaving: address => this._access.retirePeer(address),
       onChange: change => this._applyChange(change)
     })
   }
 
-  private _createAggregation (): AggregationTask {
-    const { clock, instrumentation: { incarnation } } = this._environment
-    const isStopping = (): boolean => this._stopping
-    return AggregationTask.create({
-      peers: this.state.peers,
-      state: AggregationState.create(this.state, incarnation),
-      run: incarnation,
-      clock,
-      isStopping,
-      send: (address, step) => this._socket.sendReport(encodeReport(this._exchange.createCarrier(step, isStopping(), clock.now())), address)
-    })
-  }
-
   private _startTasks (): void {
     const { store, clock, leaseClock, instrumentation } = this._environment
     const { name, peerSeeds } = this._settings
     for (const seed of peerSeeds) this.state.peers.addKnownAddress(seed, clock.now())
     void this._deploymentTask.run(this._context)
-    void this._gossip.run()
-    this._aggregation.start(this._context)
+    this._peerExchange.start()
     void this._access.run(this._context)
     void this._softwareHistoryTask.run(this._context)
     this._internalListenersOpened = this._openInternalListeners()
-    void this._pullInitialDeployment()
     void this._expireEntries()
     void MembershipTask.create({ store, key: this._keys.gatewayKey(name), registration: this.state.peers.self, clock: leaseClock, instrumentation }).run(this._context)
     this._duties?.run(this._context)
@@ -312,26 +284,10 @@
     }
   }
 
-  private _applyReport (peer: Peer): void {
-    this._exchange.apply(peer, this._environment.clock.now())
-    if (peer.report.leaving) this._access.retirePeer(peer.address)
-  }
-
   private _reconsiderPaths (): void {
     for (const task of this._running.list()) task.reconsiderPath()
   }
 
-  /** Pulls the deployment from peers when the gateway starts while the store is unavailable. */
-  private async _pullInitialDeployment (): Promise<void> {
-    const { clock } = this._environment
-    await this._context.sleepUntil(clock.now() + INITIAL_PULL_DELAY_MILLISECONDS)
-    while (!this._context.cancelled && this.state.view.configuration === undefined) {
-      const address = this._environment.random.pick(this.state.peers.listAddresses())
-      if (address !== undefined) await this._gossip.pull(address)
-      await this._context.sleepUntil(clock.now() + PULL_RETRY_MILLISECONDS)
-    }
-  }
-
   /** Removes upstreams whose entries were retained after an outage of the store and were not written again. */
   private async _expireEntries (): Promise<void> {
     const { clock } = this._environment
@@ -378,16 +334,7 @@
 
   /** Whether to try to acquire the cloud duty now. */
   private _seeksDuty (): boolean {
-    const hasSenior = this.state.peers.listPresent(this._environment.clock.now()).some(peer => peer.report.sequence > this._exchange.sequence)
-    return !this._stopping && this._registry.isDutyOpenTo(hasSenior ? 'junior' : 'senior')
-  }
-
-  private _removeExpiredPeers (peers: readonly Peer[]): void {
-    this._exchange.removePeers(peers)
-    for (const { report } of peers) {
-      this._environment.instrumentation.emit('gateway-gone', { name: report.name })
-      this._log.info(`Gateway ${report.name} was removed after a long time without reports.`)
-    }
+    return !this._stopping && this._registry.isDutyOpenTo(this._peerExchange.hasSenior ? 'junior' : 'senior')
   }
 }
 
