Show in logs and metrics whose aggregation rounds a gateway follows, and how old their sums are

Cause: an operator could not tell a divided deployment, or a gateway that no round reaches, from one that refuses for other reasons.

--- a/packages/serving/src/aggregation/aggregationNode.ts
+++ b/packages/serving/src/aggregation/aggregationNode.ts
@@ -121,6 +121,11 @@
     return new AggregationNode(options, now)
   }
 
+  /** Identity of the gateway whose rounds this one follows, and of its run; empty before the first round. */
+  get root (): string {
+    return this._followed.root
+  }
+
   /** When `advance` has to be called next, if nothing is received before. */
   get nextActionAt (): Timestamp {
     const startsAt = Math.max(this._nextRoundAt, this._takeoverAt)
--- a/packages/serving/src/aggregation/aggregationState.ts
+++ b/packages/serving/src/aggregation/aggregationState.ts
@@ -47,13 +47,14 @@
     quotas.applyAggregated(others, now)
   }
 
-  /** Stops using sums that are outdated because no round reaches this gateway. */
-  expire (now: Timestamp): void {
+  /** Stops using sums that are outdated because no round reaches this gateway; returns whether it used any until now. */
+  expire (now: Timestamp): boolean {
     const { peers, upstreams, quotas } = this._state
-    if (!this._hasTotals || peers.currentTotals(now)) return
+    if (!this._hasTotals || peers.currentTotals(now)) return false
     this._hasTotals = false
     for (const upstream of upstreams.list()) upstream.setAggregatedPeerLoad(undefined)
     quotas.follow('direct')
+    return true
   }
 
   private _listLoads (): Map<NameHash, LoadSum> {
--- a/packages/serving/src/aggregation/aggregationTask.ts
+++ b/packages/serving/src/aggregation/aggregationTask.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { CallContext, Clock, Timer } from '@plumstage/common'
+import type { CallContext, Clock, Instrumentation, Timer } from '@plumstage/common'
 import type { PeerTable } from '../peers/peerTable.js'
 import { AggregationNode } from './aggregationNode.js'
 import type { AggregationAction } from './aggregationNode.js'
@@ -18,6 +18,7 @@
   /** Identity of this run of the process. */
   run: string
   clock: Clock
+  instrumentation: Instrumentation
   isStopping: () => boolean
   send: (address: string, step: AggregationStep) => void
 }
@@ -31,6 +32,7 @@
   private _treeVersion = -1
   private _timer: Timer | undefined
   private _context: CallContext | undefined
+  private _loggedRoot = ''
 
   private constructor (options: AggregationTaskOptions) {
     const { peers, state, run, clock, isStopping } = options
@@ -60,8 +62,8 @@
   }
 
   private _advance (): void {
-    const { clock, state } = this._options
-    state.expire(clock.now())
+    const { clock, state, instrumentation, peers } = this._options
+    if (state.expire(clock.now())) instrumentation.emit('aggregation-lost', { gateways: peers.listRegistrations().length })
     this._execute(this._node.advance(clock.now()))
   }
 
@@ -71,9 +73,17 @@
       if (action.kind === 'send') send(action.address, action.step)
       else state.apply(action.others, action.gateways, clock.now())
     }
+    this._logRoot()
     this._schedule()
   }
 
+  private _logRoot (): void {
+    const { instrumentation, peers } = this._options
+    if (this._node.root === this._loggedRoot) return
+    this._loggedRoot = this._node.root
+    instrumentation.emit('aggregation-root-changed', { root: this._loggedRoot, gateways: peers.listRegistrations().length })
+  }
+
   private _schedule (): void {
     this._timer?.cancel()
     if (this._context && !this._context.cancelled) this._timer = this._options.clock.schedule(this._node.nextActionAt, () => this._advance())
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -17,6 +17,8 @@
   upstreamsRevision: () => number
   storeEra: () => number
   presentGateways: () => number
+  /** Age of the sums over all gateways in milliseconds; NaN while none are used. */
+  aggregateAgeMilliseconds: () => number
   limitedUpstreams: () => number
   quarantinedParts: () => number
   areLinksLost: () => boolean
@@ -57,6 +59,7 @@
     this._registry.addGauge('plumstage_upstreams_revision', 'Store revision of the last known change to the list of upstreams.', sources.upstreamsRevision)
     this._registry.addGauge('plumstage_store_era', 'Era of the store that this gateway knows: how often the store has come back from a copy; 0 when it does not state that.', sources.storeEra)
     this._registry.addGauge('plumstage_present_gateways', 'Gateways that are heard, this one included.', sources.presentGateways)
+    this._registry.addGauge('plumstage_aggregate_age_seconds', 'Time since the last sums over all gateways arrived; NaN while none are used.', () => sources.aggregateAgeMilliseconds() / MILLISECONDS_PER_SECOND)
     this._registry.addGauge('plumstage_limited_upstreams', 'Upstreams that state a request limit, as known to this gateway.', sources.limitedUpstreams)
     this._registry.addGauge('plumstage_quarantined_prompt_parts', 'Parts of prompts that are rejected because upstreams crashed when they began to respond to them.', sources.quarantinedParts)
     this._registry.addGauge('plumstage_upstream_links_lost', 'Whether this gateway reaches no upstream itself.', () => Number(sources.areLinksLost()))
--- a/packages/serving/src/peers/peerExchange.ts
+++ b/packages/serving/src/peers/peerExchange.ts
@@ -103,12 +103,14 @@
   }
 
   private _createAggregation (): AggregationTask {
-    const { state, clock, isStopping, instrumentation: { incarnation } } = this._options
+    const { state, clock, isStopping, instrumentation } = this._options
+    const { incarnation } = instrumentation
     return AggregationTask.create({
       peers: state.peers,
       state: AggregationState.create(state, incarnation),
       run: incarnation,
       clock,
+      instrumentation,
       isStopping,
       send: (address, step) => this._sendStep(address, step)
     })
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -271,6 +271,7 @@
         upstreamsRevision: () => this.state.view.upstreamsRevision,
         storeEra: () => this.state.view.upstreamsPosition.era,
         presentGateways: () => this.state.peers.countPresent(clock.now()),
+        aggregateAgeMilliseconds: () => clock.now() - (this.state.peers.currentTotals(clock.now())?.receivedAt ?? Number.NaN),
         areLinksLost: () => this._access.linkState === 'lost',
         openTunnels: () => this._access.tunnels.openTunnels,
         quarantinedParts: () => this.state.partQuarantine.countQuarantined(clock.now()),
