Give no new requests to upstreams that state in their responses that they are leaving

Cause: nothing read Server-Leaving. Change: the statement is decoded in platform/ with the head of any response that belongs to the attempt and is signed or refuses it, and holds as long as the upstream's incarnation, also when its entry lapses and returns. A late response of an earlier incarnation changes nothing. The planner counts such an upstream as leaving. UpstreamStatements holds this and the limits, out of requestTask. Peers are not told; the rule binds the gateway that has passed it on.

--- a/packages/serving/src/attempts/attemptLog.ts
+++ b/packages/serving/src/attempts/attemptLog.ts
@@ -105,6 +105,11 @@
     this._instrumentation.emit('request-ended', { ...ended, route: route.name, service: service.name, workspace, quotaUnits, allowedMilliseconds, upstream: upstream?.listed.id }, this._head.requestId)
   }
 
+  /** The upstream has stated for the first time that it is leaving. */
+  recordLeaving ({ listed }: Upstream): void {
+    this._instrumentation.emit('upstream-stated-leaving', { upstream: listed.id, service: listed.service, listedState: listed.state }, this._head.requestId)
+  }
+
   /** Only a statement that can't be read has a line. */
   recordStatement (upstream: Upstream, statement: LimitStatement): void {
     if (statement.kind !== 'unreadable') return
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -7,7 +7,6 @@
 import type { CallerExchange } from '../callers/callerExchange.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
-import type { LimitStatement } from '../limits/statedLimit.js'
 import type { UpstreamAccess } from '../links/upstreamAccess.js'
 import type { UpstreamPath } from '../links/upstreamPath.js'
 import type { StreamOriginTask } from '../streams/streamOriginTask.js'
@@ -29,6 +28,7 @@
 import { UpstreamChoice } from './upstreamChoice.js'
 import type { AttemptOutcome, AttemptReceiver, ReceiveDecision } from './upstreamAttempt.js'
 import type { ResponseHeaders, UpstreamProtocol } from './upstreamProtocol.js'
+import { UpstreamStatements } from './upstreamStatements.js'
 
 const FIRST_SERVER_ERROR_STATUS = 500
 const FIRST_REDIRECT_STATUS = 300
@@ -62,6 +62,7 @@
   private readonly _crashes: CrashTracking
   private readonly _refusal: DispatchRefusal
   private readonly _log: AttemptLog
+  private readonly _statements: UpstreamStatements
   private readonly _choice: UpstreamChoice
   private readonly _retries: RetryAllowance
   private _attempt: UpstreamAttempt | undefined
@@ -87,6 +88,7 @@
     this._retries = RetryAllowance.create(services, request)
     this._refusal = DispatchRefusal.create(services, request, this._continuity, this._crashes)
     this._log = AttemptLog.create(services.instrumentation, request.head)
+    this._statements = UpstreamStatements.create(services.state, services.clock, this._log)
     this._progress = { route: request.route, attempts: 0, mayHaveRun: false, started: false }
   }
 
@@ -131,8 +133,7 @@
     const matchesRequest = head.requestId === this._request.head.requestId
     if (head.requestId !== undefined && !matchesRequest) return fail('broken', `the response belongs to request ${head.requestId}`)
     if (head.otherInstance) return fail('other-instance', 'the address belongs to another instance')
-    // A refusal may state a limit, but one without a limit does not end it.
-    if (matchesRequest && (head.signed || (head.notRun && head.limit.kind !== 'none'))) this._applyLimit(head.limit)
+    if (matchesRequest) this._statements.apply(head, this._upstream!, this._attemptStartedAt)
     if (head.notRun) return fail('not-run', `the upstream refused the request with status ${status}`)
     if (status < FIRST_REDIRECT_STATUS && !(matchesRequest && head.signed)) return fail('broken', 'the response is not signed for this request')
     if (!head.signed) return fail('broken', `the response with status ${status} is not signed by the upstream`)
@@ -341,12 +342,6 @@
     this._log.recordEnded(this._request, { outcome, status, attempts, events, firstEventMilliseconds: this._firstEventMilliseconds, milliseconds: this._elapsedMilliseconds(), upstream: this._upstream, configurationRevision })
   }
 
-  private _applyLimit (statement: LimitStatement): void {
-    const { clock, state } = this._services
-    this._log.recordStatement(this._upstream!, statement)
-    state.limits.applyResponse(this._upstream!, statement, this._attemptStartedAt, clock.now())
-  }
-
   private get _attemptKind (): AttemptKind {
     if (this._relay.lastEventId !== undefined) return 'continuation'
     return this._choice.hasFailed ? 'retry' : 'first'
--- a/packages/serving/src/attempts/upstreamProtocol.ts
+++ b/packages/serving/src/attempts/upstreamProtocol.ts
@@ -36,6 +36,8 @@
   signed: boolean
   /** What the upstream states about the requests per second that it accepts from all gateways together. */
   limit: LimitStatement
+  /** Whether the upstream states that it is leaving and wants no new requests. */
+  leaving: boolean
 }
 
 /** Encodes requests to upstreams and decodes the heads of their responses. */
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -114,12 +114,12 @@
 
   private _countUpstreams (service: string): FleetCount[] {
     const counts = new Map<string, FleetCount>()
-    for (const { listed } of this._options.state.upstreams.listOfService(service)) {
+    for (const { listed, isLeaving } of this._options.state.upstreams.listOfService(service)) {
       const { failureDomain, reclaimable } = listed
       const key = `${failureDomain}/${reclaimable}`
       const count = counts.get(key) ?? { failureDomain, reclaimable, serving: 0, leaving: 0 }
       counts.set(key, count)
-      if (listed.state === 'ready') count.serving++
+      if (!isLeaving) count.serving++
       else count.leaving++
     }
     return [...counts.values()]
--- a/packages/serving/src/upstreams/upstreamTable.ts
+++ b/packages/serving/src/upstreams/upstreamTable.ts
@@ -10,6 +10,8 @@
 import type { ListedUpstream } from './listedUpstream.js'
 import { UpstreamHealth } from './upstreamHealth.js'
 
+const MAXIMUM_LEAVING_INCARNATIONS = 10_000
+
 /** Load of an upstream. */
 export interface UpstreamLoad {
   requests: number
@@ -28,6 +30,8 @@
   leavesAt: Timestamp | undefined
   /** When it reaches its full speed after its start. */
   warmUpEndsAt: Timestamp = 0
+  /** Whether it has stated in a response that it is leaving. */
+  hasStatedLeaving = false
   private _listed: ListedUpstream
   private readonly _peerLoads = new Map<string, UpstreamLoad>()
   private readonly _peerTotal: UpstreamLoad = { requests: 0, waitingTokens: 0 }
@@ -53,7 +57,7 @@
   }
 
   get isLeaving (): boolean {
-    return this._listed.state === 'leaving'
+    return this.hasStatedLeaving || this._listed.state === 'leaving'
   }
 
   /** Requests of all gateways, as far as they are known. */
@@ -98,8 +102,15 @@
   return known.incarnation === listed.incarnation && known.address === listed.address && known.softwareVersion === listed.softwareVersion
 }
 
+/** An upstream that starts again under its id is another incarnation. */
+function incarnationKeyOf ({ id, incarnation }: ListedUpstream): string {
+  return `${id}/${incarnation}`
+}
+
 /** All upstreams by id. */
 export class UpstreamTable {
+  /** Incarnations that have stated that they are leaving, the latest last; kept while their entries may lapse and return. */
+  private readonly _leavingIncarnations = new Set<string>()
   private readonly _upstreams = new Map<string, Upstream>()
   private _byService = new Map<string, Upstream[]>()
 
@@ -144,12 +155,28 @@
         continue
       }
       if (known) removed.push(known)
-      this._upstreams.set(entry.id, Upstream.create(entry, now))
+      this._upstreams.set(entry.id, this._createUpstream(entry, now))
     }
     this._indexByService()
     return removed
   }
 
+  /** Records that an upstream has stated that it is leaving; returns whether that is new. It holds as long as its incarnation. */
+  recordLeaving (upstream: Upstream): boolean {
+    if (upstream.hasStatedLeaving) return false
+    upstream.hasStatedLeaving = true
+    this._leavingIncarnations.add(incarnationKeyOf(upstream.listed))
+    const [oldest] = this._leavingIncarnations
+    if (this._leavingIncarnations.size > MAXIMUM_LEAVING_INCARNATIONS) this._leavingIncarnations.delete(oldest)
+    return true
+  }
+
+  private _createUpstream (entry: ListedUpstream, now: Timestamp): Upstream {
+    const upstream = Upstream.create(entry, now)
+    upstream.hasStatedLeaving = this._leavingIncarnations.has(incarnationKeyOf(entry))
+    return upstream
+  }
+
   private _indexByService (): void {
     this._byService = new Map()
     for (const upstream of this._upstreams.values()) {
--- a/tests/platform/upstreamAdapter.spec.ts
+++ b/tests/platform/upstreamAdapter.spec.ts
@@ -8,6 +8,13 @@
 }
 
 describe('upstream adapter', () => {
+  it('reads whether an upstream states that it is leaving', () => {
+    const readLeaving = (value: string | string[] | undefined): boolean => UpstreamAdapter.create().readHead(200, { 'server-leaving': value }).leaving
+    assert.equal(readLeaving('1'), true)
+    assert.equal(readLeaving(['0', ' 1 ']), true)
+    for (const value of [undefined, '', '0', 'yes', '-1', '11']) assert.equal(readLeaving(value), false)
+  })
+
   it('reads the request limit of a response', () => {
     assert.deepEqual(readLimit(undefined), { kind: 'none' })
     assert.deepEqual(readLimit('1'), { kind: 'limit', requestsPerSecond: 1 })
