Apply what a report brings before its step of an aggregation round is passed on

Cause: a gateway that got a partial sum answered its parent before it had applied the suspicions in the same datagram, so that crash evidence rose one level of the tree in each round. Change: the report is applied first.

--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -142,10 +142,15 @@
     const report = decodeReport(bytes)
     if (report.isErr()) return this._log.warn(`${sender}: ${report.error.message}`)
     const { clock, peers, onAggregationStep } = this._options
-    if (report.value.aggregation) onAggregationStep(report.value.aggregation, sender)
     const peer = peers.apply(report.value, sender, clock.now())
-    if (!peer) return
-    for (const address of report.value.knownAddresses) peers.addKnownAddress(address, clock.now())
+    if (peer) this._apply(peer)
+    // The step may be passed on at once, with what the report that carries it has brought.
+    if (report.value.aggregation) onAggregationStep(report.value.aggregation, sender)
+  }
+
+  private _apply (peer: Peer): void {
+    const { clock, peers } = this._options
+    for (const address of peer.report.knownAddresses) peers.addKnownAddress(address, clock.now())
     this._options.onReport(peer)
     this._pullIfBehind(peer)
   }
--- a/tests/support/reportNetwork.ts
+++ b/tests/support/reportNetwork.ts
@@ -157,9 +157,9 @@
     const recipient = this.gateways.find(gateway => gateway.address === address)
     if (!recipient?.isUp || recipient.isCutOff || sender.isCutOff) return
     const report = decodeReport(bytes)._unsafeUnwrap()
-    if (report.aggregation) this._execute(recipient, recipient.node.receive(report.aggregation, sender.address, this.now))
     const peer = recipient.state.peers.apply(report, sender.address, this.now)
     if (peer) recipient.exchange.apply(peer, this.now)
+    if (report.aggregation) this._execute(recipient, recipient.node.receive(report.aggregation, sender.address, this.now))
   }
 }
 
