Send nothing to upstreams that refuse a request with a time to wait, until that time has passed

Cause: nothing read Retry-After of an upstream's 503. Change: the time is decoded with the head, bounded to a minute, and kept as a deadline; such upstreams are no candidates for any attempt, and when all of a service wait the caller is rejected at once with the earliest end.

--- a/packages/serving/src/attempts/attemptLog.ts
+++ b/packages/serving/src/attempts/attemptLog.ts
@@ -110,6 +110,10 @@
     this._instrumentation.emit('upstream-stated-leaving', { upstream: listed.id, service: listed.service, listedState: listed.state }, this._head.requestId)
   }
 
+  recordRetryAfter ({ listed }: Upstream, milliseconds: number): void {
+    this._instrumentation.emit('upstream-asked-to-wait', { upstream: listed.id, service: listed.service, milliseconds: Math.round(milliseconds) }, this._head.requestId)
+  }
+
   /** Only a statement that can't be read has a line. */
   recordStatement (upstream: Upstream, statement: LimitStatement): void {
     if (statement.kind !== 'unreadable') return
--- a/packages/serving/src/attempts/dispatchRefusal.ts
+++ b/packages/serving/src/attempts/dispatchRefusal.ts
@@ -36,7 +36,7 @@
 
   /** Returns the rejection of a request that no upstream may get now, and that none has executed. */
   explainMissingUpstream (): Rejection {
-    return this._checkQuarantine() ?? this._checkLimits() ?? this._checkSoftware() ??
+    return this._checkQuarantine() ?? this._checkWait() ?? this._checkLimits() ?? this._checkSoftware() ??
       createRejection('no-upstream', `Service ${this._service} has no available upstream, and the request was not executed. Send it again after the indicated delay.`, RETRY_AFTER_NO_UPSTREAM_MILLISECONDS)
   }
 
@@ -61,6 +61,14 @@
     return createRejection('overloaded', `The upstreams of service ${this._service} are overloaded and would start the request too late for its deadline; it was not executed. Send it again after the indicated delay.`, decision.retryAfterMilliseconds)
   }
 
+  private _checkWait (): Rejection | undefined {
+    const { clock, state } = this._services
+    const now = clock.now()
+    const retryAt = state.nextRetryAt(this._service, this._continuity.required, now)
+    if (retryAt === undefined) return undefined
+    return createRejection('upstreams-busy', `All upstreams of service ${this._service} are busy and have asked to wait, and the request was not executed. Send it again after the indicated delay.`, retryAt - now)
+  }
+
   private _checkLimits (): Rejection | undefined {
     const { clock, state } = this._services
     const now = clock.now()
--- a/packages/serving/src/attempts/upstreamProtocol.ts
+++ b/packages/serving/src/attempts/upstreamProtocol.ts
@@ -38,6 +38,8 @@
   limit: LimitStatement
   /** Whether the upstream states that it is leaving and wants no new requests. */
   leaving: boolean
+  /** Time for which the upstream, which has refused the request, wants no others from this gateway; undefined if it names none. */
+  retryAfterMilliseconds?: number
 }
 
 /** Encodes requests to upstreams and decodes the heads of their responses. */
--- a/packages/serving/src/attempts/upstreamStatements.ts
+++ b/packages/serving/src/attempts/upstreamStatements.ts
@@ -1,6 +1,6 @@
 /**
- * Applies what upstreams state about themselves in the heads of their responses: that they are leaving, and the limits
- * of the requests that they accept.
+ * Applies what upstreams state about themselves in the heads of their responses: that they are leaving, for how long they
+ * want no requests, and the limits of those that they accept.
  *
  * @module
  */
@@ -30,6 +30,7 @@
   apply (head: ResponseHead, upstream: Upstream, sentAt: Timestamp): void {
     if (!head.signed && !head.notRun) return
     if (head.leaving && this._state.upstreams.recordLeaving(upstream)) this._log.recordLeaving(upstream)
+    if (head.retryAfterMilliseconds !== undefined && upstream.recordRetryAfter(this._clock.now() + head.retryAfterMilliseconds)) this._log.recordRetryAfter(upstream, head.retryAfterMilliseconds)
     // A refusal may state a limit, but one without a limit does not end it.
     if (!head.signed && head.limit.kind === 'none') return
     this._log.recordStatement(upstream, head.limit)
--- a/packages/serving/src/callers/rejection.ts
+++ b/packages/serving/src/callers/rejection.ts
@@ -17,6 +17,7 @@
   | 'no-upstream'
   | 'overloaded'
   | 'upstreams-limited'
+  | 'upstreams-busy'
   /** It is not known which software began the stream that the caller resumes. */
   | 'stream-origin-unknown'
   /** No upstream runs the software that began the stream that the caller resumes. */
@@ -38,6 +39,7 @@
   'no-upstream': 503,
   overloaded: 503,
   'upstreams-limited': 503,
+  'upstreams-busy': 503,
   'stream-origin-unknown': 503,
   'stream-software-gone': 503,
   quarantined: 503,
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -102,6 +102,11 @@
     return this.upstreams.listAvailable(service, now, upstream => runs(upstream, software)).length > 0 && this.listUsable(service, software, now).length === 0
   }
 
+  /** When the first upstream of a service, and of `software` if it is set, wants requests again; undefined unless all have asked to wait. */
+  nextRetryAt (service: string, software: SoftwareId | undefined, now: Timestamp): Timestamp | undefined {
+    return this.upstreams.nextRetryAt(service, now, upstream => runs(upstream, software))
+  }
+
   /** Chooses when a caller that was rejected for the limits of upstreams may return; the delay in milliseconds. */
   bookReturn (service: string, software: SoftwareId | undefined, now: Timestamp): number {
     const schedule = this._returnSchedules.get(service) ?? ReturnSchedule.create(this._random)
--- a/packages/serving/src/upstreams/upstreamTable.ts
+++ b/packages/serving/src/upstreams/upstreamTable.ts
@@ -32,6 +32,7 @@
   warmUpEndsAt: Timestamp = 0
   /** Whether it has stated in a response that it is leaving. */
   hasStatedLeaving = false
+  private _retryAt: Timestamp = 0
   private _listed: ListedUpstream
   private readonly _peerLoads = new Map<string, UpstreamLoad>()
   private readonly _peerTotal: UpstreamLoad = { requests: 0, waitingTokens: 0 }
@@ -60,6 +61,18 @@
     return this.hasStatedLeaving || this._listed.state === 'leaving'
   }
 
+  /** Until when it wants no requests from this gateway. */
+  get retryAt (): Timestamp {
+    return this._retryAt
+  }
+
+  /** Records until when it wants no requests; returns whether that is later than before. */
+  recordRetryAfter (retryAt: Timestamp): boolean {
+    if (retryAt <= this._retryAt) return false
+    this._retryAt = retryAt
+    return true
+  }
+
   /** Requests of all gateways, as far as they are known. */
   get requests (): number {
     return this.localLoad.requests + (this._aggregatedPeerLoad ?? this._peerTotal).requests
@@ -134,11 +147,21 @@
    * Upstreams that may get new requests now and that `accepts` selects; suspended ones only when there are no others.
    */
   listAvailable (service: string, now: Timestamp, accepts: (upstream: Upstream) => boolean = () => true): readonly Upstream[] {
-    const present = this.listOfService(service).filter(upstream => !upstream.isLeaving && accepts(upstream))
+    const present = this.listOfService(service).filter(upstream => !upstream.isLeaving && upstream.retryAt <= now && accepts(upstream))
     const healthy = present.filter(upstream => !upstream.health.isSuspended(now))
     return healthy.length > 0 ? healthy : present
   }
 
+  /**
+   * When the first of the upstreams that `accepts` selects wants requests again; undefined unless all of them have asked
+   * this gateway to wait.
+   */
+  nextRetryAt (service: string, now: Timestamp, accepts: (upstream: Upstream) => boolean): Timestamp | undefined {
+    const present = this.listOfService(service).filter(upstream => !upstream.isLeaving && accepts(upstream))
+    const earliest = Math.min(...present.map(({ retryAt }) => retryAt))
+    return present.length > 0 && earliest > now ? earliest : undefined
+  }
+
   /** Replaces the list; returns the incarnations that are no longer in it. */
   apply (listed: readonly ListedUpstream[], now: Timestamp): Upstream[] {
     const removed: Upstream[] = []
--- a/tests/platform/upstreamAdapter.spec.ts
+++ b/tests/platform/upstreamAdapter.spec.ts
@@ -15,6 +15,15 @@
     for (const value of [undefined, '', '0', 'yes', '-1', '11']) assert.equal(readLeaving(value), false)
   })
 
+  it('reads how long an upstream that refuses a request wants no others', () => {
+    const readDelay = (status: number, value: string | string[] | undefined): number | undefined => UpstreamAdapter.create().readHead(status, { 'retry-after': value }).retryAfterMilliseconds
+    assert.equal(readDelay(503, '1.5'), 1500)
+    assert.equal(readDelay(503, ['1', '3, x']), 3000)
+    assert.equal(readDelay(503, '999999999'), 60_000)
+    for (const value of [undefined, '', '-4', 'soon', 'Infinity']) assert.equal(readDelay(503, value), undefined)
+    assert.equal(readDelay(429, '2'), undefined)
+  })
+
   it('reads the request limit of a response', () => {
     assert.deepEqual(readLimit(undefined), { kind: 'none' })
     assert.deepEqual(readLimit('1'), { kind: 'limit', requestsPerSecond: 1 })
