Begin aggregation rounds at one root, and use sums also where few gateways are known

Cause: while rounds are not wanted, a gateway noticed only each few seconds that there is nothing to hear, so that several took themselves for the root when the deployment grew beyond 16. A gateway that starts while the store is down knows few others and ignored the sums. Change: the silence of a root counts only from when rounds are wanted; sums are ignored only while relays are in use.

--- a/packages/serving/src/aggregation/aggregationNode.ts
+++ b/packages/serving/src/aggregation/aggregationNode.ts
@@ -160,7 +160,7 @@
 
   /** When this gateway starts rounds itself unless it hears those of another one. */
   private get _takeoverAt (): Timestamp {
-    if (this._followed.root === this._self) return Number.NEGATIVE_INFINITY
+    if (this._followed.root === this._self || !this._options.startsRounds()) return Number.NEGATIVE_INFINITY
     const position = this._options.tree().positionOf(this._options.address)
     if (position === 0) return Number.NEGATIVE_INFINITY
     return this._followed.heardAt + ROOT_SILENCE_MILLISECONDS + position * TAKEOVER_STEP_MILLISECONDS
@@ -168,7 +168,10 @@
 
   private _startRound (now: Timestamp): void {
     this._nextRoundAt = now + ROUND_MILLISECONDS
-    if (!this._options.startsRounds()) return
+    if (!this._options.startsRounds()) {
+      this._followed.heardAt = now
+      return
+    }
     const tree = this._options.tree()
     if (this._followed.root !== this._self) this._follow(this._self, tree.positionOf(this._options.address), now)
     this._followed.heardAt = now
--- a/packages/serving/src/aggregation/aggregationState.ts
+++ b/packages/serving/src/aggregation/aggregationState.ts
@@ -37,10 +37,13 @@
     }
   }
 
-  /** Applies the sums over all other gateways. */
+  /**
+   * Applies the sums over all other gateways. One that knows only a few of them, because it has started while the store is
+   * down, starts no rounds, but uses the sums.
+   */
   apply (others: Aggregate, gateways: number, now: Timestamp): void {
     const { peers, upstreams, quotas } = this._state
-    if (peers.reportMode !== 'rounds') return
+    if (peers.reportMode === 'relays') return
     this._hasTotals = true
     peers.setTotals({ gateways, others, receivedAt: now })
     for (const upstream of upstreams.list()) upstream.setAggregatedPeerLoad(others.loads.get(hashName(upstream.listed.id)) ?? { requests: 0, waitingTokens: 0 })
--- a/tests/serving/aggregationNode.spec.ts
+++ b/tests/serving/aggregationNode.spec.ts
@@ -119,6 +119,20 @@
     assert.ok(mean >= 0.9 * 195, `${mean} gateways on average`)
   })
 
+  // Guards against: all gateways start rounds of their own when the deployment has grown beyond a mesh.
+  it('begin at one root when they begin at all gateways at the same time', () => {
+    const network = AggregationNetwork.create(60)
+    network.startsRounds = false
+    network.run(5000)
+    assert.ok(network.gateways.every(({ sentBytes }) => sentBytes === 0))
+    network.startsRounds = true
+    const roots = new Set<string>()
+    network.run(2000, () => { for (const { node } of network.gateways) roots.add(node.root) })
+    assert.deepEqual(new Set(network.gateways.map(({ gateways }) => gateways)), new Set([60]))
+    roots.delete('')
+    assert.equal(roots.size, 1)
+  })
+
   it('leave out the own state of each gateway', () => {
     const network = AggregationNetwork.create(40)
     network.gateways.forEach((gateway, index) => { gateway.requests = index })
--- a/tests/support/aggregationNetwork.ts
+++ b/tests/support/aggregationNetwork.ts
@@ -50,6 +50,7 @@
   readonly gateways: AggregatingGateway[] = []
   now = 0
   lossShare = 0
+  startsRounds = true
   private readonly _state: AggregatedState
   private readonly _random = SeededRandom.create(5)
   private readonly _byAddress = new Map<string, AggregatingGateway>()
@@ -109,7 +110,7 @@
 
   private _start (gateway: AggregatingGateway, tree: AggregationTree): void {
     const run = `run-${++this._runs}`
-    gateway.node = AggregationNode.create({ address: gateway.address, run, tree: () => tree, startsRounds: () => true, createOwn: () => this._createOwn(gateway, run) }, this.now)
+    gateway.node = AggregationNode.create({ address: gateway.address, run, tree: () => tree, startsRounds: () => this.startsRounds, createOwn: () => this._createOwn(gateway, run) }, this.now)
   }
 
   private _createOwn ({ requests }: AggregatingGateway, run: string): Aggregate {
