--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -9,6 +9,8 @@
 import type { DeploymentView, ViewChange } from './deploymentView.js'
 
 const RETRY_MILLISECONDS = 250
+/** Time for the store to respond to a watch when there is a change. */
+const WATCH_MILLISECONDS = 250
 /** After a batch of changes, the next one is delayed by this time for each gateway of the deployment. */
 const BATCH_DELAY_PER_GATEWAY_MILLISECONDS = 12
 const MAXIMUM_BATCH_DELAY_MILLISECONDS = 900
@@ -73,6 +75,11 @@
     return this._failingSince === undefined && this._position !== undefined
   }
 
+  /** Time in which the watch brings a change that other gateways know: longer when changes accumulate into batches. */
+  get watchMilliseconds (): number {
+    return this.isFollowingStore ? WATCH_MILLISECONDS + this._batchDelayMilliseconds : WATCH_MILLISECONDS
+  }
+
   async run (context: CallContext): Promise<void> {
     while (!context.cancelled) {
       if (!this._position) await this._readSnapshot(context)
--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -7,8 +7,6 @@
 import { request } from 'undici'
 import { describeError, getLogger } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
-import { isLater } from '@plumstage/coordination'
-import { supersedes } from '../deployment/configurationPosition.js'
 import type { AggregationStep } from '../aggregation/aggregationStep.js'
 import type { DeploymentView, ViewChange } from '../deployment/deploymentView.js'
 import { parseDeploymentSnapshot } from '../deployment/snapshotSchema.js'
@@ -17,14 +15,13 @@
 import type { PeerSocket } from './peerSocket.js'
 import type { Peer, PeerTable } from './peerTable.js'
 import { ReportTopology } from './reportTopology.js'
+import { SnapshotPull } from './snapshotPull.js'
 
 /** How often the task checks whether a report is due or urgent, and whether peers have become unresponsive. */
 const POLL_MILLISECONDS = 100
 /** An urgent report of a relay is sent at the earliest after this fraction of its regular interval. */
 const MINIMUM_URGENT_INTERVAL_RATIO = 0.4
 const PULL_TIMEOUT_MILLISECONDS = 800
-/** A gateway that is behind first waits this long for its own watch to catch up. */
-const PULL_DELAY_MILLISECONDS = 250
 
 /** HTTP path of the snapshot that a gateway serves to its peers. */
 export const SNAPSHOT_PATH = '/deployment'
@@ -44,6 +41,8 @@
   onAggregationStep: (step: AggregationStep, sender: string) => void
   /** Creates the aggregate that a relay adds to its report for the gateway at an address. */
   createAggregate: (address: string) => RelayedReports | undefined
+  /** Time in which the watch of this gateway brings a change that its peers know. */
+  watchMilliseconds: () => number
   /** Name of the gateway that holds the cloud duty; undefined when none does. */
   dutyHolder: () => string | undefined
   /** Whether peers should receive a report before the regular interval ends. */
@@ -60,8 +59,7 @@
 export class GossipTask {
   private readonly _options: GossipTaskOptions
   private readonly _log = getLogger('peers')
-  /** When a peer first reported a newer state; undefined after a pull has started. */
-  private _behindSince: Timestamp | undefined
+  private readonly _snapshotPull = SnapshotPull.create()
   private _pulling = false
   private readonly _topology: ReportTopology
   private _nextReportAt: Timestamp = 0
@@ -155,20 +153,13 @@
     this._pullIfBehind(peer)
   }
 
-  /** Pulls from a peer with a newer state if the watch of this gateway has not caught up within the delay. */
-  private _pullIfBehind (peer: Peer): void {
-    const now = this._options.clock.now()
-    if (!this._isBehind(peer.report)) return
-    this._behindSince ??= now
-    if (now < this._behindSince + PULL_DELAY_MILLISECONDS || this._pulling) return
+  /** Pulls from a peer with a newer state if the watch of this gateway has not caught up in its time. */
+  private _pullIfBehind ({ address, report }: Peer): void {
+    const { clock, view, watchMilliseconds } = this._options
+    if (this._pulling) return
+    const own = { configuration: view.configurationPosition, upstreams: view.upstreamsPosition }
+    if (!this._snapshotPull.decide(report, own, watchMilliseconds(), clock.now())) return
     this._pulling = true
-    this._behindSince = undefined
-    void this.pull(peer.address).finally(() => { this._pulling = false })
-  }
-
-  private _isBehind ({ configuration, upstreams }: GatewayReport): boolean {
-    const { view } = this._options
-    const hasNewerConfiguration = configuration !== undefined && supersedes(configuration, view.configurationPosition)
-    return hasNewerConfiguration || isLater(upstreams, view.upstreamsPosition)
+    void this.pull(address).finally(() => { this._pulling = false })
   }
 }
--- a/packages/serving/src/peers/peerExchange.ts
+++ b/packages/serving/src/peers/peerExchange.ts
@@ -37,6 +37,8 @@
   links: () => ReportedLinks
   /** Name of the gateway that holds the cloud duty; undefined when none does. */
   dutyHolder: () => string | undefined
+  /** Time in which the watch of this gateway brings a change that its peers know. */
+  watchMilliseconds: () => number
   isStopping: () => boolean
   onPeerLeaving: (address: string) => void
   onChange: (change: ViewChange) => void
@@ -82,7 +84,7 @@
   }
 
   private _createGossip (): GossipTask {
-    const { socket, context, clock, timeOfDay, instrumentation, state, dutyHolder, isStopping, onChange } = this._options
+    const { socket, context, clock, timeOfDay, instrumentation, state, dutyHolder, watchMilliseconds, isStopping, onChange } = this._options
     return GossipTask.create({
       socket,
       context,
@@ -93,6 +95,7 @@
       createReport: () => this._reports.createReport(isStopping(), clock.now(), timeOfDay()),
       onAggregationStep: (step, sender) => this._aggregation.receive(step, sender),
       createAggregate: address => this._reports.createAggregate(address, clock.now()),
+      watchMilliseconds,
       dutyHolder,
       isReportUrgent: () => state.isReportUrgent,
       onReport: peer => this._applyReport(peer),
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -235,6 +235,7 @@
       instrumentation,
       links: () => this._access.linkState,
       dutyHolder: () => this._registry.dutyHolder,
+      watchMilliseconds: () => this._deploymentTask.watchMilliseconds,
       isStopping: () => this._stopping,
       onPeerLeaving: address => this._access.retirePeer(address),
       onChange: change => this._applyChange(change)
