--- a/packages/serving/src/peers/peerExchange.ts
+++ b/packages/serving/src/peers/peerExchange.ts
@@ -129,9 +129,12 @@
     if (peer.report.leaving) this._options.onPeerLeaving(peer.address)
   }
 
-  private _removeExpired (peers: readonly Peer[]): void {
-    this._reports.removePeers(peers)
-    for (const { report } of peers) {
+  /** One that is still registered may just not report here any more. */
+  private _removeExpired (expired: readonly Peer[]): void {
+    const { peers } = this._options.state
+    this._reports.removePeers(expired)
+    for (const { report } of expired) {
+      if (peers.addressOf(report.name) !== undefined) continue
       this._options.instrumentation.emit('gateway-gone', { name: report.name })
       this._log.info(`Gateway ${report.name} was removed after a long time without reports.`)
     }
