Elect the root of aggregation rounds in a class of its own

Change: RootElection holds it; no behaviour changes. Result: the tests of the rounds, of reports, of part quarantine and of 20 processes pass.

--- a/packages/serving/src/aggregation/aggregationNode.ts
+++ b/packages/serving/src/aggregation/aggregationNode.ts
@@ -14,6 +14,7 @@
 import type { Aggregate } from './aggregate.js'
 import type { AggregationStep, RoundId } from './aggregationStep.js'
 import type { AggregationTree } from './aggregationTree.js'
+import { RootElection } from './rootElection.js'
 
 /** Time between the starts of two rounds. */
 export const ROUND_MILLISECONDS = 750
@@ -23,10 +24,6 @@
 const COLLECTING_SHARE = 0.8
 /** A gateway that has not acknowledged within this share of the time of a level is bypassed. */
 const ACKNOWLEDGE_SHARE = 0.6
-/** A root that was not heard for this long is replaced, by the gateways in the order of their ranks. */
-const ROOT_SILENCE_MILLISECONDS = 2 * ROUND_MILLISECONDS
-/** Time between the takeovers of two gateways that rank next to each other. */
-const TAKEOVER_STEP_MILLISECONDS = 150
 /** A partial sum that is late is used in the next round in place of the one that is missing there. */
 const MAXIMUM_REUSED_ROUNDS = 1
 /** Number of past rounds whose own contribution is remembered. */
@@ -88,22 +85,13 @@
   includedNumbers: ReadonlyMap<string, number>
 }
 
-interface FollowedRoot {
-  root: string
-  position: number
-  heardAt: Timestamp
-  /** The gateway that asked this one in the last round. */
-  parent?: string
-  lastCollected: number
-  lastTotal: number
-}
-
 /** Takes part in the rounds of one gateway. */
 export class AggregationNode {
   private readonly _options: AggregationNodeOptions
   private readonly _children = new Map<string, Child>()
-  private readonly _self: string
-  private _followed: FollowedRoot
+  private readonly _election: RootElection
+  /** The gateway that asked this one in the last round. */
+  private _parent: string | undefined
   private _round: Round | undefined
   private _finished: FinishedRound[] = []
   private _nextRoundAt: Timestamp
@@ -112,8 +100,7 @@
 
   private constructor (options: AggregationNodeOptions, now: Timestamp) {
     this._options = options
-    this._self = `${options.address}/${options.run}`
-    this._followed = { root: '', position: Number.POSITIVE_INFINITY, heardAt: now, lastCollected: 0, lastTotal: 0 }
+    this._election = RootElection.create(options, now)
     this._nextRoundAt = now
   }
 
@@ -123,18 +110,18 @@
 
   /** Identity of the gateway whose rounds this one follows, and of its run; empty before the first round. */
   get root (): string {
-    return this._followed.root
+    return this._election.root
   }
 
   /** When `advance` has to be called next, if nothing is received before. */
   get nextActionAt (): Timestamp {
-    const startsAt = Math.max(this._nextRoundAt, this._takeoverAt)
+    const startsAt = this._nextStartAt
     return this._round ? Math.min(this._round.bypassAt, this._round.deadline, startsAt) : startsAt
   }
 
   /** Does what is due. */
   advance (now: Timestamp): AggregationAction[] {
-    if (now >= Math.max(this._nextRoundAt, this._takeoverAt)) this._startRound(now)
+    if (now >= this._nextStartAt) this._startRound(now)
     if (this._round && now >= this._round.bypassAt) this._bypassSilent(this._round, now)
     if (this._round && now >= this._round.deadline) this._finish(this._round)
     return this._takeActions()
@@ -158,54 +145,31 @@
     return ACKNOWLEDGE_SHARE * this._levelMilliseconds
   }
 
-  /** When this gateway starts rounds itself unless it hears those of another one. */
-  private get _takeoverAt (): Timestamp {
-    if (this._followed.root === this._self || !this._options.startsRounds()) return Number.NEGATIVE_INFINITY
-    const position = this._options.tree().positionOf(this._options.address)
-    if (position === 0) return Number.NEGATIVE_INFINITY
-    return this._followed.heardAt + ROOT_SILENCE_MILLISECONDS + position * TAKEOVER_STEP_MILLISECONDS
+  /** While no rounds are wanted, the time of the next one comes all the same, so that the silence of a root does not count. */
+  private get _nextStartAt (): Timestamp {
+    return this._options.startsRounds() ? Math.max(this._nextRoundAt, this._election.takeoverAt) : this._nextRoundAt
   }
 
   private _startRound (now: Timestamp): void {
     this._nextRoundAt = now + ROUND_MILLISECONDS
-    if (!this._options.startsRounds()) {
-      this._followed.heardAt = now
-      return
-    }
-    const tree = this._options.tree()
-    if (this._followed.root !== this._self) this._follow(this._self, tree.positionOf(this._options.address), now)
-    this._followed.heardAt = now
-    const id = { root: this._self, number: ++this._roundNumber }
-    this._begin(id, undefined, tree.height * this._levelMilliseconds, now)
+    if (!this._options.startsRounds()) return this._election.recordHeard(now)
+    if (this._election.takeOver(now)) this._forgetRounds()
+    const id = { root: this._election.self, number: ++this._roundNumber }
+    this._begin(id, undefined, this._options.tree().height * this._levelMilliseconds, now)
   }
 
   private _receiveCollect (id: RoundId, budgetMilliseconds: number, sender: string, now: Timestamp): void {
-    if (this._hasAccepted(id)) return this._send(sender, { kind: sender === this._followed.parent ? 'acknowledge' : 'decline', round: id })
-    if (!this._accepts(id, now)) return
-    this._followed.heardAt = now
-    this._followed.parent = sender
-    this._followed.lastCollected = id.number
+    if (this._election.hasJoined(id)) return this._send(sender, { kind: sender === this._parent ? 'acknowledge' : 'decline', round: id })
+    const outcome = this._election.join(id, now)
+    if (outcome === 'ignored') return
+    if (outcome === 'root-changed') this._forgetRounds()
+    this._parent = sender
     this._send(sender, { kind: 'acknowledge', round: id })
     this._begin(id, sender, budgetMilliseconds, now)
   }
 
-  private _hasAccepted ({ root, number }: RoundId): boolean {
-    return root === this._followed.root && number === this._followed.lastCollected
-  }
-
-  /** Accepts new rounds of the followed root, or of one that ranks before it or replaces it. */
-  private _accepts ({ root, number }: RoundId, now: Timestamp): boolean {
-    if (root === this._self) return false
-    if (root === this._followed.root) return number > this._followed.lastCollected
-    const position = this._options.tree().positionOf(addressOfRoot(root))
-    const isOutdated = this._followed.heardAt + ROOT_SILENCE_MILLISECONDS <= now
-    if (position > this._followed.position && !isOutdated) return false
-    this._follow(root, position, now)
-    return true
-  }
-
-  private _follow (root: string, position: number, now: Timestamp): void {
-    this._followed = { root, position, heardAt: now, lastCollected: 0, lastTotal: 0 }
+  /** Rounds of another root have other numbers. */
+  private _forgetRounds (): void {
     this._finished = []
     this._round = undefined
     for (const child of this._children.values()) child.lastAnswer = undefined
@@ -288,7 +252,7 @@
 
   private _receivePartial (id: RoundId, aggregate: Aggregate, sender: string): void {
     const child = this._children.get(sender)
-    if (!child || id.root !== this._followed.root) return
+    if (!child || id.root !== this.root) return
     const answer = { number: id.number, aggregate }
     child.isSilent = false
     child.lastAnswer = answer
@@ -332,14 +296,12 @@
   }
 
   private _receiveTotal (id: RoundId, aggregate: Aggregate, includedNumber: number | undefined, now: Timestamp): void {
-    if (id.root !== this._followed.root || id.number <= this._followed.lastTotal) return
-    this._followed.heardAt = now
+    if (!this._election.acceptTotal(id, now)) return
     this._deliverTotal(id, aggregate, includedNumber)
   }
 
   /** Applies the sums over all gateways, and passes them on to those that take part in the round. */
   private _deliverTotal (id: RoundId, aggregate: Aggregate, includedNumber: number | undefined): void {
-    this._followed.lastTotal = id.number
     const included = this._finished.find(({ number }) => number === includedNumber)
     const recipients = this._finished.find(({ number }) => number === id.number)?.recipients ?? []
     for (const address of recipients) this._send(address, { kind: 'total', round: id, aggregate, includedNumber: included?.includedNumbers.get(address) })
@@ -371,7 +333,3 @@
     return actions
   }
 }
-
-function addressOfRoot (root: string): string {
-  return root.slice(0, root.lastIndexOf('/'))
-}
