Follow the store by prefix, and let only six gateways look closely

The stand-in of the store began a watch that a change elsewhere had woken anew while it went over the watches, without end; it now wakes only what has changes.

--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -15,6 +15,7 @@
 import { RequestAdmission } from './callers/requestAdmission.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
 import { DeploymentTask } from './deployment/deploymentTask.js'
+import { isLookout } from './deployment/lookouts.js'
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
 import { CloudDuties } from './duties/cloudDuties.js'
@@ -82,6 +83,7 @@
   private readonly _access: UpstreamAccess
   private readonly _keys: StoreKeys
   private readonly _duty: DutyTask
+  private readonly _addresses: GatewayAddresses
   private readonly _deploymentTask: DeploymentTask
   private readonly _callerServer: CallerServer
   private readonly _migrationTimers = new Map<Upstream, Timer>()
@@ -111,7 +113,8 @@
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, reconsiderPaths: () => this._reconsiderPaths() })
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
-    const addresses = GatewayAddresses.create(this.state.peers)
+    this._addresses = GatewayAddresses.create(this.state.peers)
+    const { _addresses: addresses } = this
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
     this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
     this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
@@ -197,7 +200,9 @@
       countGateways: () => this.state.peers.listRegistrations().length,
       observers: [this._registry, this._softwareHistoryTask, ...this._duties?.observers ?? []],
       onChange: change => this._applyChange(change)
+      gatewaysPrefix: this._keys.followedPrefix,
     })
+      isLookout: () => isLookout(this._addresses),
   }
 
   private _createDuties (): CloudDuties | undefined {
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -230,10 +230,18 @@
     const after = Number(url.searchParams.get('after'))
     const prefix = url.searchParams.get('prefix') ?? ''
     if (after < this._compactedBefore || after > this._revision) return { status: 410, document: {} }
-    const events = this._history.filter(change => change.revision > after && change.key.startsWith(prefix))
-    if (events.length > 0) return { status: 200, document: { events, current_rev: this._revision } }
+    const findEvents = (): Reply => {
+      const events = this._history.filter(change => change.revision > after && change.key.startsWith(prefix))
+      return events.length > 0 ? { status: 200, document: { events, current_rev: this._revision } } : undefined
+    }
+    const known = findEvents()
+    if (known) return known
     const timer = setTimeout(() => finish({ status: 200, document: { events: [], current_rev: this._revision } }), Number(url.searchParams.get('wait_ms')))
-    const wake = (): void => { finish(this._watch(url, response)) }
+    /** Answers if there is a change below the prefix now, or if the history is gone. */
+    const wake = (): void => {
+      const reply = after < this._compactedBefore ? { status: 410, document: {} } : findEvents()
+      if (reply) finish(reply)
+    }
     const finish = (reply: Reply): void => {
       clearTimeout(timer)
       this._pendingWatches.delete(wake)
