Archive the origins of streams in the store while two versions serve

Cause: which version began a stream was known to gateways alone; when all were killed at once while two versions served, callers that took their streams up were rejected although upstreams of their version ran.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -210,6 +210,7 @@
     if (!choice) return this._failWithoutUpstream()
     const { upstream } = choice
     this._upstream = upstream
+    this._continuity.recordDispatch(upstream.software)
     this._retries.beginAttempt()
     this._relay.beginAttempt()
     this._services.running.add(upstream, this)
--- a/packages/serving/src/attempts/streamContinuity.ts
+++ b/packages/serving/src/attempts/streamContinuity.ts
@@ -19,6 +19,7 @@
   private readonly _origins: StreamOriginTask
   private readonly _request: AcceptedRequest
   private _required: SoftwareId | undefined
+  private _isArchived = false
 
   private constructor (origins: StreamOriginTask, request: AcceptedRequest) {
     this._origins = origins
@@ -49,6 +50,14 @@
     return undefined
   }
 
+  /** From its first attempt on, a stream that is archived goes only to the software of that attempt, so that the archive is right. */
+  recordDispatch (software: SoftwareId): void {
+    const { head, route, service, acceptedAt } = this._request
+    if (this._isArchived || route.stream?.resumable !== true) return
+    this._isArchived = this._origins.archive(service.name, head.resumedRequestId ?? head.requestId, { software, expiresAt: streamExpiryOf(acceptedAt, head.timeoutMilliseconds) })
+    if (this._isArchived) this._required = software
+  }
+
   /** From its first event on, a stream goes on only at the software that wrote it, here and at any other gateway. */
   recordFirstEvent (software: SoftwareId): void {
     this._required = software
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -32,6 +32,7 @@
 import { StoreKeys } from './storeKeys.js'
 import { SoftwareHistory } from './streams/softwareHistory.js'
 import { SoftwareHistoryTask } from './streams/softwareHistoryTask.js'
+import { StreamArchive } from './streams/streamArchive.js'
 import { StreamOriginTask } from './streams/streamOriginTask.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
 
@@ -82,8 +83,8 @@
   private readonly _running = RunningRequests.create()
   private readonly _access: UpstreamAccess
   private readonly _keys: StoreKeys
-  private readonly _duty: DutyTask
   private readonly _addresses: GatewayAddresses
+  private readonly _duty: DutyTask
   private readonly _deploymentTask: DeploymentTask
   private readonly _callerServer: CallerServer
   private readonly _migrationTimers = new Map<Upstream, Timer>()
@@ -93,6 +94,7 @@
   private readonly _socket: PeerSocket
   private readonly _softwareHistory: SoftwareHistory
   private readonly _softwareHistoryTask: SoftwareHistoryTask
+  private readonly _streamArchive: StreamArchive
   private readonly _streamOrigins: StreamOriginTask
   /** Undefined when the gateway does not call the cloud. */
   private readonly _duties: CloudDuties | undefined
@@ -117,7 +119,8 @@
     const { _addresses: addresses } = this
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
     this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
-    this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
+    this._streamArchive = StreamArchive.create({ store, keys: this._keys, writer: instrumentation.incarnation, history: this._softwareHistory, addresses, socket, clock, instrumentation })
+    this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, archive: this._streamArchive, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
     this._duties = this._createDuties()
     this._peerExchange = this._createPeerExchange()
     this._deploymentTask = this._createDeploymentTask()
@@ -197,12 +200,12 @@
       clock,
       random,
       instrumentation,
+      gatewaysPrefix: this._keys.followedPrefix,
       countGateways: () => this.state.peers.listRegistrations().length,
+      isLookout: () => isLookout(this._addresses),
       observers: [this._registry, this._softwareHistoryTask, ...this._duties?.observers ?? []],
       onChange: change => this._applyChange(change)
-      gatewaysPrefix: this._keys.followedPrefix,
     })
-      isLookout: () => isLookout(this._addresses),
   }
 
   private _createDuties (): CloudDuties | undefined {
@@ -255,6 +258,7 @@
     this._peerExchange.start()
     void this._access.run(this._context)
     void this._softwareHistoryTask.run(this._context)
+    void this._streamArchive.run(this._context)
     this._internalListenersOpened = this._openInternalListeners()
     void this._expireEntries()
     void MembershipTask.create({ store, key: this._keys.gatewayKey(name), registration: this.state.peers.self, clock: leaseClock, instrumentation }).run(this._context)
--- a/packages/serving/src/storeKeys.ts
+++ b/packages/serving/src/storeKeys.ts
@@ -39,6 +39,16 @@
     return `${PREFIX}software`
   }
 
+  /** Prefix of the entries of a shard of the archive of stream origins, and of those that it was divided into. */
+  archivePrefix (shard: string): string {
+    return `${ARCHIVE_PREFIX}${shard}`
+  }
+
+  /** Key of one batch of the archive. */
+  archiveKey (shard: string, writer: string, number: number): string {
+    return `${this.archivePrefix(shard)}/${writer}/${number}`
+  }
+
   /** Key of the first usage window of the store's era. */
   get usageEraKey (): string {
     return `${PREFIX}usage-era`
--- a/packages/serving/src/streams/softwareHistory.ts
+++ b/packages/serving/src/streams/softwareHistory.ts
@@ -64,6 +64,12 @@
     return possible.length === 1 && possible[0] !== UNSTATED ? possible[0] : undefined
   }
 
+  /** Whether more than one software may have begun the streams of a service that go on or may be resumed. */
+  hasSeveral (service: string, now: Timestamp): boolean {
+    const prefix = `${service}@`
+    return [...this._list(now)].filter(entry => entry.startsWith(prefix)).length > 1
+  }
+
   /** Returns what the entry of the store should name; undefined if it already does, or if this gateway does not know. */
   planWrite (now: Timestamp): ServiceSoftware[] | undefined {
     if (!this._knowsAll(now)) return undefined
--- a/packages/serving/src/streams/streamMessages.ts
+++ b/packages/serving/src/streams/streamMessages.ts
@@ -19,6 +19,8 @@
 export type StreamMessage =
   /** The recipient keeps the record. */
   | { kind: 'origin', key: StreamKey, origin: StreamOrigin }
+  /** The recipient writes the record to the archive. */
+  | { kind: 'archive', key: StreamKey, origin: StreamOrigin }
   | { kind: 'query', key: StreamKey }
   /** `origin` is undefined when the sender does not know the stream. */
   | { kind: 'reply', key: StreamKey, origin?: StreamOrigin }
@@ -36,19 +38,19 @@
     const key = Buffer.from(content.value.key).toString('hex')
     if (content.value.key.length !== KEY_BYTES) throw new Error('its key has the wrong length')
     if (content.case === 'query') return ok({ kind: 'query', key })
-    if (content.case === 'origin') return ok({ kind: 'origin', key, origin: readOrigin(content.value, now) })
+    if (content.case === 'origin' || content.case === 'archive') return ok({ kind: content.case, key, origin: readOrigin(content.value, now) })
     return ok({ kind: 'reply', key, origin: content.value.origin && readOrigin(content.value.origin, now) })
   } catch (error) {
     return err(new Error(`The datagram is not a message about a stream: ${describeError(error)}. Check that only gateways send to the port.`))
   }
 }
 
-function contentOf (message: StreamMessage, now: Timestamp): { case: 'origin', value: streams.StreamOrigin } | { case: 'query', value: streams.OriginQuery } | { case: 'reply', value: streams.OriginReply } {
+function contentOf (message: StreamMessage, now: Timestamp): streams.StreamMessage['content'] {
   const key = Buffer.from(message.key, 'hex')
   if (message.kind === 'query') return { case: 'query', value: create(streams.OriginQuerySchema, { key }) }
   const origin = message.origin && create(streams.StreamOriginSchema, { key, software: message.origin.software, remainingMilliseconds: Math.max(0, Math.round(message.origin.expiresAt - now)) })
-  if (message.kind === 'origin') return { case: 'origin', value: origin! }
-  return { case: 'reply', value: create(streams.OriginReplySchema, { key, origin }) }
+  if (message.kind === 'reply') return { case: 'reply', value: create(streams.OriginReplySchema, { key, origin }) }
+  return { case: message.kind, value: origin! }
 }
 
 function readOrigin ({ software, remainingMilliseconds }: streams.StreamOrigin, now: Timestamp): StreamOrigin {
--- a/packages/serving/src/streams/streamOriginTask.ts
+++ b/packages/serving/src/streams/streamOriginTask.ts
@@ -11,6 +11,7 @@
 import type { LookupResult } from './originLookup.js'
 import { OriginReplicas } from './originReplicas.js'
 import type { SoftwareHistory } from './softwareHistory.js'
+import type { StreamArchive } from './streamArchive.js'
 import { decodeStreamMessage, encodeStreamMessage } from './streamMessages.js'
 import type { StreamMessage } from './streamMessages.js'
 import { StreamOrigins, streamKeyOf } from './streamOrigins.js'
@@ -25,6 +26,7 @@
   socket: PeerSocket
   addresses: GatewayAddresses
   history: SoftwareHistory
+  archive: StreamArchive
   /** Whether the list of upstreams is up to date. */
   isFollowingStore: () => boolean
   /** Cancelled when the gateway shuts down. */
@@ -75,14 +77,23 @@
   }
 
   /**
-   * Finds what began a stream that a caller resumes: by a record or, where nobody has one, because only one software of
-   * the service may have. `requestId` is undefined if the caller does not name the request that began the stream.
+   * Archives what a stream is about to begin at, so that it is known even if all gateways are killed at once. Returns
+   * whether it was archived; the stream may then begin only there.
+   */
+  archive (service: string, requestId: string, origin: StreamOrigin): boolean {
+    return this._options.archive.record(service, streamKeyOf(requestId), origin)
+  }
+
+  /**
+   * Finds what began a stream that a caller resumes: by a record of a gateway, because only one software of the service
+   * may have, or by the archive. `requestId` is undefined if the caller does not name the request that began the stream.
    */
   async find (service: string, requestId: string | undefined): Promise<LookupResult> {
     const { clock, instrumentation } = this._options
     const startedAt = clock.now()
     const recorded: LookupResult = requestId === undefined ? { kind: 'unanswered' } : await this._findRecord(streamKeyOf(requestId))
-    const result = recorded.kind === 'found' ? recorded : this._inferOrigin(service, recorded) ?? recorded
+    const inferred = recorded.kind === 'found' ? undefined : this._inferOrigin(service, recorded)
+    const result = inferred ?? (recorded.kind === 'found' || requestId === undefined ? recorded : await this._findArchived(streamKeyOf(requestId), recorded))
     const software = result.kind === 'found' ? result.origin.software : undefined
     instrumentation.emit('stream-origin-looked-up', { service, resumedRequest: requestId, record: recorded.kind, result: result.kind, software, milliseconds: Math.round(clock.now() - startedAt) })
     return result
@@ -97,6 +108,14 @@
     return result
   }
 
+  /** A record of the archive counts; without one, what the gateways have answered does. */
+  private async _findArchived (key: StreamKey, recorded: LookupResult): Promise<LookupResult> {
+    const { archive, context, clock } = this._options
+    const archived = await archive.find(context, key)
+    if (archived.kind === 'found') this._origins.add(key, archived.origin, clock.now())
+    return archived.kind === 'not-found' ? recorded : archived
+  }
+
   private _inferOrigin (service: string, recorded: LookupResult): LookupResult | undefined {
     const { clock, history, isFollowingStore } = this._options
     if (!isInferenceSafe(recorded, isFollowingStore())) return undefined
@@ -156,6 +175,7 @@
 
   private _apply (message: StreamMessage, sender: string, now: Timestamp): void {
     if (message.kind === 'origin') return this._origins.add(message.key, message.origin, now)
+    if (message.kind === 'archive') return this._options.archive.accept(message.key, message.origin)
     if (message.kind === 'query') return this._answer(message.key, sender, now)
     const pending = this._pending.get(message.key)
     if (!pending) return
--- a/tests/platform/streamVersions.spec.ts
+++ b/tests/platform/streamVersions.spec.ts
@@ -157,6 +157,51 @@
     assert.ok(callers.every(caller => caller.tries.length === 1 || caller.tries.at(-1)!.status !== 0), 'a caller got no answer')
   })
 
+  /** Share of the streams that were taken up whose version is in service and that have to go on. */
+  function assertAllButFewGoOn (callers: readonly StreamCaller[]): void {
+    const resumed = callers.filter(caller => caller.tries.length > 1 && caller.versions.length > 0)
+    const complete = resumed.filter(caller => caller.isComplete).length
+    assert.ok(resumed.length >= callers.length / 2, `only ${resumed.length} streams broke off`)
+    assert.ok(complete >= resumed.length * 0.9, `${complete} of ${resumed.length} streams went on`)
+  }
+
+  // Guards against: the knowledge which version began each stream dies with the gateways, and all are rejected.
+  it('ORDER: streams of two versions go on at their own after all gateways were killed at once', async () => {
+    const callers = createCallers(100)
+    await killAllDuring(callers)
+    await resume(callers)
+    assertUnmixed(callers)
+    assertAllButFewGoOn(callers)
+  })
+
+  // Guards against: the one gateway that writes the archive is gone, and nobody takes its place.
+  it('ORDER: streams of two versions go on after a gateway was killed, and then all of them', async () => {
+    deployment.gateways.signal(2, 'SIGKILL')
+    await wait(100)
+    await deployment.gateways.start(2)
+    const callers = createCallers(100)
+    await killAllDuring(callers)
+    await resume(callers)
+    assertUnmixed(callers)
+    assertAllButFewGoOn(callers)
+  })
+
+  // Guards against: without the archive, gateways guess, or let callers wait.
+  it('ORDER: no stream changes its version when the store is down while all gateways start again', async () => {
+    const callers = createCallers(60)
+    const { gateways, store } = deployment
+    const sent = Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(gatewayOf(index)))))
+    await wait(400)
+    for (const number of gateways.numbers) gateways.signal(number, 'SIGKILL')
+    await sent
+    await Promise.all(gateways.numbers.map(async number => await gateways.start(number)))
+    store.faultPath = '/v1/kv-range'
+    store.fault = 'busy'
+    await resume(callers)
+    assertUnmixed(callers)
+    assert.ok(callers.every(caller => caller.tries.length === 1 || caller.tries.at(-1)!.status !== 0), 'a caller got no answer')
+  })
+
   const noneLeft = 'ORDER: a stream of which no upstream of its version is left is rejected at once'
   // Guards against: a stream goes on at another version, or its caller waits, when its own version is gone.
   it(noneLeft, knownRed(noneLeft), async () => {
