Drop requests whose callers left before they were read

Cause: a gateway that was paused or had just started read a request and sent it on, although the caller's close already stood behind it on the connection. Callers had left; upstreams worked for nobody. Change: a request goes on after the next poll of all connections, and not if its caller's close was read there.

--- a/packages/serving/src/callers/callerExchange.ts
+++ b/packages/serving/src/callers/callerExchange.ts
@@ -13,6 +13,8 @@
 export interface CallerExchange {
   /** Whether any part of the response has been written. */
   readonly started: boolean
+  /** Whether the caller has closed its connection, as far as that was read. */
+  readonly isDisconnected: boolean
   /** Calls back once if the caller's connection closes before the response has ended. */
   onDisconnected (callback: () => void): void
   /** Calls back once when more bytes can be written. */
@@ -49,6 +51,11 @@
     return this._response.headersSent
   }
 
+  get isDisconnected (): boolean {
+    const { socket } = this._response.req
+    return socket.readableEnded || socket.destroyed
+  }
+
   onDisconnected (callback: () => void): void {
     this._response.once('close', () => { if (!this._response.writableFinished) callback() })
   }
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { RequestTask } from '../attempts/requestTask.js'
 import type { RequestServices } from '../attempts/requestTask.js'
+import { afterNextPoll } from './afterNextPoll.js'
 import { readBody } from './bodyReader.js'
 import { HttpCallerExchange } from './callerExchange.js'
 import type { CallerExchange } from './callerExchange.js'
@@ -70,13 +71,15 @@
       bodyTimer.cancel()
       if (exchange.started) return
       if (body.isErr()) return this._reject(exchange, body.error, incoming, head.value)
-      this._accept(exchange, incoming, head.value, admitted.value, body.value, acceptedAt)
+      const { value } = body
+      afterNextPoll(() => this._accept(exchange, incoming, head.value, admitted.value, value, acceptedAt))
     })
   }
 
   private _accept (exchange: CallerExchange, incoming: IncomingMessage, head: CallerHead, admitted: Admission, body: Buffer, acceptedAt: number): void {
     const { services, admission } = this._options
     const now = services.clock.now()
+    if (exchange.isDisconnected) return services.instrumentation.emit('request-abandoned', { target: head.target, route: admitted.route.name, workspace: admitted.workspace }, head.requestId)
     const digest = digestRequest(head, body)
     const allowed = admission.checkQuarantine(digest, now)
     if (allowed.isErr()) return this._reject(exchange, allowed.error, incoming, head, admitted)
--- a/tests/serving/streamArchive.spec.ts
+++ b/tests/serving/streamArchive.spec.ts
@@ -65,7 +65,8 @@
     this.startAll()
   }
 
-  set versions (versions: readonly string[]) {
+  /** Lists upstreams of these versions at all gateways. */
+  list (versions: readonly string[]): void {
     this._versions = versions
     for (const history of this._histories) history.observe(listUpstreams(versions), this.clock.now())
   }
@@ -83,7 +84,7 @@
     this.dead.clear()
     this._run++
     for (const self of this.addresses) this._start(self)
-    this.versions = this._versions
+    this.list(this._versions)
   }
 
   async pass (milliseconds: number): Promise<void> {
@@ -206,7 +207,7 @@
     // Guards against: with all gateways, the knowledge of the version of each stream is lost.
     it(`tells ${gateways} gateways after a loss of all which software began each stream`, async () => {
       const deployment = new ArchiveDeployment(gateways)
-      deployment.versions = ['v1', 'v1.1']
+      deployment.list(['v1', 'v1.1'])
       const begun = await deployment.begin(200, 2000)
       await deployment.pass(200)
       deployment.startAll()
@@ -225,7 +226,7 @@
 
   it('costs few calls at 85 gateways, and small entries', async () => {
     const deployment = new ArchiveDeployment(85)
-    deployment.versions = ['v1', 'v1.1']
+    deployment.list(['v1', 'v1.1'])
     await deployment.begin(2500, 10 * SECOND)
     await deployment.pass(300)
     assert.ok(deployment.store.calls <= 10 * 30, `${deployment.store.calls} calls in 10 s`)
@@ -235,7 +236,7 @@
 
   it('a writer that is dead costs only the streams of its time and shard, and none goes on at a wrong software', async () => {
     const deployment = new ArchiveDeployment(85)
-    deployment.versions = ['v1', 'v1.1']
+    deployment.list(['v1', 'v1.1'])
     deployment.dead.add(writerOf('01', deployment.addresses)!)
     const begun = await deployment.begin(400, 4000)
     await deployment.pass(200)
@@ -248,7 +249,7 @@
 
   it('writes later what it could not write while the store was down, also when responses are lost', async () => {
     const deployment = new ArchiveDeployment(9)
-    deployment.versions = ['v1', 'v1.1']
+    deployment.list(['v1', 'v1.1'])
     deployment.store.isDown = true
     const begun = await deployment.begin(100, 1000)
     assert.deepEqual(await deployment.lookUp(begun), { right: 0, wrong: 0 })
@@ -264,7 +265,7 @@
 
   it('is the same for gateways that count fewer gateways than those that wrote', async () => {
     const deployment = new ArchiveDeployment(85)
-    deployment.versions = ['v1', 'v1.1']
+    deployment.list(['v1', 'v1.1'])
     const begun = await deployment.begin(200, 1000)
     await deployment.pass(300)
     deployment.addresses.length = 40
@@ -275,7 +276,7 @@
 
   it('reads a shard once for all requests that wait for it', async () => {
     const deployment = new ArchiveDeployment(1)
-    deployment.versions = ['v1', 'v1.1']
+    deployment.list(['v1', 'v1.1'])
     await deployment.begin(50, 500)
     await deployment.pass(300)
     deployment.startAll()
