Carry out the roll-outs that operators order

Cause: op/rollout/SERVICE was read by nobody and status/rollout/SERVICE never written; upstreams of the new version got requests as soon as they were listed, and a bad one was not noticed. Change: the holder of the cloud duty carries an order through observing, moving and completed or rolled-back; gateways send one in twenty requests to a version under observation, judge it by answers of all gateways on the same routes, and stop it by themselves. The evidence travels in reports and aggregation rounds. docs/design/rollouts.md.

--- a/packages/serving/src/aggregation/aggregate.ts
+++ b/packages/serving/src/aggregation/aggregate.ts
@@ -35,6 +35,12 @@
   weightedPrefillRate: number
 }
 
+/** Answers of one version of a service on one route during a roll-out. */
+export interface AnswerSum {
+  answers: number
+  bad: number
+}
+
 /** Sums over several gateways. */
 export interface Aggregate {
   gateways: number
@@ -43,6 +49,7 @@
   loads: Map<NameHash, LoadSum>
   usage: Map<NameHash, UsageSum>
   demands: Map<NameHash, DemandSum>
+  answers: Map<NameHash, AnswerSum>
 }
 
 export function hashName (name: string): NameHash {
@@ -50,7 +57,7 @@
 }
 
 export function emptyAggregate (): Aggregate {
-  return { gateways: 0, fingerprint: 0, loads: new Map(), usage: new Map(), demands: new Map() }
+  return { gateways: 0, fingerprint: 0, loads: new Map(), usage: new Map(), demands: new Map(), answers: new Map() }
 }
 
 /** Adds `addend` to `sum`. */
@@ -69,6 +76,7 @@
   combineFields(sum.loads, other.loads, sign)
   combineFields(sum.usage, other.usage, sign)
   combineFields(sum.demands, other.demands, sign)
+  combineFields(sum.answers, other.answers, sign)
 }
 
 function combineFields<Fields extends { [Field in keyof Fields]: number }> (sums: Map<NameHash, Fields>, others: ReadonlyMap<NameHash, Fields>, sign: 1 | -1): void {
--- a/packages/serving/src/aggregation/aggregationState.ts
+++ b/packages/serving/src/aggregation/aggregationState.ts
@@ -33,7 +33,8 @@
       fingerprint: this._fingerprint,
       loads: this._listLoads(),
       usage: this._state.quotas.aggregateOwn(now),
-      demands: this._listDemands(now)
+      demands: this._listDemands(now),
+      answers: new Map(this._state.rollouts.evidence.counts)
     }
   }
 
--- a/packages/serving/src/aggregation/aggregationStep.ts
+++ b/packages/serving/src/aggregation/aggregationStep.ts
@@ -63,10 +63,11 @@
   return kind === gossip.AggregationStepKind.TOTAL ? { kind: 'total', round, aggregate, includedNumber } : undefined
 }
 
-function encodeAggregate ({ gateways, fingerprint, loads, usage, demands }: Aggregate): EncodedAggregate {
+function encodeAggregate ({ gateways, fingerprint, loads, usage, demands, answers }: Aggregate): EncodedAggregate {
   const loadSums = [...loads.values()]
   const usageSums = [...usage.values()]
   const demandSums = [...demands.values()]
+  const answerSums = [...answers.values()]
   return {
     gateways,
     fingerprint,
@@ -81,16 +82,21 @@
     promptTokensPerSecond: demandSums.map(sum => toCount(sum.promptTokensPerSecond)),
     outputTokensPerSecond: demandSums.map(sum => toCount(sum.outputTokensPerSecond)),
     prefillSamples: demandSums.map(sum => toCount(sum.prefillSamples)),
-    weightedPrefillRates: demandSums.map(sum => sum.weightedPrefillRate)
+    weightedPrefillRates: demandSums.map(sum => sum.weightedPrefillRate),
+    answerNames: [...answers.keys()],
+    answers: answerSums.map(sum => toCount(sum.answers)),
+    badAnswers: answerSums.map(sum => toCount(sum.bad))
   }
 }
 
 /** Returns undefined when the figures are not one for each name, or not numbers. */
 function decodeAggregate (message: gossip.Aggregate): Aggregate | undefined {
-  const { upstreams, workspaces, services } = message
+  const { upstreams, workspaces, services, answerNames } = message
   const loadColumns = [message.requests, message.waitingTokens]
   const usageColumns = [message.admittedUnits, message.admittedUnitsPerSecond, message.offeredUnitsPerSecond]
   const demandColumns = [message.promptTokensPerSecond, message.outputTokensPerSecond, message.prefillSamples, message.weightedPrefillRates]
+  const answerColumns = [message.answers, message.badAnswers]
+  if (!isTable(answerNames, answerColumns)) return undefined
   if (!isTable(upstreams, loadColumns) || !isTable(workspaces, usageColumns) || !isTable(services, demandColumns)) return undefined
   const aggregate = { ...emptyAggregate(), gateways: message.gateways, fingerprint: message.fingerprint }
   upstreams.forEach((name, row) => aggregate.loads.set(name, { requests: message.requests[row], waitingTokens: message.waitingTokens[row] }))
@@ -101,6 +107,7 @@
     prefillSamples: message.prefillSamples[row],
     weightedPrefillRate: message.weightedPrefillRates[row]
   }))
+  answerNames.forEach((name, row) => aggregate.answers.set(name, { answers: message.answers[row], bad: message.badAnswers[row] }))
   return aggregate
 }
 
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -258,6 +258,7 @@
   private _recordFirstEvent (): void {
     this._continuity.recordFirstEvent(this._upstream!.software)
     this._load.recordFirstEvent(this._services.clock.now())
+    this._recordAnswer(false)
     this._recordUsage()
     this._firstEventMilliseconds ??= this._elapsedMilliseconds()
     this._log.recordFirstEvent({ upstream: this._upstream!, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._load.prefillTokens, backlogTokens: this._load.backlogTokens })
@@ -269,8 +270,15 @@
     this._services.state.usage.record(this._request.workspace, this._services.timeOfDay())
   }
 
+  /** Tells roll-outs what became of the attempt. Lost connections say nothing about a version. */
+  private _recordAnswer (failed: boolean): void {
+    const { state, clock } = this._services
+    state.rollouts.recordAnswer(this._upstream!, this._request.route.name, { failed, milliseconds: clock.now() - this._attemptStartedAt })
+  }
+
   private _recordFailure (failure: AttemptFailure, upstream: Upstream): void {
     const now = this._services.clock.now()
+    if (failure === 'server-error') this._recordAnswer(true)
     this._choice.recordFailure(upstream)
     this._progress.started = this._relay.started
     if (failure === 'broken' || failure === 'server-error') this._progress.mayHaveRun = true
@@ -280,7 +288,9 @@
   }
 
   private _finish (upstream: Upstream): void {
-    if (this._relay.status >= FIRST_SERVER_ERROR_STATUS) upstream.health.recordFailure(this._services.clock.now())
+    const failed = this._relay.status >= FIRST_SERVER_ERROR_STATUS
+    if (failed || !this._request.route.stream) this._recordAnswer(failed)
+    if (failed) upstream.health.recordFailure(this._services.clock.now())
     else upstream.health.recordSuccess()
     if (this._relay.attemptHasBegun) this._crashes.recordBegin()
     this._crashes.recordFinished()
@@ -296,6 +306,7 @@
 
   private _expire (): void {
     if (this._done) return
+    if (this._attempt?.dispatched === true && !this._relay.attemptHasBegun) this._recordAnswer(false)
     const dispatched = this._abandonAttempt()
     if (this._relay.started) return this._cut('cut-at-deadline')
     if (dispatched || this._progress.mayHaveRun) return this._reject(createRejection('timeout', 'The deadline of the request has passed, and it may have been executed. Check its effect before sending it again.'))
--- a/packages/serving/src/attempts/upstreamChoice.ts
+++ b/packages/serving/src/attempts/upstreamChoice.ts
@@ -75,6 +75,12 @@
   }
 
   private _listUsable (software: SoftwareId | undefined): readonly Upstream[] {
-    return this._crashes.listUsable(software, this._services.clock.now())
+    const { clock, state } = this._services
+    const { service, head } = this._request
+    const now = clock.now()
+    const usable = this._crashes.listUsable(software, now)
+    if (!state.rollouts.hasOrders) return usable
+    const request = { service: service.name, requestId: head.requestId, isBound: software !== undefined, hasFailed: this._hasFailed }
+    return state.rollouts.select(request, usable, state.rolloutJudging(now), now)
   }
 }
--- a/packages/serving/src/deployment/deploymentDecoder.ts
+++ b/packages/serving/src/deployment/deploymentDecoder.ts
@@ -6,6 +6,7 @@
  */
 import type { Result } from 'neverthrow'
 import type { Configuration } from '@plumstage/records'
+import type { RolloutOrder } from '../rollouts/rolloutOrder.js'
 import type { ListedUpstream } from '../upstreams/listedUpstream.js'
 
 /** Kind of entry that a key of the store identifies. */
@@ -21,6 +22,9 @@
   version?: number
 }
 
+/** What operators read of a roll-out. */
+export type RolloutStatus = 'in-progress' | 'completed' | 'rolled-back'
+
 /** Decodes the entries that the platform and its operators write to the store. */
 export interface DeploymentDecoder {
   /** Prefix of the keys that hold what operators write. */
@@ -31,4 +35,11 @@
   /** Decodes the configuration; `revision` is the revision of its key in the store. */
   decodeConfiguration (value: string, revision: number): Result<DecodedConfiguration, Error>
   decodeUpstream (id: string, value: string): Result<ListedUpstream, Error>
+  /** Whether a key holds an order to roll a service out. */
+  isRolloutOrder (key: string): boolean
+  /** Service of the order that a key holds. */
+  rolloutServiceOf (key: string): string
+  decodeRolloutOrder (key: string, value: string): Result<RolloutOrder, Error>
+  /** Returns the entry that tells operators how far an order was carried out. */
+  encodeRolloutStatus (order: RolloutOrder, status: RolloutStatus): { key: string, value: string }
 }
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -16,8 +16,6 @@
 /** After a batch of changes, the next one below the same prefix is delayed by this time for each gateway of the deployment. */
 const BATCH_DELAY_PER_GATEWAY_MILLISECONDS = 36
 const MAXIMUM_BATCH_DELAY_MILLISECONDS = 1250
-/** Factor for what gateways write for each other, which no request waits for. */
-const GATEWAYS_DELAY_FACTOR = 2
 /** How long the store may take to answer a watch without a change, at gateways that look closely and at the others. */
 const LOOKOUT_WAIT_MILLISECONDS = 2500
 const WAIT_MILLISECONDS = 10_000
@@ -153,7 +151,7 @@
       positions.set(followed, { era, revision })
       if (changes.length === 0) continue
       this._apply(batch.value, followed)
-      await context.sleepUntil(clock.now() + this._delayMillisecondsOf(followed))
+      await context.sleepUntil(clock.now() + this._batchDelayMilliseconds)
     }
   }
 
@@ -190,10 +188,6 @@
     return Math.min(MAXIMUM_BATCH_DELAY_MILLISECONDS, BATCH_DELAY_PER_GATEWAY_MILLISECONDS * this._options.countGateways())
   }
 
-  private _delayMillisecondsOf ({ holds }: FollowedPrefix): number {
-    return holds === 'gateways' ? this._batchDelayMilliseconds * GATEWAYS_DELAY_FACTOR : this._batchDelayMilliseconds
-  }
-
   private _waitMillisecondsOf ({ holds }: FollowedPrefix): number {
     if (this._failingSince !== undefined) return WAIT_AFTER_FAILURE_MILLISECONDS
     return holds !== 'gateways' && this._options.isLookout() ? LOOKOUT_WAIT_MILLISECONDS : WAIT_MILLISECONDS
--- a/packages/serving/src/duties/cloudDuties.ts
+++ b/packages/serving/src/duties/cloudDuties.ts
@@ -1,12 +1,15 @@
 /**
- * The work that exactly one gateway performs for the deployment: it reports usage to the cloud and orders upstreams.
+ * The work that exactly one gateway performs for the deployment: it reports usage to the cloud, orders
+ * upstreams and carries out roll-outs.
  *
  * @module
  */
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import type { DutyTask, KeyValueService } from '@plumstage/coordination'
+import type { DeploymentDecoder } from '../deployment/deploymentDecoder.js'
 import type { StoreObserver } from '../deployment/deploymentTask.js'
 import { FleetTask } from '../fleet/fleetTask.js'
+import { RolloutTask } from '../rollouts/rolloutTask.js'
 import type { ServingSettings } from '../servingSettings.js'
 import type { ServingState } from '../servingState.js'
 import type { StoreKeys } from '../storeKeys.js'
@@ -19,6 +22,7 @@
   cloud: Cloud
   store: KeyValueService
   keys: StoreKeys
+  decoder: DeploymentDecoder
   state: ServingState
   settings: ServingSettings
   /** Maximum time after the end of a window for reporting it, which may change. */
@@ -35,10 +39,12 @@
   private readonly _usageReports: UsageReportTask | undefined
   /** Undefined when the gateway orders no upstreams. */
   private readonly _fleet: FleetTask | undefined
+  private readonly _rollouts: RolloutTask
 
   private constructor (options: CloudDutiesOptions) {
     const { duty, settings, state } = options
     this._duty = duty
+    this._rollouts = RolloutTask.create(options)
     if (settings.ordersUpstreams) this._fleet = FleetTask.create({ ...options, holder: settings.name })
     if (!settings.reportsUsage) return
     this._usageReports = UsageReportTask.create({
@@ -64,5 +70,6 @@
     void this._duty.run(context)
     void this._usageReports?.run(context)
     void this._fleet?.run(context)
+    void this._rollouts.run(context)
   }
 }
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -54,7 +54,8 @@
   private async _planAll (context: CallContext): Promise<void> {
     const { state, clock } = this._options
     for (const service of state.view.configuration?.services.values() ?? []) {
-      if (!service.scaling) continue
+      // During a roll-out, both versions are listed, and orders could not say which of them is meant.
+      if (!service.scaling || state.rollouts.isInProgress(service.name)) continue
       const planner = this._planners.get(service.name) ?? FleetPlanner.create(clock.now())
       this._planners.set(service.name, planner)
       const observation = this._observe(service.name, service.scaling)
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -63,6 +63,14 @@
 
 const LINK_STATES = { working: gossip.LinkState.WORKING, lost: gossip.LinkState.LOST, unstated: gossip.LinkState.UNSPECIFIED }
 
+/** Answers of one version of a service on one route during a roll-out. */
+export interface ReportedAnswers {
+  /** Hash of the order, the version and the route. */
+  name: number
+  answers: number
+  bad: number
+}
+
 /** State of one gateway. */
 export interface GatewayReport {
   name: string
@@ -88,6 +96,8 @@
   relayed?: RelayedReports
   /** Whether the sender expects the reports of the recipient; undefined from gateways of earlier releases, which don't state it. */
   requestsReports?: boolean
+  /** Answers of both versions of services that are being rolled out; gateways of earlier releases state none. */
+  answers?: ReportedAnswers[]
   /** A step of an aggregation round; loads, usage, windows and demands of the sender are then left out. */
   aggregation?: AggregationStep
 }
@@ -128,6 +138,7 @@
       demands,
       knownAddresses,
       limits: message.limits.filter(isReadable),
+      answers: message.answers,
       links: decodeLinks(message.links),
       requestsReports: message.requestsReports,
       aggregation: decodeStep(message.aggregation),
--- a/packages/serving/src/peers/reportExchange.ts
+++ b/packages/serving/src/peers/reportExchange.ts
@@ -6,7 +6,7 @@
 import type { Timestamp } from '@plumstage/common'
 import type { AggregationStep } from '../aggregation/aggregationStep.js'
 import type { ServingState } from '../servingState.js'
-import type { GatewayReport, RelayedReports, ReportedDemand, ReportedLinks, ReportedLoad } from './gatewayReport.js'
+import type { GatewayReport, RelayedReports, ReportedAnswers, ReportedDemand, ReportedLinks, ReportedLoad } from './gatewayReport.js'
 import type { Peer } from './peerTable.js'
 
 /** Reports include the counts of this many windows before the current one, whose usage may not have been reported to the cloud yet. */
@@ -68,6 +68,7 @@
       suspicions: quarantine.list(now).slice(-MAXIMUM_REPORTED_SUSPICIONS),
       partSuspicions: partQuarantine.createReport(now),
       demands: this._createDemands(now),
+      answers: this._listAnswers(),
       knownAddresses: this._sequence % REPORTS_PER_ADDRESS_LIST === 0 ? peers.listAddresses().slice(0, MAXIMUM_KNOWN_ADDRESSES) : []
     }
   }
@@ -96,6 +97,10 @@
     }
   }
 
+  private _listAnswers (): ReportedAnswers[] {
+    return [...this._state.rollouts.evidence.counts].map(([name, { answers, bad }]) => ({ name, answers, bad }))
+  }
+
   private _createDemands (now: Timestamp): ReportedDemand[] {
     return this._state.demand.list(now).map(demand => {
       const { tokensPerMillisecond, samples } = this._state.capacities.measuredRateOf(demand.service)
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -203,7 +203,7 @@
       gatewaysPrefix: this._keys.followedPrefix,
       countGateways: () => this.state.peers.listRegistrations().length,
       isLookout: () => isLookout(this._addresses),
-      observers: [this._registry, this._softwareHistoryTask, ...this._duties?.observers ?? []],
+      observers: [this._registry, this._softwareHistoryTask, this.state.rollouts, ...this._duties?.observers ?? []],
       onChange: change => this._applyChange(change)
     })
   }
@@ -211,7 +211,7 @@
   private _createDuties (): CloudDuties | undefined {
     const { store, cloud, clock, instrumentation, timeOfDay } = this._environment
     if (!cloud) return undefined
-    return CloudDuties.create({ duty: this._duty, cloud, store, keys: this._keys, state: this.state, settings: this._settings, usageDelayMilliseconds: () => this._settings.usageDelayMilliseconds, clock, timeOfDay, instrumentation })
+    return CloudDuties.create({ duty: this._duty, cloud, store, keys: this._keys, decoder: this._environment.decoder, state: this.state, settings: this._settings, usageDelayMilliseconds: () => this._settings.usageDelayMilliseconds, clock, timeOfDay, instrumentation })
   }
 
   private _createCallerServer (): CallerServer {
@@ -299,11 +299,12 @@
     for (const task of this._running.list()) task.reconsiderPath()
   }
 
-  /** Removes upstreams whose entries were retained after an outage of the store and were not written again. */
+  /** Removes upstreams whose entries were retained after an outage of the store and were not written again, and notes whether the store is followed. */
   private async _expireEntries (): Promise<void> {
     const { clock } = this._environment
     while (!this._context.cancelled) {
       await this._context.sleepUntil(Math.min(clock.now() + EXPIRY_CHECK_MILLISECONDS, this.state.view.nextExpiryAt ?? Number.POSITIVE_INFINITY))
+      if (this._deploymentTask.isFollowingStore) this.state.rollouts.recordFollowed(clock.now())
       if (this.state.view.expire(clock.now())) this._applyChange({ configuration: false, upstreams: true })
     }
   }
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -23,7 +23,11 @@
 import { PlainRouter } from './routing/plainRouter.js'
 import type { Router } from './routing/router.js'
 import { PrefixCacheIndex } from './routing/prefixCacheIndex.js'
+import type { AnswerCount } from './rollouts/rolloutJudge.js'
+import { RolloutRegistry } from './rollouts/rolloutRegistry.js'
+import type { RolloutJudging } from './rollouts/rolloutRegistry.js'
 import type { ServingSettings } from './servingSettings.js'
+import { StoreKeys } from './storeKeys.js'
 import type { SoftwareId } from './streams/software.js'
 import { UpstreamTable } from './upstreams/upstreamTable.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
@@ -41,6 +45,7 @@
   readonly limits: UpstreamLimits
   readonly quotas: WorkspaceQuotas
   readonly usage: UsageLedger
+  readonly rollouts: RolloutRegistry
   readonly demand = DemandMeter.create()
   /** Requests that crash upstreams. */
   readonly quarantine = QuarantineTable.create(CRASHES_FOR_QUARANTINE)
@@ -64,6 +69,7 @@
     this.limits = UpstreamLimits.create(this.peers, random.nextInteger(1, MAXIMUM_ORIGIN))
     this.quotas = WorkspaceQuotas.create(settings.quotaTolerance)
     this.capacities = ServiceCapacities.create(this.peers)
+    this.rollouts = RolloutRegistry.create(decoder, StoreKeys.create())
     this.usage = UsageLedger.create(settings.usageWindowMilliseconds)
     this.prefixCache = PrefixCacheIndex.create(settings.prefixReuseMilliseconds)
     this._retryBound = settings.retryBound
@@ -125,6 +131,17 @@
     return Math.min(...usable.map(upstream => upstream.waitingTokens)) / this.capacities.capacityOf(service, now).tokensPerMillisecond
   }
 
+  /** By what the new versions of roll-outs are judged: the routes in force, and the answers that other gateways report. */
+  rolloutJudging (now: Timestamp): RolloutJudging {
+    const totals = this.peers.currentTotals(now)
+    const present = totals ? [] : this.peers.listPresent(now)
+    const sumReported = (name: number): AnswerCount => {
+      const reported = present.flatMap(({ report }) => report.answers?.filter(answer => answer.name === name) ?? [])
+      return reported.reduce((sum, { answers, bad }) => ({ answers: sum.answers + answers, bad: sum.bad + bad }), { answers: 0, bad: 0 })
+    }
+    return { configuration: this.view.configuration, othersOf: name => totals ? totals.others.answers.get(name) : sumReported(name) }
+  }
+
   /** Whether peers should receive a report before the regular interval ends. */
   get isReportUrgent (): boolean {
     return this.quotas.isReportUrgent || this.limits.isReportUrgent || this.partQuarantine.isReportUrgent
--- a/packages/serving/src/storeKeys.ts
+++ b/packages/serving/src/storeKeys.ts
@@ -39,6 +39,17 @@
     return `${PREFIX}software`
   }
 
+  /** Key of the progress of a service's roll-out. */
+  rolloutKey (service: string): string {
+    return `${PREFIX}rollouts/${service}`
+  }
+
+  /** Returns the service whose roll-out has this key; undefined for other keys. */
+  rolloutServiceOf (key: string): string | undefined {
+    const prefix = this.rolloutKey('')
+    return key.startsWith(prefix) ? key.slice(prefix.length) : undefined
+  }
+
   /** Prefix of the entries of a shard of the archive of stream origins, and of those that it was divided into. */
   archivePrefix (shard: string): string {
     return `${ARCHIVE_PREFIX}${shard}`
