--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -161,6 +161,7 @@
     const upstream = this._removeLoad()
     this._log.recordFailed({ upstream, peer: path.peer, outcome, listRevision: this._services.state.view.upstreamsRevision, events: this._relay.eventCount, hasBegun: this._relay.attemptHasBegun })
     if (outcome.kind === 'complete') return this._finish(upstream)
+    if (outcome.failure === 'server-error' || (outcome.failure === 'broken' && !outcome.connectionLost)) this._recordAnswer(true)
     this._recordFailure(outcome.failure, upstream)
     const checked = this._crashes.checkForCrash(outcome, upstream, this._relay.attemptHasBegun)
     if (checked) void checked.then(() => this._proceedAfterFailure(outcome.failure, path))
@@ -278,7 +279,6 @@
 
   private _recordFailure (failure: AttemptFailure, upstream: Upstream): void {
     const now = this._services.clock.now()
-    if (failure === 'server-error') this._recordAnswer(true)
     this._choice.recordFailure(upstream)
     this._progress.started = this._relay.started
     if (failure === 'broken' || failure === 'server-error') this._progress.mayHaveRun = true
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -90,6 +90,12 @@
     return item && Buffer.from(item.value, 'base64').toString()
   }
 
+  /** Returns the value of a key; undefined if there is none. */
+  valueOf (key: string): string | undefined {
+    const item = this._items.get(key)
+    return item && Buffer.from(item.value, 'base64').toString()
+  }
+
   listKeys (prefix: string): string[] {
     return [...this._items.keys()].filter(key => key.startsWith(prefix))
   }
