Divide the room of a service by urgency when there is too little

Cause: every request was admitted by itself as long as some upstream would start it before its deadline, so all kinds waited at the upstreams, the long prompts of the less urgent before the short ones of the urgent. Change: the room is divided by urgency from the demand of all gateways by rank; each gateway lets the shares through, holds what can still be complete before its deadline, and rejects the rest at once. Requests are held for another poll only after a pause or a start, since it cost each request a turn of the event loop. Lookouts are three, the others wait 20 s, and a failure is followed by a single watch.

--- /dev/null
+++ b/packages/serving/src/admission/urgencyShares.ts
@@ -0,0 +1,75 @@
+/**
+ * Divides the room of a service among the ranks of its requests when they ask for more than there is.
+ *
+ * @module
+ */
+
+/** Part of the measured prefill rate that is given to requests while room is divided. */
+const USABLE_SHARE = 0.95
+/** Room is divided from the demand that is this multiple of the measured rate, while prompts wait, until it is below the other. */
+const BEGIN_AT_DEMAND = 1
+const END_AT_DEMAND = 0.95
+/** Mean wait at the upstreams below which there is room for every request, and above which a backlog is worked off. */
+const MINIMUM_WAIT_SECONDS = 0.06
+const TOLERATED_WAIT_SECONDS = 0.15
+/** Time in which a backlog is worked off beside new requests. */
+const BACKLOG_SECONDS = 2
+/** Part of the room that remains in any case while a backlog is worked off. */
+const MINIMUM_ROOM_SHARE = 0.3
+/** Part of the room that a rank gets at least. */
+const MINIMUM_RANK_SHARE = 0.1
+
+/** What requests of one rank ask for, at all gateways. */
+export interface RankDemand {
+  /** 0 is the most urgent. */
+  rank: number
+  promptTokensPerSecond: number
+}
+
+/** The demand for a service, and its room. */
+export interface ServiceLoad {
+  demands: readonly RankDemand[]
+  /** Upstreams that may get requests. */
+  upstreams: number
+  /** Prompt tokens that one upstream prefills in a second. */
+  tokensPerSecond: number
+  /** Prompt tokens that wait at all upstreams. */
+  waitingTokens: number
+}
+
+/** Divides the room of one service. It goes on while the demand is too high, also when nothing waits because it was divided. */
+export class RoomDivision {
+  private _isDividing = false
+
+  static create (): RoomDivision {
+    return new RoomDivision()
+  }
+
+  /** Returns the share of the requests of each rank that may start; undefined while there is room for all. */
+  divide ({ demands, upstreams, tokensPerSecond, waitingTokens }: ServiceLoad): ReadonlyMap<number, number> | undefined {
+    const capacity = upstreams * tokensPerSecond
+    const asked = demands.filter(demand => demand.promptTokensPerSecond > 0).sort((left, right) => left.rank - right.rank)
+    const total = asked.reduce((sum, demand) => sum + demand.promptTokensPerSecond, 0)
+    const begins = total > capacity * BEGIN_AT_DEMAND && waitingTokens >= capacity * MINIMUM_WAIT_SECONDS
+    this._isDividing = capacity > 0 && asked.length > 1 && (begins || (this._isDividing && total > capacity * END_AT_DEMAND))
+    if (!this._isDividing) return undefined
+    const backlog = Math.max(0, waitingTokens - capacity * TOLERATED_WAIT_SECONDS)
+    const room = Math.max(capacity * MINIMUM_ROOM_SHARE, capacity * USABLE_SHARE - backlog / BACKLOG_SECONDS)
+    return grantInOrder(asked, room)
+  }
+}
+
+/** Gives each rank what it asks for, in order, but leaves the minimum of the ranks after it. */
+function grantInOrder (asked: readonly RankDemand[], room: number): Map<number, number> {
+  const minimumOf = ({ promptTokensPerSecond }: RankDemand): number => Math.min(promptTokensPerSecond, room * MINIMUM_RANK_SHARE)
+  let left = room
+  let reserved = asked.reduce((sum, demand) => sum + minimumOf(demand), 0)
+  const shares = new Map<number, number>()
+  for (const demand of asked) {
+    reserved -= minimumOf(demand)
+    const granted = Math.min(demand.promptTokensPerSecond, Math.max(minimumOf(demand), left - reserved))
+    left -= granted
+    shares.set(demand.rank, granted / demand.promptTokensPerSecond)
+  }
+  return shares
+}
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Timer, Timestamp } from '@plumstage/common'
+import type { UrgencyQueue } from '../admission/urgencyQueue.js'
 import type { CallerExchange } from '../callers/callerExchange.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
@@ -47,6 +48,8 @@
   protocol: UpstreamProtocol
   access: UpstreamAccess
   running: RunningRequests
+  /** Requests that wait for room. */
+  queue: UrgencyQueue
   streamOrigins: StreamOriginTask
 }
 
@@ -74,6 +77,8 @@
   private _usageRecorded = false
   private _deadlineTimer: Timer | undefined
   private _pauseTimer: Timer | undefined
+  /** Gives up the wait for room, if there is one. */
+  private _giveUpWaiting: (() => void) | undefined
   private _done = false
 
   private constructor (services: RequestServices, request: AcceptedRequest, exchange: CallerExchange) {
@@ -203,7 +208,28 @@
   private _startUnlessRefused (): void {
     const rejection = this._refusal.checkStart()
     if (rejection) return this._reject(rejection)
-    this._startAttempt()
+    if (this._continuity.isResumed || !this._request.head.generation) return this._startAttempt()
+    this._waitForRoom()
+  }
+
+  /** Starts the first attempt when the service has room for requests of this urgency. A stream that has begun goes on at once. */
+  private _waitForRoom (): void {
+    const { state, clock, queue } = this._services
+    const { service, rank } = this._request
+    const choice = this._choice.choose(this._continuity.required)
+    if (!choice) return this._failWithoutUpstream()
+    const now = clock.now()
+    const tokens = Math.max(1, choice.prefillTokens)
+    state.recordRankDemand(service.name, rank, tokens, now)
+    this._giveUpWaiting = queue.submit(service.name, { rank, tokens, startBy: this._refusal.latestStart(tokens), start: () => this._startAfterWaiting(), reject: () => this._rejectForRoom() })
+  }
+
+  private _startAfterWaiting (): void {
+    if (!this._done) this._startAttempt()
+  }
+
+  private _rejectForRoom (): void {
+    if (!this._done) this._reject(this._refusal.explainLackOfRoom())
   }
 
   private _startAttempt (): void {
@@ -346,6 +372,7 @@
     this._done = true
     this._deadlineTimer?.cancel()
     this._pauseTimer?.cancel()
+    this._giveUpWaiting?.()
     this._services.running.close(this)
     this._crashes.endAttempt()
     const { attempts } = this._progress
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -14,6 +14,7 @@
 import type { CallerExchange } from './callerExchange.js'
 import type { CallerHead, CallerProtocol } from './callerProtocol.js'
 import { createRejection } from './rejection.js'
+import type { PauseMonitor } from './pauseMonitor.js'
 import type { Rejection } from './rejection.js'
 import type { Admission, RequestAdmission } from './requestAdmission.js'
 
@@ -30,6 +31,7 @@
   services: RequestServices
   admission: RequestAdmission
   protocol: CallerProtocol
+  pauses: PauseMonitor
   /** Returns whether to close connections after their next response, because the gateway is stopping. */
   closesConnection: () => boolean
 }
@@ -57,7 +59,7 @@
   }
 
   private _receive (incoming: IncomingMessage, response: ServerResponse): void {
-    const { protocol, services, admission, closesConnection } = this._options
+    const { protocol, services, admission, pauses, closesConnection } = this._options
     const exchange = HttpCallerExchange.create(response, protocol, closesConnection)
     const acceptedAt = services.clock.now()
     const head = protocol.readHead(incoming)
@@ -72,7 +74,9 @@
       if (exchange.started) return
       if (body.isErr()) return this._reject(exchange, body.error, incoming, head.value)
       const { value } = body
-      afterNextPoll(() => this._accept(exchange, incoming, head.value, admitted.value, value, acceptedAt))
+      const accept = (): void => this._accept(exchange, incoming, head.value, admitted.value, value, acceptedAt)
+      if (pauses.isCatchingUp) afterNextPoll(accept)
+      else accept()
     })
   }
 
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -14,11 +14,13 @@
 /** Time for the store to respond to a watch when there is a change. */
 const WATCH_MILLISECONDS = 250
 /** After a batch of changes, the next one below the same prefix is delayed by this time for each gateway of the deployment. */
-const BATCH_DELAY_PER_GATEWAY_MILLISECONDS = 36
-const MAXIMUM_BATCH_DELAY_MILLISECONDS = 1250
+const BATCH_DELAY_PER_GATEWAY_MILLISECONDS = 12
+const MAXIMUM_BATCH_DELAY_MILLISECONDS = 900
+/** Factor for what gateways write for each other, which no request waits for. */
+const GATEWAYS_DELAY_FACTOR = 2
 /** How long the store may take to answer a watch without a change, at gateways that look closely and at the others. */
 const LOOKOUT_WAIT_MILLISECONDS = 2500
-const WAIT_MILLISECONDS = 10_000
+const WAIT_MILLISECONDS = 20_000
 /** The same after a failure, so that the store's return is noticed soon. */
 const WAIT_AFTER_FAILURE_MILLISECONDS = 250
 /** When the store has come back from a copy, the snapshots of all gateways are spread over this time for each of them. */
@@ -129,11 +131,12 @@
     for (const observer of observers) observer.onSnapshot(entries, { era, revision })
   }
 
-  /** Watches all prefixes until one of the watches ends. */
+  /** Watches all prefixes until one of the watches ends. After a failure, a single watch first shows that the store answers. */
   private async _watchAll (context: CallContext, positions: Map<FollowedPrefix, StorePosition>): Promise<void> {
     const watching = context.createChild()
-    await Promise.all(this._followed.map(async followed => {
-      await this._watch(watching, followed, positions)
+    const followed = this._failingSince === undefined ? this._followed : [this._followed[0]]
+    await Promise.all(followed.map(async prefix => {
+      await this._watch(watching, prefix, positions)
       watching.cancel('superseded')
     }))
   }
@@ -147,11 +150,13 @@
       if (batch.isErr()) return this._handleWatchError(batch.error)
       const { era, revision, changes } = batch.value
       if (era !== position.era) return this._requireSnapshot('restored')
+      const wasFailing = this._failingSince !== undefined
       this._recordSuccess(era)
       positions.set(followed, { era, revision })
+      if (changes.length > 0) this._apply(batch.value, followed)
+      if (wasFailing) return
       if (changes.length === 0) continue
-      this._apply(batch.value, followed)
-      await context.sleepUntil(clock.now() + this._batchDelayMilliseconds)
+      await context.sleepUntil(clock.now() + this._batchDelayMilliseconds * (followed.holds === 'gateways' ? GATEWAYS_DELAY_FACTOR : 1))
     }
   }
 
@@ -174,7 +179,8 @@
 
   /** Returns the time until the next call: after the store's return, every gateway needs a snapshot at the same time. */
   private _takePauseMilliseconds (): number {
-    if (!this._hasJustReturned) return RETRY_MILLISECONDS
+    const hasJustAnswered = this._failingSince === undefined && this._positions !== undefined
+    if (!this._hasJustReturned) return hasJustAnswered ? 0 : RETRY_MILLISECONDS
     this._hasJustReturned = false
     const { random, countGateways } = this._options
     return random.nextFraction() * Math.min(MAXIMUM_SNAPSHOT_SPREAD_MILLISECONDS, SNAPSHOT_SPREAD_PER_GATEWAY_MILLISECONDS * countGateways())
--- a/packages/serving/src/deployment/lookouts.ts
+++ b/packages/serving/src/deployment/lookouts.ts
@@ -6,7 +6,7 @@
 import type { GatewayAddresses } from '../peers/gatewayAddresses.js'
 import { rendezvousWeight } from '../routing/rendezvousHash.js'
 
-const LOOKOUTS = 6
+const LOOKOUTS = 3
 const RANKING_KEY = 'lookout'
 
 /** Whether this gateway is one of the lookouts: all are in a small deployment. */
--- a/packages/serving/src/fleet/fleetTask.ts
+++ b/packages/serving/src/fleet/fleetTask.ts
@@ -6,12 +6,10 @@
 import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
 import type { DutyTask } from '@plumstage/coordination'
 import type { ScalingBounds } from '@plumstage/records'
-import { hashName } from '../aggregation/aggregate.js'
 import type { Cloud, UpstreamOrder } from '../duties/cloud.js'
 import { countMissingUpstreams } from '../limits/missingCapacity.js'
 import type { ServingState } from '../servingState.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
-import type { Demand } from './demandMeter.js'
 import { FleetPlanner } from './fleetPlanner.js'
 import type { FleetCount, FleetObservation } from './fleetSizing.js'
 
@@ -75,7 +73,7 @@
     return {
       service,
       scaling,
-      demand: this._demandOf(service),
+      demand: state.demandOf(service, clock.now()),
       counts: this._countUpstreams(service),
       observedTokensPerSecond,
       waitingTokens: upstreams.reduce((sum, upstream) => sum + upstream.waitingTokens, 0),
@@ -125,23 +123,4 @@
     }
     return [...counts.values()]
   }
-
-  /** Sums the demand at all gateways. */
-  private _demandOf (service: string): Demand {
-    const { state, clock } = this._options
-    const total = { ...state.demand.demandOf(service, clock.now()) }
-    const totals = state.peers.currentTotals(clock.now())
-    if (totals) return addDemand(total, totals.others.demands.get(hashName(service)))
-    for (const peer of state.peers.listPresent(clock.now())) {
-      const demand = peer.report.demands.find(candidate => candidate.service === service)
-      addDemand(total, demand)
-    }
-    return total
-  }
-}
-
-function addDemand (total: Demand, demand: Demand | undefined): Demand {
-  total.promptTokensPerSecond += demand?.promptTokensPerSecond ?? 0
-  total.outputTokensPerSecond += demand?.outputTokensPerSecond ?? 0
-  return total
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -5,6 +5,9 @@
  */
 export * from './admission/overloadGuard.js'
 export * from './admission/retryBudget.js'
+export * from './admission/urgencyAdmission.js'
+export * from './admission/urgencyQueue.js'
+export * from './admission/urgencyShares.js'
 export * from './aggregation/aggregate.js'
 export * from './aggregation/aggregationNode.js'
 export * from './aggregation/aggregationState.js'
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -7,10 +7,12 @@
 import type { Clock, Instrumentation, SeededRandom, Timer, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
 import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
+import { UrgencyQueue } from './admission/urgencyQueue.js'
 import { RunningRequests } from './attempts/runningRequests.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
 import type { CallerProtocol } from './callers/callerProtocol.js'
 import { CallerServer } from './callers/callerServer.js'
+import { PauseMonitor } from './callers/pauseMonitor.js'
 import { createReadinessServer } from './callers/readinessServer.js'
 import { RequestAdmission } from './callers/requestAdmission.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
@@ -81,6 +83,8 @@
   private readonly _environment: ServingEnvironment
   private readonly _context: CallContext
   private readonly _running = RunningRequests.create()
+  private readonly _queue: UrgencyQueue
+  private readonly _pauses: PauseMonitor
   private readonly _access: UpstreamAccess
   private readonly _keys: StoreKeys
   private readonly _addresses: GatewayAddresses
@@ -113,6 +117,8 @@
     this.state.partQuarantine.onChange((part, change, crashes) => instrumentation.emit(`prompt-part-${change}`, { part: formatPart(part), crashes }))
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
+    this._pauses = PauseMonitor.create(leaseClock)
+    this._queue = UrgencyQueue.create(clock, (service, now) => this.state.rankSharesOf(service, now))
     this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, reconsiderPaths: () => this._reconsiderPaths() })
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
     this._addresses = GatewayAddresses.create(this.state.peers)
@@ -217,9 +223,10 @@
   private _createCallerServer (): CallerServer {
     const { clock, timeOfDay, instrumentation, upstreamProtocol, callerProtocol } = this._environment
     return CallerServer.create({
-      services: { clock, timeOfDay, instrumentation, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, streamOrigins: this._streamOrigins, crashProbe: this._access },
+      services: { clock, timeOfDay, instrumentation, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, queue: this._queue, streamOrigins: this._streamOrigins, crashProbe: this._access },
       admission: RequestAdmission.create(this.state),
       protocol: callerProtocol,
+      pauses: this._pauses,
       closesConnection: () => this._stopping
     })
   }
@@ -254,6 +261,7 @@
     const { store, clock, leaseClock, instrumentation } = this._environment
     const { name, peerSeeds } = this._settings
     for (const seed of peerSeeds) this.state.peers.addKnownAddress(seed, clock.now())
+    void this._pauses.run(this._context)
     void this._deploymentTask.run(this._context)
     this._peerExchange.start()
     void this._access.run(this._context)
--- a/tests/serving/deploymentTask.spec.ts
+++ b/tests/serving/deploymentTask.spec.ts
@@ -15,12 +15,12 @@
 /** After an answer is overdue by this, its connection counts as lost. */
 const SILENCE_MARGIN_MILLISECONDS = 800
 
-/** A store in which entries below one prefix change continuously; counts the watch responses that a gateway requests. */
+/** A store in which entries below one prefix change continuously; counts the watch responses that a gateway requests for it. */
 function createBusyStore (clock: VirtualClock, busyPrefix: string): { service: KeyValueService, calls: () => number } {
   let calls = 0
   async function * watch (context: CallContext, prefix: string, _start: StorePosition, waitMilliseconds: () => number): AsyncGenerator<Result<KeyValueWatchBatch, KeyValueError>> {
     for (let revision = 2; !context.cancelled; revision = Math.floor(clock.now() / CHANGE_INTERVAL_MILLISECONDS) + 2) {
-      calls++
+      if (prefix === busyPrefix) calls++
       if (prefix !== busyPrefix) await context.sleepUntil(clock.now() + waitMilliseconds())
       yield ok({ era: 1, revision, changes: prefix === busyPrefix ? [{ kind: 'delete', key: `${prefix}${revision}`, modRevision: revision }] : [] })
     }
@@ -139,6 +139,6 @@
 
   // Guards against: entries that only few gateways read, such as the origins of streams, cost a call of each gateway.
   it('makes no calls for changes that it does not follow', async () => {
-    assert.ok(await measureCallRate(72, 'elsewhere/') <= 1.5)
+    assert.equal(await measureCallRate(72, 'elsewhere/'), 0)
   })
 })
--- a/tests/serving/lookouts.spec.ts
+++ b/tests/serving/lookouts.spec.ts
@@ -5,10 +5,10 @@
 describe('lookouts', () => {
   // Guards against: nobody finds out that the store is silent, or everybody pays for it.
   for (const gateways of [1, 3, 9, 85, 2600]) {
-    it(`of ${gateways} gateways, six at the most look closely, and at least one`, () => {
+    it(`of ${gateways} gateways, three at the most look closely, and at least one`, () => {
       const addresses = Array.from({ length: gateways }, (_, index) => `10.1.${index >> 8}.${index & 255}:7600`)
       const lookouts = addresses.filter(self => isLookout({ self, list: () => addresses }))
-      assert.equal(lookouts.length, Math.min(6, gateways))
+      assert.equal(lookouts.length, Math.min(3, gateways))
     })
   }
 
