--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -13,6 +13,7 @@
 /** Values that are read on each scrape. */
 export interface ServingMetricSources {
   running: () => number
+  waiting: () => number
   configurationRevision: () => number
   upstreamsRevision: () => number
   storeEra: () => number
@@ -28,32 +29,51 @@
   isFollowingStore: () => boolean
 }
 
+/** How events of one kind are counted. */
+interface EventCounter {
+  kind: string
+  name: string
+  help: string
+  /** Attribute of the event by which it is counted, and the name of its label. */
+  label?: { attribute: string, name: string }
+  /** Attribute that holds how much is counted; each event counts once without it. */
+  amount?: string
+}
+
+const EVENT_COUNTERS: readonly EventCounter[] = [
+  { kind: 'request-rejected', name: 'plumstage_rejected_requests_total', help: 'Requests that were rejected before an attempt, by reason.', label: { attribute: 'reason', name: 'reason' } },
+  { kind: 'request-abandoned', name: 'plumstage_abandoned_requests_total', help: 'Requests whose callers had left before they were read.' },
+  { kind: 'no-room-for-rank', name: 'plumstage_room_rejections_total', help: 'Requests that were rejected because more urgent ones need the room, by rank.', label: { attribute: 'rank', name: 'rank' } },
+  { kind: 'attempt-failed', name: 'plumstage_failed_attempts_total', help: 'Attempts that failed, by failure.', label: { attribute: 'failure', name: 'failure' } },
+  { kind: 'limited-attempt-started', name: 'plumstage_limited_attempts_total', help: 'Attempts sent to upstreams that state a request limit, by kind.', label: { attribute: 'attemptKind', name: 'kind' } },
+  { kind: 'configuration-ignored', name: 'plumstage_ignored_configurations_total', help: 'Configurations that were received and did not come into force, by reason.', label: { attribute: 'reason', name: 'reason' } },
+  { kind: 'store-snapshot-read', name: 'plumstage_store_snapshots_total', help: 'Snapshots of all entries that were read from the store, by reason.', label: { attribute: 'reason', name: 'reason' } },
+  { kind: 'upstream-links-probed', name: 'plumstage_link_probes_total', help: 'Probes of upstreams that show whether the links of this gateway work.', amount: 'probes' },
+  { kind: 'rollout-decided', name: 'plumstage_rollout_decisions_total', help: 'Changes of the stage of roll-outs that this gateway decided, by stage.', label: { attribute: 'stage', name: 'stage' } },
+  { kind: 'stream-archive-read', name: 'plumstage_stream_archive_reads_total', help: 'Shards of the archive of stream origins that were read.' },
+  { kind: 'stream-archive-not-written', name: 'plumstage_stream_archive_failures_total', help: 'Batches for the archive of stream origins that the store did not take at once.' }
+]
+
 /** Counts requests, rejections and failed attempts from events, and exposes gauges of the gateway's state. */
 export class ServingMetrics {
   private readonly _registry = MetricRegistry.create()
   private readonly _requests: Counter
-  private readonly _rejections: Counter
-  private readonly _attemptFailures: Counter
-  private readonly _limitedAttempts: Counter
-  private readonly _ignoredConfigurations: Counter
-  private readonly _snapshots: Counter
-  private readonly _linkProbes: Counter
   private readonly _linkChanges: Counter
   private readonly _firstEvent: Histogram
   private readonly _duration: Histogram
+  private readonly _eventCounters = new Map<string, { definition: EventCounter, counter: Counter }>()
 
   private constructor (sources: ServingMetricSources) {
     const { registers } = this._registry
+    for (const definition of EVENT_COUNTERS) {
+      const { kind, name, help, label } = definition
+      this._eventCounters.set(kind, { definition, counter: new Counter({ name, help, labelNames: label ? [label.name] : [], registers }) })
+    }
     this._requests = new Counter({ name: 'plumstage_requests_total', help: 'Requests that ended, by outcome, status and route.', labelNames: ['outcome', 'status', 'route'], registers })
-    this._rejections = new Counter({ name: 'plumstage_rejected_requests_total', help: 'Requests that were rejected before an attempt, by reason.', labelNames: ['reason'], registers })
-    this._attemptFailures = new Counter({ name: 'plumstage_failed_attempts_total', help: 'Attempts that failed, by failure.', labelNames: ['failure'], registers })
-    this._limitedAttempts = new Counter({ name: 'plumstage_limited_attempts_total', help: 'Attempts sent to upstreams that state a request limit, by kind.', labelNames: ['kind'], registers })
-    this._ignoredConfigurations = new Counter({ name: 'plumstage_ignored_configurations_total', help: 'Configurations that were received and did not come into force, by reason.', labelNames: ['reason'], registers })
-    this._snapshots = new Counter({ name: 'plumstage_store_snapshots_total', help: 'Snapshots of all entries that were read from the store, by reason.', labelNames: ['reason'], registers })
-    this._linkProbes = new Counter({ name: 'plumstage_link_probes_total', help: 'Probes of upstreams that show whether the links of this gateway work.', registers })
     this._linkChanges = new Counter({ name: 'plumstage_link_changes_total', help: 'How often the links of this gateway to all upstreams were lost and regained, by change.', labelNames: ['change'], registers })
     this._firstEvent = new Histogram({ name: 'plumstage_first_event_seconds', help: 'Time from acceptance to the first event of a stream.', buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._duration = new Histogram({ name: 'plumstage_request_seconds', help: 'Time from acceptance to the end of a request.', labelNames: ['route'], buckets: LATENCY_BUCKETS_SECONDS, registers })
+    this._registry.addGauge('plumstage_waiting_requests', 'Requests that wait for room because more urgent ones need it.', sources.waiting)
     this._registry.addGauge('plumstage_running_requests', 'Requests that run at an upstream.', sources.running)
     this._registry.addGauge('plumstage_configuration_revision', 'Store revision of the configuration in force.', sources.configurationRevision)
     this._registry.addGauge('plumstage_upstreams_revision', 'Store revision of the last known change to the list of upstreams.', sources.upstreamsRevision)
@@ -85,17 +105,19 @@
   }
 
   private _count ({ kind, attributes }: ActionEvent): void {
+    this._countEvent(kind, attributes)
     if (kind === 'request-ended') {
       this._requests.inc({ outcome: String(attributes?.outcome), status: String(attributes?.status), route: String(attributes?.route) })
       this._duration.observe({ route: String(attributes?.route) }, Number(attributes?.milliseconds) / MILLISECONDS_PER_SECOND)
-    } else if (kind === 'request-rejected') this._rejections.inc({ reason: String(attributes?.reason) })
-    else if (kind === 'configuration-ignored') this._ignoredConfigurations.inc({ reason: String(attributes?.reason) })
-    else if (kind === 'store-snapshot-read') this._snapshots.inc({ reason: String(attributes?.reason) })
-    else if (kind === 'limited-attempt-started') this._limitedAttempts.inc({ kind: String(attributes?.attemptKind) })
-    else if (kind === 'upstream-links-probed') this._linkProbes.inc(Number(attributes?.probes))
-    else if (kind === 'upstream-links-lost') this._linkChanges.inc({ change: 'lost' })
+    } else if (kind === 'upstream-links-lost') this._linkChanges.inc({ change: 'lost' })
     else if (kind === 'upstream-links-regained') this._linkChanges.inc({ change: 'regained' })
-    else if (kind === 'attempt-failed') this._attemptFailures.inc({ failure: String(attributes?.failure) })
     else if (kind === 'first-event') this._firstEvent.observe(Number(attributes?.milliseconds) / MILLISECONDS_PER_SECOND)
   }
+
+  private _countEvent (kind: string, attributes: ActionEvent['attributes']): void {
+    const known = this._eventCounters.get(kind)
+    if (!known) return
+    const { definition: { label, amount }, counter } = known
+    counter.inc(label ? { [label.name]: String(attributes?.[label.attribute]) } : {}, amount === undefined ? 1 : Number(attributes?.[amount]))
+  }
 }
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -285,6 +285,7 @@
       if (metricsAddress === undefined) return
       this._listeners.push(await Listener.create(createMetricsServer({
         running: () => this._running.count,
+        waiting: () => this._queue.waitingCount,
         configurationRevision: () => this.state.view.configurationRevision,
         upstreamsRevision: () => this.state.view.upstreamsRevision,
         storeEra: () => this.state.view.upstreamsPosition.era,
