Divide room from the wait that callers notice, and size the fleet by what is asked

Cause: prompts that are being prefilled count as waiting, so 60 ms were exceeded at ordinary loads; requests that waited in gateways were no demand, so too few upstreams were ordered. Change: the tolerable wait is half of the service's shortest latency objective; demand is counted when a request asks. Result: tests of the decision pass as before.

--- a/packages/records/src/configuration.ts
+++ b/packages/records/src/configuration.ts
@@ -63,6 +63,11 @@
     return this._pathRoutesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix ?? '/'))
   }
 
+  /** Returns the routes that may lead to a service. */
+  listRoutesOfService (service: string): RouteRecord[] {
+    return [...this.routes.values()].filter(route => route.service === service || route.split?.some(share => share.service === service) === true)
+  }
+
   /** Returns the priority classes of all routes to a service. */
   listPrioritiesOfService (service: string): PriorityRecord[] {
     return this._prioritiesByService.get(service) ?? []
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -220,6 +220,7 @@
     if (!choice) return this._failWithoutUpstream()
     const now = clock.now()
     const tokens = Math.max(1, choice.prefillTokens)
+    this._load.recordDemand(tokens, now)
     state.recordRankDemand(service.name, rank, tokens, now)
     this._giveUpWaiting = queue.submit(service.name, { rank, tokens, startBy: this._refusal.latestStart(tokens), start: () => this._startAfterWaiting(), reject: () => this._rejectForRoom() })
   }
--- a/packages/serving/src/rollouts/rolloutRegistry.ts
+++ b/packages/serving/src/rollouts/rolloutRegistry.ts
@@ -149,7 +149,7 @@
 
   /** Returns what all gateways have seen of both versions, by route. */
   listEvidence (rollout: Rollout, { configuration, othersOf }: RolloutJudging): RouteEvidence[] {
-    return this.evidence.list(orderNameOf(rollout), listRoutes(configuration, rollout.order.service), othersOf)
+    return this.evidence.list(orderNameOf(rollout), configuration?.listRoutesOfService(rollout.order.service).map(({ name }) => name) ?? [], othersOf)
   }
 
   /** Whether the new version may get requests, by what is known here now. A judgement holds for a moment, so that not every request makes one. */
@@ -192,12 +192,6 @@
   return replacing.length > 0 ? replacing : upstreams
 }
 
-/** Names of the routes that may lead to a service. */
-function listRoutes (configuration: Configuration | undefined, service: string): string[] {
-  const routes = [...configuration?.routes.values() ?? []]
-  return routes.filter(route => route.service === service || route.split?.some(share => share.service === service) === true).map(({ name }) => name)
-}
-
 function orderNameOf ({ order, orderRevision }: Rollout): string {
   return `${order.service}#${orderRevision}`
 }
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -43,6 +43,9 @@
 const MILLISECONDS_PER_SECOND = 1000
 /** How long a division of the room among ranks holds before it is made again. */
 const RANK_SHARES_MILLISECONDS = 100
+/** Part of the shortest latency objective of a service that a request may wait at an upstream. */
+const TOLERABLE_WAIT_SHARE = 0.5
+const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
 /** All ranks that requests may have. */
 const RANKS = Array.from({ length: 10 }, (_, rank) => rank)
 
@@ -204,10 +207,17 @@
       demands: RANKS.map(rank => ({ rank, promptTokensPerSecond: this.demandOf(rankNameOf(service, rank), now).promptTokensPerSecond })),
       upstreams: usable.length,
       tokensPerSecond: tokensPerMillisecond * MILLISECONDS_PER_SECOND,
-      waitingTokens: usable.reduce((sum, { waitingTokens }) => sum + waitingTokens, 0)
+      waitingTokens: usable.reduce((sum, { waitingTokens }) => sum + waitingTokens, 0),
+      tolerableWaitSeconds: this._shortestObjectiveOf(service) * TOLERABLE_WAIT_SHARE / MILLISECONDS_PER_SECOND
     })
   }
 
+  /** Shortest latency objective of the routes to a service, in milliseconds. */
+  private _shortestObjectiveOf (service: string): number {
+    const routes = this.view.configuration?.listRoutesOfService(service) ?? []
+    return Math.min(DEFAULT_OBJECTIVE_MILLISECONDS, ...routes.map(({ objectiveMilliseconds }) => objectiveMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS))
+  }
+
   private _divisionOf (service: string): RoomDivision {
     const division = this._divisions.get(service) ?? RoomDivision.create()
     this._divisions.set(service, division)
