--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { Timer, Timestamp } from '@plumstage/common'
-import type { UrgencyQueue } from '../admission/urgencyQueue.js'
 import type { CallerExchange } from '../callers/callerExchange.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
@@ -16,14 +15,16 @@
 import { AttemptLog } from './attemptLog.js'
 import type { AttemptKind } from './attemptLog.js'
 import { CrashTracking } from './crashTracking.js'
-import type { CrashTrackingServices } from './crashTracking.js'
 import { DispatchRefusal } from './dispatchRefusal.js'
+import { findForeignHead, findUnusableHead, matchesRequest } from './headCheck.js'
 import { RequestLoad } from './requestLoad.js'
 import { ResponseRelay } from './responseRelay.js'
 import { StreamContinuity } from './streamContinuity.js'
 import { decideAfterFailure, isUncounted } from './attemptPolicy.js'
 import type { AttemptFailure, RequestProgress } from './attemptPolicy.js'
 import { RetryAllowance } from './retryAllowance.js'
+import { RoomWait } from './roomWait.js'
+import type { RoomWaitServices } from './roomWait.js'
 import type { RunningRequests } from './runningRequests.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import { UpstreamChoice } from './upstreamChoice.js'
@@ -32,7 +33,6 @@
 import { UpstreamStatements } from './upstreamStatements.js'
 
 const FIRST_SERVER_ERROR_STATUS = 500
-const FIRST_REDIRECT_STATUS = 300
 const RETRY_AFTER_TIMEOUT_MILLISECONDS = 500
 /** Maximum of a request's urgency; lower values are more urgent. */
 const MAXIMUM_URGENCY = 9
@@ -42,14 +42,12 @@
 const UNREACHABLE_PAUSE_MILLISECONDS = 100
 
 /** Dependencies of request tasks. */
-export interface RequestServices extends CrashTrackingServices {
+export interface RequestServices extends RoomWaitServices {
   /** Time of day in milliseconds since the epoch, for usage windows. */
   timeOfDay: () => Timestamp
   protocol: UpstreamProtocol
   access: UpstreamAccess
   running: RunningRequests
-  /** Requests that wait for room. */
-  queue: UrgencyQueue
   streamOrigins: StreamOriginTask
 }
 
@@ -64,6 +62,7 @@
   private readonly _continuity: StreamContinuity
   private readonly _crashes: CrashTracking
   private readonly _refusal: DispatchRefusal
+  private readonly _roomWait: RoomWait
   private readonly _log: AttemptLog
   private readonly _statements: UpstreamStatements
   private readonly _choice: UpstreamChoice
@@ -77,8 +76,6 @@
   private _usageRecorded = false
   private _deadlineTimer: Timer | undefined
   private _pauseTimer: Timer | undefined
-  /** Gives up the wait for room, if there is one. */
-  private _giveUpWaiting: (() => void) | undefined
   private _done = false
 
   private constructor (services: RequestServices, request: AcceptedRequest, exchange: CallerExchange) {
@@ -92,6 +89,7 @@
     this._choice = UpstreamChoice.create(services, request, this._crashes)
     this._retries = RetryAllowance.create(services, request)
     this._refusal = DispatchRefusal.create(services, request, this._continuity, this._crashes)
+    this._roomWait = RoomWait.create(services, request, this._refusal)
     this._log = AttemptLog.create(services.instrumentation, request.head)
     this._statements = UpstreamStatements.create(services.state, services.clock, this._log)
     this._progress = { route: request.route, attempts: 0, mayHaveRun: false, started: false }
@@ -135,13 +133,12 @@
   receiveHead (status: number, headers: ResponseHeaders): ReceiveDecision {
     this._path?.recordBytes()
     const head = this._services.protocol.readHead(status, headers)
-    const matchesRequest = head.requestId === this._request.head.requestId
-    if (head.requestId !== undefined && !matchesRequest) return fail('broken', `the response belongs to request ${head.requestId}`)
-    if (head.otherInstance) return fail('other-instance', 'the address belongs to another instance')
-    if (matchesRequest) this._statements.apply(head, this._upstream!, this._attemptStartedAt)
-    if (head.notRun) return fail('not-run', `the upstream refused the request with status ${status}`)
-    if (status < FIRST_REDIRECT_STATUS && !(matchesRequest && head.signed)) return fail('broken', 'the response is not signed for this request')
-    if (!head.signed) return fail('broken', `the response with status ${status} is not signed by the upstream`)
+    const { requestId } = this._request.head
+    const foreign = findForeignHead(head, requestId)
+    if (foreign) return { kind: 'fail', ...foreign }
+    if (matchesRequest(head, requestId)) this._statements.apply(head, this._upstream!, this._attemptStartedAt)
+    const unusable = findUnusableHead(head, requestId, status)
+    if (unusable) return { kind: 'fail', ...unusable }
     if (status >= FIRST_SERVER_ERROR_STATUS && this._retries.takeAfterServerError(this._progress)) return fail('server-error', `the upstream returned status ${status}`)
     if (!this._request.route.stream) this._recordUsage()
     return this._relay.receiveHead(status, headers)
@@ -214,23 +211,10 @@
 
   /** Starts the first attempt when the service has room for requests of this urgency. A stream that has begun goes on at once. */
   private _waitForRoom (): void {
-    const { state, clock, queue } = this._services
-    const { service, rank } = this._request
     const choice = this._choice.choose(this._continuity.required)
     if (!choice) return this._failWithoutUpstream()
-    const now = clock.now()
-    const tokens = Math.max(1, choice.prefillTokens)
-    this._load.recordDemand(tokens, now)
-    state.recordRankDemand(service.name, rank, tokens, now)
-    this._giveUpWaiting = queue.submit(service.name, { rank, tokens, startBy: this._refusal.latestStart(tokens), start: () => this._startAfterWaiting(), reject: () => this._rejectForRoom() })
-  }
-
-  private _startAfterWaiting (): void {
-    if (!this._done) this._startAttempt()
-  }
-
-  private _rejectForRoom (): void {
-    if (!this._done) this._reject(this._refusal.explainLackOfRoom())
+    this._load.recordDemand(choice.prefillTokens, this._services.clock.now())
+    this._roomWait.begin(choice.prefillTokens, { start: () => this._startAttempt(), reject: () => this._reject(this._refusal.explainLackOfRoom()) })
   }
 
   private _startAttempt (): void {
@@ -373,7 +357,7 @@
     this._done = true
     this._deadlineTimer?.cancel()
     this._pauseTimer?.cancel()
-    this._giveUpWaiting?.()
+    this._roomWait.giveUp()
     this._services.running.close(this)
     this._crashes.endAttempt()
     const { attempts } = this._progress
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -4,11 +4,12 @@
  * @module
  */
 import { CallContext, Listener, describeError, getLogger } from '@plumstage/common'
-import type { Clock, Instrumentation, SeededRandom, Timer, Timestamp } from '@plumstage/common'
+import type { Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
 import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
 import { UrgencyQueue } from './admission/urgencyQueue.js'
 import { RunningRequests } from './attempts/runningRequests.js'
+import { StreamMigration } from './attempts/streamMigration.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
 import type { CallerProtocol } from './callers/callerProtocol.js'
 import { CallerServer } from './callers/callerServer.js'
@@ -43,8 +44,6 @@
 /** The holder stops acting on the duty before the lease expires; this margin is the lease duration divided by this. */
 const LEASE_MARGIN_DIVISOR = 4
 const EXPIRY_CHECK_MILLISECONDS = 500
-/** Resumable streams migrate to another upstream this long before theirs is reclaimed. */
-const MIGRATION_MARGIN_MILLISECONDS = 400
 /**
  * Time after the stop signal during which requests are still accepted. The load balancer keeps sending connections for
  * two more readiness checks; requests accepted after this time might not finish within the grace period.
@@ -91,7 +90,7 @@
   private readonly _duty: DutyTask
   private readonly _deploymentTask: DeploymentTask
   private readonly _callerServer: CallerServer
-  private readonly _migrationTimers = new Map<Upstream, Timer>()
+  private readonly _migration: StreamMigration
   private readonly _log = getLogger('serving')
   private readonly _listeners: Listener[] = []
   private readonly _peerExchange: PeerExchange
@@ -112,6 +111,7 @@
     this._settings = settings
     this._environment = environment
     this._context = CallContext.create(clock)
+    this._migration = StreamMigration.create(this._running, clock)
     this.state = ServingState.create(settings, environment.decoder, environment.random)
     this.state.limits.onChange((upstream, source) => this._logLimit(upstream, source))
     this.state.partQuarantine.onChange((part, change, crashes) => instrumentation.emit(`prompt-part-${change}`, { part: formatPart(part), crashes }))
@@ -187,7 +187,7 @@
   async destroy (): Promise<void> {
     this._context.cancel('shutdown')
     this._socket.close()
-    for (const timer of this._migrationTimers.values()) timer.cancel()
+    this._migration.cancel()
     await this._internalListenersOpened
     await Promise.all([...this._listeners.map(async listener => await listener.destroy()), this._access.close()])
   }
@@ -340,19 +340,10 @@
       this.state.prefixCache.removeUpstream(upstream.listed.id)
       instrumentation.emit('upstream-removed', { upstream: upstream.listed.id, service: upstream.listed.service, revision: this.state.view.upstreamsRevision })
     }
-    for (const upstream of this.state.upstreams.list()) this._scheduleMigration(upstream)
+    for (const upstream of this.state.upstreams.list()) this._migration.schedule(upstream)
     instrumentation.emit('upstreams-applied', { count: this.state.upstreams.list().length, leaving: this.state.upstreams.list().filter(upstream => upstream.isLeaving).length, revision: this.state.view.upstreamsRevision })
   }
 
-  /** Migrates resumable streams from an upstream shortly before it is reclaimed. */
-  private _scheduleMigration (upstream: Upstream): void {
-    if (!upstream.isLeaving || upstream.leavesAt === undefined || this._migrationTimers.has(upstream)) return
-    this._migrationTimers.set(upstream, this._environment.clock.schedule(upstream.leavesAt - MIGRATION_MARGIN_MILLISECONDS, () => {
-      this._migrationTimers.delete(upstream)
-      for (const task of this._running.listOf(upstream)) task.migrate()
-    }))
-  }
-
   /** Whether to try to acquire the cloud duty now. */
   private _seeksDuty (): boolean {
     return !this._stopping && this._registry.isDutyOpenTo(this._peerExchange.hasSenior ? 'junior' : 'senior')
