Tell a caller whose stream has not begun to return when its version has no upstream left

Cause: a first attempt that was archived binds the request to its version; when that attempt was refused and no upstream of the version was left, the caller was told that its stream was gone and to begin a new one, without a delay. Change: that is said only of streams that have begun; others are rejected with the delay for a missing upstream.

--- a/packages/serving/src/attempts/dispatchRefusal.ts
+++ b/packages/serving/src/attempts/dispatchRefusal.ts
@@ -98,7 +98,7 @@
   }
 
   private _checkSoftware (): Rejection | undefined {
-    if (this._continuity.required === undefined) return undefined
+    if (this._continuity.required === undefined || !this._continuity.hasBegun) return undefined
     return createRejection('stream-software-gone', 'No upstream runs the software that began the stream, so it can\'t be continued, and the request was not executed. Begin a new stream.')
   }
 }
--- a/packages/serving/src/attempts/streamContinuity.ts
+++ b/packages/serving/src/attempts/streamContinuity.ts
@@ -20,6 +20,7 @@
   private readonly _request: AcceptedRequest
   private _required: SoftwareId | undefined
   private _isArchived = false
+  private _hasBegun = false
 
   private constructor (origins: StreamOriginTask, request: AcceptedRequest) {
     this._origins = origins
@@ -36,7 +37,12 @@
     return route.stream !== undefined && (head.lastEventId !== undefined || head.resumedRequestId !== undefined)
   }
 
-  /** The software that began the stream; undefined before its first event. */
+  /** Whether the caller has events of the stream, of this request or an earlier one. */
+  get hasBegun (): boolean {
+    return this._hasBegun || this.isResumed
+  }
+
+  /** The software at which the stream has to go on, or has to begin because that was archived; undefined if any may begin it. */
   get required (): SoftwareId | undefined {
     return this._required
   }
@@ -61,6 +67,7 @@
   /** From its first event on, a stream goes on only at the software that wrote it, here and at any other gateway. */
   recordFirstEvent (software: SoftwareId): void {
     this._required = software
+    this._hasBegun = true
     const { head, route, acceptedAt } = this._request
     if (route.stream?.resumable !== true) return
     this._origins.record(head.resumedRequestId ?? head.requestId, { software, expiresAt: streamExpiryOf(acceptedAt, head.timeoutMilliseconds) })
