Drop the counts of roll-outs that have ended

Cause: the counts of both versions stayed, and went with every report, until the operators deleted the order. Change: they are dropped when no roll-out is in progress. Result: a test in tests/serving/rollouts.spec.ts.

--- a/packages/serving/src/rollouts/rolloutRegistry.ts
+++ b/packages/serving/src/rollouts/rolloutRegistry.ts
@@ -84,6 +84,7 @@
     this._orders.clear()
     this._progress.clear()
     for (const entry of entries) this._put(entry)
+    this._forgetFinished()
   }
 
   onChanges (changes: readonly KeyValueChange[]): void {
@@ -91,6 +92,7 @@
       if (change.kind === 'put') this._put(change.entry)
       else this._remove(change.key)
     }
+    this._forgetFinished()
   }
 
   /** Records that the store is being followed now. */
@@ -176,7 +178,11 @@
     const service = this._keys.rolloutServiceOf(key)
     if (service !== undefined) this._progress.delete(service)
     else if (this._decoder.isRolloutOrder(key)) this._orders.delete(this._decoder.rolloutServiceOf(key))
-    if (this._orders.size > 0) return
+  }
+
+  /** Drops the counts when they decide nothing any more, since every report carries them. */
+  private _forgetFinished (): void {
+    if ([...this._orders.keys()].some(service => this.isInProgress(service))) return
     this.evidence.clear()
     this._judgements.clear()
   }
--- a/tests/serving/rollouts.spec.ts
+++ b/tests/serving/rollouts.spec.ts
@@ -228,6 +228,16 @@
     }
   })
 
+  // Guards against: reports carry the counts of roll-outs that ended long ago.
+  it('drop their counts when no roll-out is in progress', () => {
+    const registry = createRegistry(order, progressEntry({}))
+    registry.recordAnswer(upstreams[0], 'chat', { failed: false, milliseconds: 5 })
+    assert.equal(registry.evidence.counts.size, 1)
+    registry.onChanges([{ kind: 'put', entry: progressEntry({ stage: 'completed' }) }])
+    registry.recordAnswer(upstreams[79], 'chat', { failed: false, milliseconds: 5 })
+    assert.equal(registry.evidence.counts.size, 0)
+  })
+
   it('stop a version that all gateways together know to be bad, before the holder has decided', () => {
     const registry = createRegistry(order, progressEntry({}))
     const configuration = Configuration.create(1, [{ kind: 'Route', name: 'chat', service: 'model', priority: 'rank-1', idempotency: 'non-idempotent', methods: [] }])
