Divide room only when the most urgent would miss their aim, and judge versions by stronger evidence

Change: it begins at 1.2 times the measured rate and a mean wait of the shortest latency objective; ranks keep a fifth of the room. Slow answers of upstreams that warm up do not count; a version is bad at a chance of one in 10,000.

--- a/packages/serving/src/admission/urgencyShares.ts
+++ b/packages/serving/src/admission/urgencyShares.ts
@@ -7,14 +7,16 @@
 /** Part of the measured prefill rate that is given to requests while room is divided. */
 const USABLE_SHARE = 0.95
 /** Room is divided from the demand that is this multiple of the measured rate, while prompts wait, until it is below the other. */
-const BEGIN_AT_DEMAND = 1
-const END_AT_DEMAND = 0.95
+const BEGIN_AT_DEMAND = 1.2
+const END_AT_DEMAND = 1
+/** Part of the critical wait that remains while the room is divided; a longer backlog is worked off. */
+const TOLERABLE_WAIT_SHARE = 0.5
 /** Time in which a backlog is worked off beside new requests. */
-const BACKLOG_SECONDS = 2
+const BACKLOG_SECONDS = 1
 /** Part of the room that remains in any case while a backlog is worked off. */
 const MINIMUM_ROOM_SHARE = 0.3
 /** Part of the room that a rank gets at least. */
-const MINIMUM_RANK_SHARE = 0.1
+const MINIMUM_RANK_SHARE = 0.2
 
 /** What requests of one rank ask for, at all gateways. */
 export interface RankDemand {
@@ -32,8 +34,8 @@
   tokensPerSecond: number
   /** Prompt tokens that wait at all upstreams. */
   waitingTokens: number
-  /** Mean wait at the upstreams that callers don't notice. Room is divided from there on, and a longer backlog is worked off. */
-  tolerableWaitSeconds: number
+  /** Mean wait at the upstreams by which the most urgent miss their aim. Room is divided from there on. */
+  criticalWaitSeconds: number
 }
 
 /** Divides the room of one service. It goes on while the demand is too high, also when nothing waits because it was divided. */
@@ -45,14 +47,14 @@
   }
 
   /** Returns the share of the requests of each rank that may start; undefined while there is room for all. */
-  divide ({ demands, upstreams, tokensPerSecond, waitingTokens, tolerableWaitSeconds }: ServiceLoad): ReadonlyMap<number, number> | undefined {
+  divide ({ demands, upstreams, tokensPerSecond, waitingTokens, criticalWaitSeconds }: ServiceLoad): ReadonlyMap<number, number> | undefined {
     const capacity = upstreams * tokensPerSecond
     const asked = demands.filter(demand => demand.promptTokensPerSecond > 0).sort((left, right) => left.rank - right.rank)
     const total = asked.reduce((sum, demand) => sum + demand.promptTokensPerSecond, 0)
-    const begins = total > capacity * BEGIN_AT_DEMAND && waitingTokens >= capacity * tolerableWaitSeconds
+    const begins = total > capacity * BEGIN_AT_DEMAND && waitingTokens >= capacity * criticalWaitSeconds
     this._isDividing = capacity > 0 && asked.length > 1 && (begins || (this._isDividing && total > capacity * END_AT_DEMAND))
     if (!this._isDividing) return undefined
-    const backlog = Math.max(0, waitingTokens - capacity * tolerableWaitSeconds)
+    const backlog = Math.max(0, waitingTokens - capacity * criticalWaitSeconds * TOLERABLE_WAIT_SHARE)
     const room = Math.max(capacity * MINIMUM_ROOM_SHARE, capacity * USABLE_SHARE - backlog / BACKLOG_SECONDS)
     return grantInOrder(asked, room)
   }
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -285,7 +285,8 @@
   /** Tells roll-outs what became of the attempt. Lost connections say nothing about a version. */
   private _recordAnswer (failed: boolean): void {
     const { state, clock } = this._services
-    state.rollouts.recordAnswer(this._upstream!, this._request.route.name, { failed, milliseconds: clock.now() - this._attemptStartedAt })
+    const now = clock.now()
+    state.rollouts.recordAnswer(this._upstream!, this._request.route.name, { failed, milliseconds: now - this._attemptStartedAt }, now)
   }
 
   private _recordFailure (failure: AttemptFailure, upstream: Upstream): void {
--- a/packages/serving/src/rollouts/rolloutJudge.ts
+++ b/packages/serving/src/rollouts/rolloutJudge.ts
@@ -26,11 +26,11 @@
   | 'unknown'
 
 /** A version is bad if chance explains its bad answers with less than this probability. */
-const MAXIMUM_CHANCE = 0.0005
+const MAXIMUM_CHANCE = 0.0001
 /** Fewer bad answers decide nothing. */
 const MINIMUM_BAD_ANSWERS = 4
 /** A few answers of the old version may all be good although some fail now and then. */
-const ASSUMED_BAD_SHARE = 0.02
+const ASSUMED_BAD_SHARE = 0.05
 /** Weight of the assumed share, in answers. */
 const ASSUMED_ANSWERS = 50
 const SUFFICIENT_ANSWERS = 40
--- a/packages/serving/src/rollouts/rolloutRegistry.ts
+++ b/packages/serving/src/rollouts/rolloutRegistry.ts
@@ -140,9 +140,10 @@
     return isObserver && fresh.length > 0 ? chooseObserved(fresh, OBSERVED_SHARE * others.length) : others
   }
 
-  /** Counts the answer of an upstream. */
-  recordAnswer (upstream: Upstream, route: string, outcome: AnswerOutcome): void {
+  /** Counts the answer of an upstream. One that is still warming up answers late whatever its version is. */
+  recordAnswer (upstream: Upstream, route: string, outcome: AnswerOutcome, now: Timestamp): void {
     const { service } = upstream.listed
+    if (!outcome.failed && upstream.warmUpEndsAt > now) return
     const rollout = this.hasOrders ? this.find(service) : undefined
     const isNew = rollout !== undefined && isOfNewVersion(upstream, rollout)
     if (!outcome.failed && !isNew) this.evidence.recordUsual(route, outcome.milliseconds)
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -43,8 +43,6 @@
 const MILLISECONDS_PER_SECOND = 1000
 /** How long a division of the room among ranks holds before it is made again. */
 const RANK_SHARES_MILLISECONDS = 100
-/** Part of the shortest latency objective of a service that a request may wait at an upstream. */
-const TOLERABLE_WAIT_SHARE = 0.5
 const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
 /** All ranks that requests may have. */
 const RANKS = Array.from({ length: 10 }, (_, rank) => rank)
@@ -208,7 +206,7 @@
       upstreams: usable.length,
       tokensPerSecond: tokensPerMillisecond * MILLISECONDS_PER_SECOND,
       waitingTokens: usable.reduce((sum, { waitingTokens }) => sum + waitingTokens, 0),
-      tolerableWaitSeconds: this._shortestObjectiveOf(service) * TOLERABLE_WAIT_SHARE / MILLISECONDS_PER_SECOND
+      criticalWaitSeconds: this._shortestObjectiveOf(service) / MILLISECONDS_PER_SECOND
     })
   }
 
