Take back the division of room and the watches by prefix

Change: both are removed; every gateway watches all keys again, and admission is as before. Kept: the split of requestTask, one sum of the demand of all gateways, the archive, roll-outs, unread requests. The archive writes every 200 ms.

--- a/packages/coordination/src/keyValue/keyValueService.ts
+++ b/packages/coordination/src/keyValue/keyValueService.ts
@@ -97,11 +97,8 @@
   /** Reads all entries whose keys start with `prefix`. */
   list (context: CallContext, prefix: string): Promise<Result<KeyValueSnapshot, KeyValueError>>
   transact (context: CallContext, transaction: KeyValueTransaction): Promise<Result<KeyValueTransactionOutcome, KeyValueError>>
-  /**
-   * Reports the changes below `prefix` from `start` on. Ends with an error if the watch is lost. `waitMilliseconds` returns
-   * for how long the service may stay silent without a change; services that show otherwise that a watch works ignore it.
-   */
-  watch (context: CallContext, prefix: string, start: StorePosition, waitMilliseconds?: () => number): AsyncIterable<Result<KeyValueWatchBatch, KeyValueError>>
+  /** Reports the changes below `prefix` from `start` on. Ends with an error if the watch is lost. */
+  watch (context: CallContext, prefix: string, start: StorePosition): AsyncIterable<Result<KeyValueWatchBatch, KeyValueError>>
   grantLease (context: CallContext, timeToLiveSeconds: number): Promise<Result<KeyValueLease, KeyValueError>>
   /** Renews a lease; undefined if it has expired. */
   keepLeaseAlive (context: CallContext, lease: bigint): Promise<Result<KeyValueLease | undefined, KeyValueError>>
--- a/packages/serving/src/admission/overloadGuard.ts
+++ b/packages/serving/src/admission/overloadGuard.ts
@@ -40,15 +40,7 @@
    */
   decide (waitMilliseconds: number, remainingMilliseconds: number): OverloadDecision {
     if (waitMilliseconds < remainingMilliseconds * MAXIMUM_WAIT_SHARE) return ADMITTED
-    return { kind: 'rejected', retryAfterMilliseconds: this._jitter(Math.min(waitMilliseconds, remainingMilliseconds * MAXIMUM_RETRY_AFTER_SHARE)) }
-  }
-
-  /** Chooses the delay after which a caller that has so much time left returns, when the end of the overload is not known. */
-  chooseReturn (remainingMilliseconds: number): number {
-    return this._jitter(remainingMilliseconds * MAXIMUM_RETRY_AFTER_SHARE)
-  }
-
-  private _jitter (maximumMilliseconds: number): number {
-    return Math.max(MINIMUM_RETRY_AFTER_MILLISECONDS, maximumMilliseconds * (1 - RETRY_AFTER_JITTER * this._random.nextFraction()))
+    const maximumDelay = Math.min(waitMilliseconds, remainingMilliseconds * MAXIMUM_RETRY_AFTER_SHARE)
+    return { kind: 'rejected', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_AFTER_MILLISECONDS, maximumDelay * (1 - RETRY_AFTER_JITTER * this._random.nextFraction())) }
   }
 }
--- a/packages/serving/src/attempts/dispatchRefusal.ts
+++ b/packages/serving/src/attempts/dispatchRefusal.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { Timestamp } from '@plumstage/common'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
@@ -11,8 +10,6 @@
 import type { StreamContinuity } from './streamContinuity.js'
 
 const RETRY_AFTER_NO_UPSTREAM_MILLISECONDS = 800
-/** Share of the time of its caller for which a request may wait for room; the rest is for its response. */
-const MAXIMUM_WAIT_SHARE = 0.6
 
 /** Refuses one request. */
 export class DispatchRefusal {
@@ -43,23 +40,6 @@
       createRejection('no-upstream', `Service ${this._service} has no available upstream, and the request was not executed. Send it again after the indicated delay.`, RETRY_AFTER_NO_UPSTREAM_MILLISECONDS)
   }
 
-  /** When a request of so many prompt tokens has to begin at the latest, so that its response is complete before its deadline. */
-  latestStart (tokens: number): Timestamp {
-    const { state, clock } = this._services
-    const { acceptedAt, deadline } = this._request
-    const { tokensPerMillisecond } = state.capacities.capacityOf(this._service, clock.now())
-    return acceptedAt + (deadline - acceptedAt) * MAXIMUM_WAIT_SHARE - tokens / tokensPerMillisecond
-  }
-
-  /** Returns the rejection of a request that would not begin in time because more urgent ones need the room. */
-  explainLackOfRoom (): Rejection {
-    const { state, clock, instrumentation } = this._services
-    const { head, rank, deadline } = this._request
-    const retryAfterMilliseconds = state.overload.chooseReturn(deadline - clock.now())
-    instrumentation.emit('no-room-for-rank', { service: this._service, rank, retryAfterMilliseconds: Math.round(retryAfterMilliseconds) }, head.requestId)
-    return createRejection('overloaded', `The upstreams of service ${this._service} are needed for more urgent requests, and the request was not executed. Send it again after the indicated delay.`, retryAfterMilliseconds)
-  }
-
   private get _service (): string {
     return this._request.service.name
   }
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -15,6 +15,7 @@
 import { AttemptLog } from './attemptLog.js'
 import type { AttemptKind } from './attemptLog.js'
 import { CrashTracking } from './crashTracking.js'
+import type { CrashTrackingServices } from './crashTracking.js'
 import { DispatchRefusal } from './dispatchRefusal.js'
 import { findForeignHead, findUnusableHead, matchesRequest } from './headCheck.js'
 import { RequestLoad } from './requestLoad.js'
@@ -23,8 +24,6 @@
 import { decideAfterFailure, isUncounted } from './attemptPolicy.js'
 import type { AttemptFailure, RequestProgress } from './attemptPolicy.js'
 import { RetryAllowance } from './retryAllowance.js'
-import { RoomWait } from './roomWait.js'
-import type { RoomWaitServices } from './roomWait.js'
 import type { RunningRequests } from './runningRequests.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import { UpstreamChoice } from './upstreamChoice.js'
@@ -42,7 +41,7 @@
 const UNREACHABLE_PAUSE_MILLISECONDS = 100
 
 /** Dependencies of request tasks. */
-export interface RequestServices extends RoomWaitServices {
+export interface RequestServices extends CrashTrackingServices {
   /** Time of day in milliseconds since the epoch, for usage windows. */
   timeOfDay: () => Timestamp
   protocol: UpstreamProtocol
@@ -62,7 +61,6 @@
   private readonly _continuity: StreamContinuity
   private readonly _crashes: CrashTracking
   private readonly _refusal: DispatchRefusal
-  private readonly _roomWait: RoomWait
   private readonly _log: AttemptLog
   private readonly _statements: UpstreamStatements
   private readonly _choice: UpstreamChoice
@@ -89,7 +87,6 @@
     this._choice = UpstreamChoice.create(services, request, this._crashes)
     this._retries = RetryAllowance.create(services, request)
     this._refusal = DispatchRefusal.create(services, request, this._continuity, this._crashes)
-    this._roomWait = RoomWait.create(services, request, this._refusal)
     this._log = AttemptLog.create(services.instrumentation, request.head)
     this._statements = UpstreamStatements.create(services.state, services.clock, this._log)
     this._progress = { route: request.route, attempts: 0, mayHaveRun: false, started: false }
@@ -205,16 +202,7 @@
   private _startUnlessRefused (): void {
     const rejection = this._refusal.checkStart()
     if (rejection) return this._reject(rejection)
-    if (this._continuity.isResumed || !this._request.head.generation) return this._startAttempt()
-    this._waitForRoom()
-  }
-
-  /** Starts the first attempt when the service has room for requests of this urgency. A stream that has begun goes on at once. */
-  private _waitForRoom (): void {
-    const choice = this._choice.choose(this._continuity.required)
-    if (!choice) return this._failWithoutUpstream()
-    this._load.recordDemand(choice.prefillTokens, this._services.clock.now())
-    this._roomWait.begin(choice.prefillTokens, { start: () => this._startAttempt(), reject: () => this._reject(this._refusal.explainLackOfRoom()) })
+    this._startAttempt()
   }
 
   private _startAttempt (): void {
@@ -358,7 +346,6 @@
     this._done = true
     this._deadlineTimer?.cancel()
     this._pauseTimer?.cancel()
-    this._roomWait.giveUp()
     this._services.running.close(this)
     this._crashes.endAttempt()
     const { attempts } = this._progress
--- a/packages/serving/src/deployment/deploymentDecoder.ts
+++ b/packages/serving/src/deployment/deploymentDecoder.ts
@@ -27,10 +27,6 @@
 
 /** Decodes the entries that the platform and its operators write to the store. */
 export interface DeploymentDecoder {
-  /** Prefix of the keys that hold what operators write. */
-  readonly configurationPrefix: string
-  /** Prefix of the keys that hold the upstreams. */
-  readonly upstreamsPrefix: string
   classify (key: string): DeploymentKey
   /** Decodes the configuration; `revision` is the revision of its key in the store. */
   decodeConfiguration (value: string, revision: number): Result<DecodedConfiguration, Error>
--- a/packages/serving/src/deployment/deploymentView.ts
+++ b/packages/serving/src/deployment/deploymentView.ts
@@ -48,16 +48,6 @@
     return new DeploymentView(decoder)
   }
 
-  /** Prefix of the store's keys that hold what operators write. */
-  get configurationPrefix (): string {
-    return this._decoder.configurationPrefix
-  }
-
-  /** Prefix of the store's keys that hold the upstreams. */
-  get upstreamsPrefix (): string {
-    return this._decoder.upstreamsPrefix
-  }
-
   /** The configuration in force; undefined before the first was read. */
   get configuration (): Configuration | undefined {
     return this._configuration.configuration
@@ -111,8 +101,7 @@
       if (change.kind === 'put') this._put(toStoredEntry(change.entry, era), result)
       else if (this._kindOf(change.key) === 'upstream') result.upstreams = this._upstreams.remove(change.key, { era, revision: change.modRevision }, now) || result.upstreams
     }
-    // A batch holds all changes of upstreams up to its position, or none.
-    if (batch.changes.some(change => this._kindOf(change.kind === 'put' ? change.entry.key : change.key) === 'upstream')) this._upstreams.recordCaughtUp()
+    this._upstreams.recordCaughtUp()
     return result
   }
 
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -13,7 +13,6 @@
 /** Values that are read on each scrape. */
 export interface ServingMetricSources {
   running: () => number
-  waiting: () => number
   configurationRevision: () => number
   upstreamsRevision: () => number
   storeEra: () => number
@@ -43,7 +42,6 @@
 const EVENT_COUNTERS: readonly EventCounter[] = [
   { kind: 'request-rejected', name: 'plumstage_rejected_requests_total', help: 'Requests that were rejected before an attempt, by reason.', label: { attribute: 'reason', name: 'reason' } },
   { kind: 'request-abandoned', name: 'plumstage_abandoned_requests_total', help: 'Requests whose callers had left before they were read.' },
-  { kind: 'no-room-for-rank', name: 'plumstage_room_rejections_total', help: 'Requests that were rejected because more urgent ones need the room, by rank.', label: { attribute: 'rank', name: 'rank' } },
   { kind: 'attempt-failed', name: 'plumstage_failed_attempts_total', help: 'Attempts that failed, by failure.', label: { attribute: 'failure', name: 'failure' } },
   { kind: 'limited-attempt-started', name: 'plumstage_limited_attempts_total', help: 'Attempts sent to upstreams that state a request limit, by kind.', label: { attribute: 'attemptKind', name: 'kind' } },
   { kind: 'configuration-ignored', name: 'plumstage_ignored_configurations_total', help: 'Configurations that were received and did not come into force, by reason.', label: { attribute: 'reason', name: 'reason' } },
@@ -73,7 +71,6 @@
     this._linkChanges = new Counter({ name: 'plumstage_link_changes_total', help: 'How often the links of this gateway to all upstreams were lost and regained, by change.', labelNames: ['change'], registers })
     this._firstEvent = new Histogram({ name: 'plumstage_first_event_seconds', help: 'Time from acceptance to the first event of a stream.', buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._duration = new Histogram({ name: 'plumstage_request_seconds', help: 'Time from acceptance to the end of a request.', labelNames: ['route'], buckets: LATENCY_BUCKETS_SECONDS, registers })
-    this._registry.addGauge('plumstage_waiting_requests', 'Requests that wait for room because more urgent ones need it.', sources.waiting)
     this._registry.addGauge('plumstage_running_requests', 'Requests that run at an upstream.', sources.running)
     this._registry.addGauge('plumstage_configuration_revision', 'Store revision of the configuration in force.', sources.configurationRevision)
     this._registry.addGauge('plumstage_upstreams_revision', 'Store revision of the last known change to the list of upstreams.', sources.upstreamsRevision)
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -7,7 +7,6 @@
 import type { Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
 import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
-import { UrgencyQueue } from './admission/urgencyQueue.js'
 import { RunningRequests } from './attempts/runningRequests.js'
 import { StreamMigration } from './attempts/streamMigration.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
@@ -18,7 +17,6 @@
 import { RequestAdmission } from './callers/requestAdmission.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
 import { DeploymentTask } from './deployment/deploymentTask.js'
-import { isLookout } from './deployment/lookouts.js'
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
 import { CloudDuties } from './duties/cloudDuties.js'
@@ -82,11 +80,9 @@
   private readonly _environment: ServingEnvironment
   private readonly _context: CallContext
   private readonly _running = RunningRequests.create()
-  private readonly _queue: UrgencyQueue
   private readonly _pauses: PauseMonitor
   private readonly _access: UpstreamAccess
   private readonly _keys: StoreKeys
-  private readonly _addresses: GatewayAddresses
   private readonly _duty: DutyTask
   private readonly _deploymentTask: DeploymentTask
   private readonly _callerServer: CallerServer
@@ -118,11 +114,9 @@
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._pauses = PauseMonitor.create(leaseClock)
-    this._queue = UrgencyQueue.create(clock, (service, now) => this.state.rankSharesOf(service, now))
     this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, reconsiderPaths: () => this._reconsiderPaths() })
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
-    this._addresses = GatewayAddresses.create(this.state.peers)
-    const { _addresses: addresses } = this
+    const addresses = GatewayAddresses.create(this.state.peers)
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
     this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
     this._streamArchive = StreamArchive.create({ store, keys: this._keys, writer: instrumentation.incarnation, history: this._softwareHistory, addresses, socket, clock, instrumentation })
@@ -206,9 +200,7 @@
       clock,
       random,
       instrumentation,
-      gatewaysPrefix: this._keys.followedPrefix,
       countGateways: () => this.state.peers.listRegistrations().length,
-      isLookout: () => isLookout(this._addresses),
       observers: [this._registry, this._softwareHistoryTask, this.state.rollouts, ...this._duties?.observers ?? []],
       onChange: change => this._applyChange(change)
     })
@@ -223,7 +215,7 @@
   private _createCallerServer (): CallerServer {
     const { clock, timeOfDay, instrumentation, upstreamProtocol, callerProtocol } = this._environment
     return CallerServer.create({
-      services: { clock, timeOfDay, instrumentation, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, queue: this._queue, streamOrigins: this._streamOrigins, crashProbe: this._access },
+      services: { clock, timeOfDay, instrumentation, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, streamOrigins: this._streamOrigins, crashProbe: this._access },
       admission: RequestAdmission.create(this.state),
       protocol: callerProtocol,
       pauses: this._pauses,
@@ -285,7 +277,6 @@
       if (metricsAddress === undefined) return
       this._listeners.push(await Listener.create(createMetricsServer({
         running: () => this._running.count,
-        waiting: () => this._queue.waitingCount,
         configurationRevision: () => this.state.view.configurationRevision,
         upstreamsRevision: () => this.state.view.upstreamsRevision,
         storeEra: () => this.state.view.upstreamsPosition.era,
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -5,7 +5,6 @@
  */
 import type { SeededRandom, Timestamp } from '@plumstage/common'
 import type { ServiceRecord } from '@plumstage/records'
-import { RoomDivision } from './admission/urgencyShares.js'
 import { OverloadGuard } from './admission/overloadGuard.js'
 import { RetryBudget } from './admission/retryBudget.js'
 import type { RetryBound } from './admission/retryBudget.js'
@@ -40,18 +39,6 @@
 /** Largest random number that identifies a run of the gateway. */
 const MAXIMUM_ORIGIN = 2 ** 31 - 1
 
-const MILLISECONDS_PER_SECOND = 1000
-/** How long a division of the room among ranks holds before it is made again. */
-const RANK_SHARES_MILLISECONDS = 100
-const DEFAULT_OBJECTIVE_MILLISECONDS = 1000
-/** All ranks that requests may have. */
-const RANKS = Array.from({ length: 10 }, (_, rank) => rank)
-
-interface RankShares {
-  shares: ReadonlyMap<number, number> | undefined
-  until: Timestamp
-}
-
 /** Owns the state and the policies that all requests of one gateway share. */
 export class ServingState {
   readonly view: DeploymentView
@@ -71,8 +58,6 @@
   readonly capacities: ServiceCapacities
   private readonly _random: SeededRandom
   private readonly _retryBudgets = new Map<string, RetryBudget>()
-  private readonly _divisions = new Map<string, RoomDivision>()
-  private readonly _rankShares = new Map<string, RankShares>()
   private readonly _returnSchedules = new Map<string, ReturnSchedule>()
   private _retryBound: RetryBound
   private readonly _plainRouter: Router
@@ -148,29 +133,15 @@
     return Math.min(...usable.map(upstream => upstream.waitingTokens)) / this.capacities.capacityOf(service, now).tokensPerMillisecond
   }
 
-  /** Demand for a service, or for one rank of its requests, at all gateways. */
-  demandOf (name: string, now: Timestamp): Demand {
-    const total = { ...this.demand.demandOf(name, now) }
+  /** Demand for a service at all gateways. */
+  demandOf (service: string, now: Timestamp): Demand {
+    const total = { ...this.demand.demandOf(service, now) }
     const totals = this.peers.currentTotals(now)
-    if (totals) return addDemand(total, totals.others.demands.get(hashName(name)))
-    for (const { report } of this.peers.listPresent(now)) addDemand(total, report.demands.find(({ service }) => service === name))
+    if (totals) return addDemand(total, totals.others.demands.get(hashName(service)))
+    for (const { report } of this.peers.listPresent(now)) addDemand(total, report.demands.find(demand => demand.service === service))
     return total
   }
 
-  /** Records what a request of a rank asks for, whether it may start or not. */
-  recordRankDemand (service: string, rank: number, promptTokens: number, now: Timestamp): void {
-    this.demand.record(rankNameOf(service, rank), promptTokens, 0, now)
-  }
-
-  /** Returns the share of the requests of each rank of a service that may start; undefined while there is room for all. */
-  rankSharesOf (service: string, now: Timestamp): ReadonlyMap<number, number> | undefined {
-    const known = this._rankShares.get(service)
-    if (known && now < known.until) return known.shares
-    const shares = this._divideRoom(service, now)
-    this._rankShares.set(service, { shares, until: now + RANK_SHARES_MILLISECONDS })
-    return shares
-  }
-
   /** By what the new versions of roll-outs are judged: the routes in force, and the answers that other gateways report. */
   rolloutJudging (now: Timestamp): RolloutJudging {
     const totals = this.peers.currentTotals(now)
@@ -197,31 +168,6 @@
     return this._budgetOf(service).tryTake(this._retryBound, this.peers.countPresent(now), now)
   }
 
-  private _divideRoom (service: string, now: Timestamp): ReadonlyMap<number, number> | undefined {
-    const { tokensPerMillisecond, isKnown } = this.capacities.capacityOf(service, now)
-    if (!isKnown) return undefined
-    const usable = this.listUsable(service, undefined, now)
-    return this._divisionOf(service).divide({
-      demands: RANKS.map(rank => ({ rank, promptTokensPerSecond: this.demandOf(rankNameOf(service, rank), now).promptTokensPerSecond })),
-      upstreams: usable.length,
-      tokensPerSecond: tokensPerMillisecond * MILLISECONDS_PER_SECOND,
-      waitingTokens: usable.reduce((sum, { waitingTokens }) => sum + waitingTokens, 0),
-      criticalWaitSeconds: this._shortestObjectiveOf(service) / MILLISECONDS_PER_SECOND
-    })
-  }
-
-  /** Shortest latency objective of the routes to a service, in milliseconds. */
-  private _shortestObjectiveOf (service: string): number {
-    const routes = this.view.configuration?.listRoutesOfService(service) ?? []
-    return Math.min(DEFAULT_OBJECTIVE_MILLISECONDS, ...routes.map(({ objectiveMilliseconds }) => objectiveMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS))
-  }
-
-  private _divisionOf (service: string): RoomDivision {
-    const division = this._divisions.get(service) ?? RoomDivision.create()
-    this._divisions.set(service, division)
-    return division
-  }
-
   private _budgetOf (service: string): RetryBudget {
     let budget = this._retryBudgets.get(service)
     if (!budget) {
@@ -236,11 +182,6 @@
   return software === undefined || upstream.software === software
 }
 
-/** Name under which the demand of one rank is counted beside that of its service. */
-function rankNameOf (service: string, rank: number): string {
-  return `${service} rank ${rank}`
-}
-
 function addDemand (total: Demand, demand: Demand | undefined): Demand {
   total.promptTokensPerSecond += demand?.promptTokensPerSecond ?? 0
   total.outputTokensPerSecond += demand?.outputTokensPerSecond ?? 0
--- a/packages/serving/src/storeKeys.ts
+++ b/packages/serving/src/storeKeys.ts
@@ -4,7 +4,6 @@
  * @module
  */
 const PREFIX = 'plumstage/'
-/** Not below the other one: no gateway follows these entries. */
 const ARCHIVE_PREFIX = 'plumstage-streams/'
 
 /** Builds the store keys of one deployment. */
@@ -13,11 +12,6 @@
     return new StoreKeys()
   }
 
-  /** Prefix of the entries that all gateways follow. */
-  get followedPrefix (): string {
-    return PREFIX
-  }
-
   /** Key of the cloud duty: calling the cloud for the deployment. */
   get dutyKey (): string {
     return `${PREFIX}duties/cloud`
--- a/packages/serving/src/streams/streamArchive.ts
+++ b/packages/serving/src/streams/streamArchive.ts
@@ -21,7 +21,7 @@
 import { encodeStreamMessage } from './streamMessages.js'
 import type { StreamKey, StreamOrigin } from './streamOrigins.js'
 
-const WRITE_INTERVAL_MILLISECONDS = 150
+const WRITE_INTERVAL_MILLISECONDS = 200
 const CALL_TIMEOUT_MILLISECONDS = 1000
 /** A lease is used for batches of this time, so that not every batch needs one of its own. */
 const LEASE_REUSE_MILLISECONDS = 15_000
--- a/tests/serving/deploymentView.spec.ts
+++ b/tests/serving/deploymentView.spec.ts
@@ -10,8 +10,6 @@
 setLogLevel('silent')
 
 const DECODER: DeploymentDecoder = {
-  configurationPrefix: 'configuration',
-  upstreamsPrefix: '',
   classify: key => key === 'configuration' ? { kind: 'configuration' } : { kind: 'upstream', id: key },
   decodeConfiguration: (value, revision) => value === 'bad' ? err(new Error('bad')) : ok({ configuration: Configuration.create(revision, []), version: readVersion(value) }),
   decodeUpstream: (id, value) => value === 'bad' ? err(new Error('bad')) : ok({ id, incarnation: '1', service: value, address: '10.0.0.1:80', failureDomain: 'east', capacity: 1, state: value === 'leaving' ? 'leaving' : 'ready', reclaimable: false, warmupMilliseconds: 0 }),
