--- a/packages/serving/src/attempts/requestLoad.ts
+++ b/packages/serving/src/attempts/requestLoad.ts
@@ -55,7 +55,7 @@
     this._backlogTokens = Math.round(upstream.waitingTokens)
     this._dispatchedAt = now
     this._state.prefixCache.recordSent(upstream.listed.id, sharedPrefixOf(this._generation), now)
-    this.recordDemand(prefillTokens, now)
+    this._recordDemand(this._generation, now)
   }
 
   /** Removes the request from the load of its upstream. */
@@ -78,13 +78,10 @@
     this._waitingTokens = 0
   }
 
-  /**
-   * Records what the request asks for, also if it has to wait or is rejected: upstreams are ordered for what callers need. It
-   * counts only once: counting each attempt would let a wave of retries order additional upstreams.
-   */
-  recordDemand (prefillTokens: number, now: Timestamp): void {
-    if (this._demandRecorded || !this._generation) return
+  /** Counts the request only once: counting each attempt would let a wave of retries order additional upstreams. */
+  private _recordDemand (generation: GenerationDemand, now: Timestamp): void {
+    if (this._demandRecorded) return
     this._demandRecorded = true
-    this._state.demand.record(this._service, prefillTokens, this._generation.expectedOutputTokens ?? this._generation.maximumOutputTokens, now)
+    this._state.demand.record(this._service, this._prefillTokens, generation.expectedOutputTokens ?? generation.maximumOutputTokens, now)
   }
 }
