Split the look-up of stream origins into steps, and name the judging alike

Cause: a nested condition and two names for one thing stopped a reader. Change: one method for what follows without a record; no behaviour changes.

--- a/packages/serving/src/rollouts/rolloutRegistry.ts
+++ b/packages/serving/src/rollouts/rolloutRegistry.ts
@@ -124,16 +124,16 @@
   }
 
   /** Returns those of the upstreams that the request may go to. */
-  select (request: RolloutRequest, upstreams: readonly Upstream[], judge: RolloutJudging, now: Timestamp): readonly Upstream[] {
+  select (request: RolloutRequest, upstreams: readonly Upstream[], judging: RolloutJudging, now: Timestamp): readonly Upstream[] {
     const rollout = this.find(request.service)
     if (!rollout) return upstreams
     const others = upstreams.filter(upstream => !isOfNewVersion(upstream, rollout))
     const stage = rollout.progress?.stage
     if (stage === undefined) return others.length > 0 ? others : upstreams
     if (stage === 'rolled-back') return others
-    if (request.isBound) return this._mayServe(rollout, judge, now) ? upstreams : others
+    if (request.isBound) return this._mayServe(rollout, judging, now) ? upstreams : others
     if (stage === 'completed') return withoutOldVersions(upstreams, rollout)
-    if (!this._mayServe(rollout, judge, now)) return others
+    if (!this._mayServe(rollout, judging, now)) return others
     if (stage === 'moving') return withoutOldVersions(upstreams, rollout)
     const fresh = upstreams.filter(upstream => isOfNewVersion(upstream, rollout))
     const isObserver = !request.hasFailed && rendezvousWeight(CHOICE_KEY, request.requestId) < OBSERVED_SHARE * HASH_RANGE
--- a/packages/serving/src/rollouts/rolloutTask.ts
+++ b/packages/serving/src/rollouts/rolloutTask.ts
@@ -31,7 +31,7 @@
   instrumentation: Instrumentation
 }
 
-/** What of a roll-out this gateway has decided and not read back yet. */
+/** When this gateway first saw that the traffic of an order moves. */
 interface Move {
   orderRevision: number
   since: Timestamp
--- a/packages/serving/src/streams/streamOriginTask.ts
+++ b/packages/serving/src/streams/streamOriginTask.ts
@@ -91,9 +91,9 @@
   async find (service: string, requestId: string | undefined): Promise<LookupResult> {
     const { clock, instrumentation } = this._options
     const startedAt = clock.now()
-    const recorded: LookupResult = requestId === undefined ? { kind: 'unanswered' } : await this._findRecord(streamKeyOf(requestId))
-    const inferred = recorded.kind === 'found' ? undefined : this._inferOrigin(service, recorded)
-    const result = inferred ?? (recorded.kind === 'found' || requestId === undefined ? recorded : await this._findArchived(streamKeyOf(requestId), recorded))
+    const key = requestId === undefined ? undefined : streamKeyOf(requestId)
+    const recorded: LookupResult = key === undefined ? { kind: 'unanswered' } : await this._findRecord(key)
+    const result = await this._complete(service, key, recorded)
     const software = result.kind === 'found' ? result.origin.software : undefined
     instrumentation.emit('stream-origin-looked-up', { service, resumedRequest: requestId, record: recorded.kind, result: result.kind, software, milliseconds: Math.round(clock.now() - startedAt) })
     return result
@@ -108,6 +108,14 @@
     return result
   }
 
+  /** Returns what gateways have recorded; without a record, what can be inferred or what the archive holds. */
+  private async _complete (service: string, key: StreamKey | undefined, recorded: LookupResult): Promise<LookupResult> {
+    if (recorded.kind === 'found') return recorded
+    const inferred = this._inferOrigin(service, recorded)
+    if (inferred) return inferred
+    return key === undefined ? recorded : await this._findArchived(key, recorded)
+  }
+
   /** A record of the archive counts; without one, what the gateways have answered does. */
   private async _findArchived (key: StreamKey, recorded: LookupResult): Promise<LookupResult> {
     const { archive, context, clock } = this._options
