Complete a roll-out only when no gateway has answers of the old version any more

Change: completed needs a second without an answer of the old version at any gateway; at the end a version that is hardly worse is completed.

--- a/packages/serving/src/rollouts/rolloutJudge.ts
+++ b/packages/serving/src/rollouts/rolloutJudge.ts
@@ -42,8 +42,12 @@
   const total = sumRoutes(routes)
   if ([...routes, total].some(isWorse)) return 'bad'
   if (total.newVersion.answers < SUFFICIENT_ANSWERS) return 'unknown'
-  const share = total.newVersion.bad / total.newVersion.answers
-  return share <= usualShareOf(total.oldVersion) + TOLERATED_EXCESS ? 'good' : 'unknown'
+  return isNoWorse(total) ? 'good' : 'unknown'
+}
+
+/** Whether the new version has hardly more bad answers than the old one, however few there are. */
+export function isNoWorse ({ oldVersion, newVersion }: RouteEvidence): boolean {
+  return newVersion.answers > 0 && newVersion.bad / newVersion.answers <= usualShareOf(oldVersion) + TOLERATED_EXCESS
 }
 
 export function sumRoutes (routes: readonly RouteEvidence[]): RouteEvidence {
--- a/packages/serving/src/rollouts/rolloutPlan.ts
+++ b/packages/serving/src/rollouts/rolloutPlan.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
-import { sumRoutes, judgeVersion } from './rolloutJudge.js'
+import { isNoWorse, judgeVersion, sumRoutes } from './rolloutJudge.js'
 import type { RouteEvidence, Verdict } from './rolloutJudge.js'
 import type { RolloutProgress, RolloutStage } from './rolloutOrder.js'
 
@@ -12,10 +12,12 @@
 const OBSERVATION_SHARE = 0.5
 /** Share of the duration that is left when the roll-out ends in any case. */
 const END_MARGIN_SHARE = 1 / 7
-/** Without an answer against it, a version with so many answers is completed at the end. */
+/** With so many answers, a version that is no worse is completed at the end. */
 const MINIMUM_ANSWERS_AT_END = 10
 /** The old upstreams are left time to receive and finish what other gateways send until they know of the move. */
 const MINIMUM_MOVING_MILLISECONDS = 2500
+/** For so long, no gateway may have had an answer of the old version: a gateway that has not heard of the move still sends there. */
+const MINIMUM_QUIET_MILLISECONDS = 1000
 
 /** What is known of a roll-out now. */
 export interface RolloutObservation {
@@ -24,6 +26,8 @@
   newUpstreams: number
   /** Requests that the old upstreams run, as far as all gateways know. */
   oldRequests: number
+  /** When a gateway last had an answer of the old version, as far as that is known here. */
+  oldAnsweredAt: Timestamp
 }
 
 /** The next stage, and why. */
@@ -46,15 +50,16 @@
   return decide('observing', 'it is observed')
 }
 
-function decideMove ({ oldRequests }: RolloutObservation, movingSince: Timestamp, isEnding: boolean, now: Timestamp, decide: (stage: RolloutStage, reason: string) => RolloutDecision): RolloutDecision {
+function decideMove ({ oldRequests, oldAnsweredAt }: RolloutObservation, movingSince: Timestamp, isEnding: boolean, now: Timestamp, decide: (stage: RolloutStage, reason: string) => RolloutDecision): RolloutDecision {
   if (isEnding) return decide('completed', 'its time is over')
-  if (oldRequests === 0 && now >= movingSince + MINIMUM_MOVING_MILLISECONDS) return decide('completed', 'the old upstreams run nothing more')
+  const isQuiet = oldRequests === 0 && now >= oldAnsweredAt + MINIMUM_QUIET_MILLISECONDS
+  if (isQuiet && now >= movingSince + MINIMUM_MOVING_MILLISECONDS) return decide('completed', 'the old upstreams run nothing more')
   return decide('moving', 'the old upstreams finish their requests')
 }
 
 function decideAtEnd ({ evidence, newUpstreams }: RolloutObservation, decide: (stage: RolloutStage, reason: string) => RolloutDecision): RolloutDecision {
-  const { newVersion } = sumRoutes(evidence)
+  const total = sumRoutes(evidence)
   if (newUpstreams === 0) return decide('rolled-back', 'no upstream of the version serves')
-  if (newVersion.answers >= MINIMUM_ANSWERS_AT_END && newVersion.bad === 0) return decide('completed', 'its time is over, and no answer speaks against it')
+  if (total.newVersion.answers >= MINIMUM_ANSWERS_AT_END && isNoWorse(total)) return decide('completed', 'its time is over, and its few answers are as good as those of the old version')
   return decide('rolled-back', 'its time is over, and it is not known to be good')
 }
--- a/packages/serving/src/rollouts/rolloutTask.ts
+++ b/packages/serving/src/rollouts/rolloutTask.ts
@@ -37,11 +37,18 @@
   since: Timestamp
 }
 
+/** The answers of the old version of a service, and when their number last changed here. */
+interface OldAnswers {
+  count: number
+  changedAt: Timestamp
+}
+
 /** Decides on every roll-out and writes its progress. */
 export class RolloutTask {
   private readonly _options: RolloutTaskOptions
   /** When the moves began that this gateway has seen, by service. */
   private readonly _moves = new Map<string, Move>()
+  private readonly _oldAnswers = new Map<string, OldAnswers>()
 
   private constructor (options: RolloutTaskOptions) {
     this._options = options
@@ -84,11 +91,20 @@
     const evidence = state.rollouts.listEvidence(rollout, state.rolloutJudging(clock.now()))
     const oldRequests = upstreams.filter(upstream => !isOfNewVersion(upstream, rollout)).reduce((sum, { requests }) => sum + requests, 0)
     const newUpstreams = upstreams.filter(upstream => isOfNewVersion(upstream, rollout) && !upstream.isLeaving).length
-    const decision = decideRollout(progress, { evidence, newUpstreams, oldRequests }, this._movingSince(rollout, progress, now), now)
+    const oldAnsweredAt = this._noteOldAnswers(rollout.order.service, sumRoutes(evidence).oldVersion.answers, now)
+    const decision = decideRollout(progress, { evidence, newUpstreams, oldRequests, oldAnsweredAt }, this._movingSince(rollout, progress, now), now)
     if (decision.stage !== progress.stage) this._emitDecided(rollout, decision, sumRoutes(evidence).newVersion, oldRequests)
     return decision
   }
 
+  /** Returns when the number of answers of the old version last changed. */
+  private _noteOldAnswers (service: string, count: number, now: Timestamp): Timestamp {
+    const known = this._oldAnswers.get(service)
+    if (known?.count === count) return known.changedAt
+    this._oldAnswers.set(service, { count, changedAt: now })
+    return now
+  }
+
   private _movingSince ({ order, orderRevision }: Rollout, { stage }: RolloutProgress, now: Timestamp): Timestamp | undefined {
     if (stage !== 'moving') return undefined
     const known = this._moves.get(order.service)
