--- a/review/support/gateways.mjs
+++ b/review/support/gateways.mjs
@@ -15,6 +15,8 @@
 const READY_POLL_MILLISECONDS = 50
 const START_TIMEOUT_MILLISECONDS = 20_000
 const NETWORK_RANGE = 200
+/** Memory of a machine. */
+export const MEMORY_MEGABYTES = 350
 
 /** Bounds of the site that the cases name. */
 export const BOUNDS = {
@@ -85,6 +87,10 @@
     this._processes.get(number).child.kill(signal)
   }
 
+  processIdOf (number) {
+    return this._processes.get(number).child.pid
+  }
+
   /** Lines that a gateway has written since its last start. */
   linesOf (number) {
     return this._processes.get(number).lines
@@ -122,7 +128,7 @@
       seeds: this.numbers.slice(0, 3).map(other => `${this.hostOf(other)}:${control}`),
       bootstrap: !this._hasStarted,
       counts_as_loss: false,
-      limits: { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0 },
+      limits: { cpu_share: 0.675, cores: 1, memory_mb: MEMORY_MEGABYTES, max_fds: 4100, link_mbps: 1000, disk_mb: 0 },
       data_dir: null,
       discovery: 'platform',
       entry: 'vip',
