--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url'
 import { createAgent, createAttemptId, send } from '../support/caller.mjs'
 import { Gateways, sleep } from '../support/gateways.mjs'
-import { createRecord, hasTrouble, runCase } from '../support/record.mjs'
+import { createRecord, runCase } from '../support/record.mjs'
 import { AUTHORIZATION, configuration, route } from '../support/site.mjs'
 import { Store } from '../support/store.mjs'
 import { Worker } from '../support/worker.mjs'
@@ -30,7 +30,10 @@
 const FOREIGN_KEY = 'servers/billing-4711'
 const FOREIGN_ENTRY = { service: 'billing', address: '127.0.0.1:80800', zone: 'zona-4', version: 'v1', capacity: 6, state: 'ready', warmup_left_ms: 0, seq: 1 }
 
-const record = createRecord(dirname(fileURLToPath(import.meta.url)))
+/** Whether the case runs with its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+const record = createRecord(dirname(fileURLToPath(import.meta.url)), hasTrouble)
 const store = new Store()
 const gateways = new Gateways({ count: GATEWAYS, store, record })
 const workers = []
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url'
 import { createAgent, createAttemptId, send } from '../support/caller.mjs'
 import { Gateways, sleep } from '../support/gateways.mjs'
-import { createRecord, hasTrouble, runCase } from '../support/record.mjs'
+import { createRecord, runCase } from '../support/record.mjs'
 import { AUTHORIZATION, configuration, route } from '../support/site.mjs'
 import { Store } from '../support/store.mjs'
 import { Worker } from '../support/worker.mjs'
@@ -28,7 +28,10 @@
 const SOUND_ESTIMATE = 25
 const FAR_OFF_ESTIMATE = 20_000_000_000
 
-const record = createRecord(dirname(fileURLToPath(import.meta.url)))
+/** Whether the case runs with its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+const record = createRecord(dirname(fileURLToPath(import.meta.url)), hasTrouble)
 const store = new Store()
 const gateways = new Gateways({ count: GATEWAYS, store, record })
 const workers = []
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url'
 import { createAgent, createAttemptId, send } from '../support/caller.mjs'
 import { Gateways, sleep } from '../support/gateways.mjs'
-import { createRecord, hasTrouble, runCase } from '../support/record.mjs'
+import { createRecord, runCase } from '../support/record.mjs'
 import { AUTHORIZATION, configuration, route } from '../support/site.mjs'
 import { Store } from '../support/store.mjs'
 import { Worker } from '../support/worker.mjs'
@@ -24,7 +24,10 @@
 const SERVICE_UNAVAILABLE = 503
 const REFUSALS = [408, 421, 429, SERVICE_UNAVAILABLE]
 
-const record = createRecord(dirname(fileURLToPath(import.meta.url)))
+/** Whether the case runs with its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+const record = createRecord(dirname(fileURLToPath(import.meta.url)), hasTrouble)
 const store = new Store()
 const gateways = new Gateways({ count: GATEWAYS, store, record })
 const workers = []
--- a/review/further/paused-answers/run.mjs
+++ b/review/further/paused-answers/run.mjs
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url'
 import { createAgent, send } from '../../support/caller.mjs'
 import { BOUNDS, Gateways, sleep } from '../../support/gateways.mjs'
-import { createRecord, hasTrouble, runCase } from '../../support/record.mjs'
+import { createRecord, runCase } from '../../support/record.mjs'
 import { AUTHORIZATION, configuration, route } from '../../support/site.mjs'
 import { Store } from '../../support/store.mjs'
 import { Worker } from '../../support/worker.mjs'
@@ -31,7 +31,10 @@
 const EXPORT_DEADLINE_MILLISECONDS = 30_000
 const PAGE_DEADLINE_MILLISECONDS = 3000
 
-const record = createRecord(dirname(fileURLToPath(import.meta.url)))
+/** Whether the case runs with its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+const record = createRecord(dirname(fileURLToPath(import.meta.url)), hasTrouble)
 const store = new Store()
 const gateways = new Gateways({ count: GATEWAYS, store, record })
 const workers = []
--- a/review/support/record.mjs
+++ b/review/support/record.mjs
@@ -11,11 +11,8 @@
 const NOT_RUN = 2
 const LIMIT_MILLISECONDS = 110_000
 
-/** Whether the case runs with its disruption. */
-export const hasTrouble = process.env.TROUBLE !== '0'
-
 /** Creates the record of a case in its folder; returns the function that adds a line to it. */
-export function createRecord (folder) {
+export function createRecord (folder, hasTrouble) {
   const path = join(folder, 'record.txt')
   const startedAt = performance.now()
   writeFileSync(path, `# ${hasTrouble ? 'with' : 'without'} the disruption; times in seconds since the start\n`)
