Check the entries of other writers before anything uses them

Cause: the decoder of upstream entries took any text of the form of an address, with ports above 65,535 and parts above 255. Opening a connection there throws. The probes of links chose from all listed upstreams, also of services that are not configured, so one entry ended every gateway.

--- a/packages/serving/src/links/upstreamAccess.ts
+++ b/packages/serving/src/links/upstreamAccess.ts
@@ -65,7 +65,7 @@
     const dialer = RelayDialer.create({ localHost: splitAddress(peerAddress).host, clock })
     this._relayed = RelayConnections.create({ dialer, resets: this._resets })
     this._links = UpstreamLinkTask.create({
-      listUpstreams: () => state.upstreams.list(),
+      listUpstreams: () => state.listConfiguredUpstreams(),
       healthPathOf: service => state.view.configuration?.services.get(service)?.healthPath,
       probe: HttpUpstreamProbe.create(clock),
       clock,
@@ -73,7 +73,7 @@
       onLost: () => this._recordLinksLost(),
       onRegained: () => this._relayed.retireAll()
     })
-    this._directCrashProbe = ConnectionCrashProbe.create(upstream => state.upstreams.list().filter(other => other !== upstream))
+    this._directCrashProbe = ConnectionCrashProbe.create(upstream => state.listConfiguredUpstreams().filter(other => other !== upstream))
     this._relayedCrashProbe = RelayedCrashProbe.create(dialer, upstream => this._choosePeer(upstream))
     this.tunnels = RelayServer.create({
       findUpstream: id => this._findUpstream(id),
--- a/packages/serving/src/links/upstreamProbe.ts
+++ b/packages/serving/src/links/upstreamProbe.ts
@@ -5,7 +5,7 @@
  */
 import { request } from 'node:http'
 import { splitAddress } from '@plumstage/common'
-import type { Clock } from '@plumstage/common'
+import type { Clock, NetworkAddress } from '@plumstage/common'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { ProbeOutcome } from './upstreamLinks.js'
 
@@ -33,7 +33,14 @@
   }
 
   async probe (upstream: Upstream, path: string): Promise<ProbeOutcome> {
-    const { host, port } = splitAddress(upstream.listed.address)
+    try {
+      return await this._send(splitAddress(upstream.listed.address), path)
+    } catch {
+      return 'refused'
+    }
+  }
+
+  private async _send ({ host, port }: NetworkAddress, path: string): Promise<ProbeOutcome> {
     return await new Promise<ProbeOutcome>(resolve => {
       const probe = request({ host, port, path, method: 'GET', agent: false })
       const timer = this._clock.schedule(this._clock.now() + PROBE_TIMEOUT_MILLISECONDS, () => {
--- a/packages/serving/src/peers/gatewayRegistration.ts
+++ b/packages/serving/src/peers/gatewayRegistration.ts
@@ -6,11 +6,11 @@
 import * as z from 'zod'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { RecordError, describeError } from '@plumstage/common'
+import { RecordError, describeError, isNetworkAddress } from '@plumstage/common'
 
 const schema = z.object({
   /** Address for peers: datagrams and HTTP on the same port. */
-  address: z.string().min(1),
+  address: z.string().refine(isNetworkAddress, 'must be an IP address and a port'),
   /** Number of processor cores available to the gateway. */
   processorCores: z.number(),
   /** Whether the gateway takes part in aggregation rounds; gateways of earlier releases don't state it. */
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -7,7 +7,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { gossip } from '@plumstage/protocol'
-import { describeError } from '@plumstage/common'
+import { describeError, isNetworkAddress } from '@plumstage/common'
 import type { StorePosition } from '@plumstage/coordination'
 import { decodeStep, encodeStep } from '../aggregation/aggregationStep.js'
 import type { AggregationStep } from '../aggregation/aggregationStep.js'
@@ -126,7 +126,7 @@
 export function decodeReport (bytes: Uint8Array): Result<GatewayReport, Error> {
   try {
     const message = fromBinary(gossip.GatewayReportSchema, bytes)
-    const { name, incarnation, failureDomain, leaving, loads, suspicions, partSuspicions, demands, knownAddresses } = message
+    const { name, incarnation, failureDomain, leaving, loads, suspicions, partSuspicions, demands } = message
     return ok({
       name,
       incarnation,
@@ -136,7 +136,7 @@
       suspicions,
       partSuspicions,
       demands,
-      knownAddresses,
+      knownAddresses: message.knownAddresses.filter(isNetworkAddress),
       limits: message.limits.filter(isReadable),
       answers: message.answers,
       links: decodeLinks(message.links),
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -97,6 +97,12 @@
     return service?.type === 'model-engine' ? this._generationRouter : this._plainRouter
   }
 
+  /** The upstreams of the services that are configured; no requests go to others. */
+  listConfiguredUpstreams (): Upstream[] {
+    const { configuration } = this.view
+    return this.upstreams.list().filter(({ listed }) => configuration?.services.has(listed.service) === true)
+  }
+
   /**
    * Upstreams of a service to which this gateway may send a request now; only those that run `software`, if it is set,
    * and that `accepts` selects.
--- a/packages/serving/src/streams/archiveBatches.ts
+++ b/packages/serving/src/streams/archiveBatches.ts
@@ -83,9 +83,13 @@
 
 /** Encodes records as the value of an entry: keys by software. */
 export function encodeArchiveRecords (records: ReadonlyMap<StreamKey, SoftwareId>): string {
-  const keysBySoftware: Record<SoftwareId, StreamKey[]> = {}
-  for (const [key, software] of records) (keysBySoftware[software] ??= []).push(key)
-  return JSON.stringify(keysBySoftware)
+  const keysBySoftware = new Map<SoftwareId, StreamKey[]>()
+  for (const [key, software] of records) {
+    const keys = keysBySoftware.get(software)
+    if (keys) keys.push(key)
+    else keysBySoftware.set(software, [key])
+  }
+  return JSON.stringify(Object.fromEntries(keysBySoftware))
 }
 
 /** Decodes the value of an entry; one that can't be read holds no records. */
--- a/packages/serving/src/upstreams/crashProbe.ts
+++ b/packages/serving/src/upstreams/crashProbe.ts
@@ -41,11 +41,9 @@
   async hasCrashed (upstream: Upstream): Promise<boolean> {
     const running = this._running.get(upstream)
     if (running) return await running
-    const started = this._check(upstream)
+    const started = this._check(upstream).finally(() => this._running.delete(upstream))
     this._running.set(upstream, started)
-    const hasCrashed = await started
-    this._running.delete(upstream)
-    return hasCrashed
+    return await started
   }
 
   private async _check (upstream: Upstream): Promise<boolean> {
--- a/tests/platform/documents.spec.ts
+++ b/tests/platform/documents.spec.ts
@@ -68,6 +68,29 @@
     assert.equal(readEntry({ version: undefined })._unsafeUnwrap().softwareVersion, undefined)
   })
 
+  // Guards against: connecting to the address of an entry throws, and the process ends.
+  it('is rejected if its address is text of the right form that is no address', () => {
+    for (const address of ['127.0.0.1:80800', '10.0.0.1:0', '10.0.0.1:65536', '127.0.0.300:80', '256.1.1.1:80', '10.0.0.1', '10.0.0.1:', '10.0.0.1:8e1']) assert.equal(readEntry({ address }).isErr(), true, address)
+    assert.equal(readEntry({ address: '10.0.0.1:65535' }).isOk(), true)
+  })
+
+  // Guards against: an entry with a number out of all proportion attracts all requests, or ends the process.
+  it('is rejected if a number is too large', () => {
+    for (const field of ['capacity', 'warmup_left_ms', 'leaves_ms', 'born']) {
+      assert.equal(readEntry({ [field]: 1e300 }).isErr(), true, field)
+      const text = JSON.stringify({ ...entry, [field]: 0 }).replace(`"${field}":0`, `"${field}":1e400`)
+      assert.equal(DeploymentAdapter.create().decodeUpstream('i-1', text).isErr(), true, `${field} beyond all numbers`)
+    }
+  })
+
+  // Guards against: an id or a version that can't be sent on, and nesting that exhausts the parser.
+  it('is rejected if its id or a text can\'t be sent, and if it is very deeply nested', () => {
+    for (const id of ['', 'i 1', 'i\n1', 'i-\u20ac', 'i'.repeat(201)]) assert.equal(DeploymentAdapter.create().decodeUpstream(id, JSON.stringify(entry)).isErr(), true, JSON.stringify(id))
+    for (const field of ['service', 'version', 'zone']) assert.equal(readEntry({ [field]: 'v'.repeat(201) }).isErr(), true, field)
+    const nested = `${'['.repeat(200_000)}${']'.repeat(200_000)}`
+    for (const text of [nested, JSON.stringify(entry).replace('"east"', nested), JSON.stringify(entry).replace('"front"', `"front","novelty":${nested}`)]) assert.equal(DeploymentAdapter.create().decodeUpstream('i-1', text).isErr(), true)
+  })
+
   // Guards against: an entry of another writer is completed by defaults and gets requests.
   it('is rejected if a field is missing, has the wrong type or an unknown value', () => {
     for (const field of ['service', 'address', 'zone', 'capacity', 'state', 'warmup_left_ms', 'seq']) {
--- a/tests/platform/storeAdapter.spec.ts
+++ b/tests/platform/storeAdapter.spec.ts
@@ -40,6 +40,19 @@
     assert.equal(snapshot.revision, standin.revision)
   })
 
+  // Guards against: one item that can't be read keeps a gateway from following all others.
+  it('leaves out items that can\'t be read, and lists and watches the others', async () => {
+    const revision = standin.put('servers/1', 'one')
+    standin.putDocument('servers/2', { value: 7 })
+    standin.putDocument('servers/3', { revision: 2.5, created: 1e300 })
+    standin.put('servers/4', 'four')
+    const snapshot = (await store.list(context, 'servers/'))._unsafeUnwrap()
+    assert.deepEqual(snapshot.entries.map(entry => entry.value), ['one', 'four'])
+    const watch = store.watch(context, 'servers/', { era: 1, revision })[Symbol.asyncIterator]()
+    const { value: batch } = await watch.next()
+    assert.deepEqual(batch._unsafeUnwrap().changes.map((change: KeyValueChange) => change.kind === 'put' && change.entry.key), ['servers/1', 'servers/4'])
+  })
+
   it('watches changes from a revision and reports compaction', async () => {
     const revision = standin.put('a', '1')
     await store.list(context, '')
--- a/tests/platform/support/gatewayProcesses.ts
+++ b/tests/platform/support/gatewayProcesses.ts
@@ -81,6 +81,12 @@
     this._processes.get(number)?.child.kill(signal)
   }
 
+  /** Whether a process has ended, by itself or by a signal. */
+  hasEnded (number: number): boolean {
+    const { child } = this._processes.get(number)!
+    return child.exitCode !== null || child.signalCode !== null
+  }
+
   /** Events of one kind that a gateway has logged since its last start. */
   listEvents (number: number, kind: string): ActionEvent[] {
     const lines = this._processes.get(number)!.output.split('\n').slice(0, -1)
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -108,6 +108,14 @@
     return revision
   }
 
+  /** Stores an item with fields that can't be read. */
+  putDocument (key: string, fields: Record<string, unknown>): void {
+    const revision = ++this._revision
+    const item = { key, value: '', revision, created: revision, lease: 0, ...fields }
+    this._items.set(key, item)
+    this._record(item)
+  }
+
   remove (key: string): void {
     if (this._items.delete(key)) this._record({ key, revision: ++this._revision, deleted: true })
   }
@@ -237,7 +245,7 @@
     const prefix = url.searchParams.get('prefix') ?? ''
     if (after < this._compactedBefore || after > this._revision) return { status: 410, document: {} }
     const findEvents = (): Reply => {
-      const events = this._history.filter(change => change.revision > after && change.key.startsWith(prefix))
+      const events = this._history.filter(change => !(change.revision <= after) && change.key.startsWith(prefix))
       return events.length > 0 ? { status: 200, document: { events, current_rev: this._revision } } : undefined
     }
     const known = findEvents()
--- a/tests/serving/streamArchive.spec.ts
+++ b/tests/serving/streamArchive.spec.ts
@@ -4,7 +4,7 @@
 import { CallContext, Instrumentation, VirtualClock, setLogLevel } from '@plumstage/common'
 import { KeyValueError } from '@plumstage/coordination'
 import type { KeyValueEntry, KeyValueService, KeyValueTransaction } from '@plumstage/coordination'
-import { ArchiveBatches, SoftwareHistory, StoreKeys, StreamArchive, decodeArchiveRecords, decodeStreamMessage, shardBitsFor, shardOf, streamKeyOf, writerOf } from '@plumstage/serving'
+import { ArchiveBatches, SoftwareHistory, StoreKeys, StreamArchive, decodeArchiveRecords, encodeArchiveRecords, decodeStreamMessage, shardBitsFor, shardOf, streamKeyOf, writerOf } from '@plumstage/serving'
 import type { ListedUpstream, SoftwareId, StreamKey } from '@plumstage/serving'
 
 setLogLevel('silent')
@@ -197,6 +197,13 @@
     assert.equal(records, 5000)
   })
 
+  // Guards against: a version that is the name of a property of every object ends the gateway that archives it.
+  it('hold versions of any name', () => {
+    const records = new Map([['00', '__proto__'], ['01', 'constructor'], ['02', 'v1'], ['03', 'v1']])
+    const decoded = decodeArchiveRecords(encodeArchiveRecords(records))
+    assert.deepEqual([decoded.get('01'), decoded.get('02'), decoded.get('03')], ['constructor', 'v1', 'v1'])
+  })
+
   it('that can\'t be read hold nothing', () => {
     for (const value of ['', 'x', '[]', '{"v1":"00"}', '{"v1":[1]}', '{"":["00"]}']) assert.equal(decodeArchiveRecords(value).size, 0)
   })
