Keep a gateway running when one of its tasks fails

A timer more than 24 days ahead fired at once.

Change: BackgroundTasks starts every task, reports its errors in a log line, an event and plumstage_task_failures_total, and starts it again; it guards timers, datagrams, observers of the store and callers' requests, which are answered with 500. What reaches no handler is reported by the process, which goes on. Timers wait in steps.

--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -13,6 +13,9 @@
   cancel (): void
 }
 
+/** Node fires a timer with a longer delay at once. */
+const MAXIMUM_TIMEOUT_MILLISECONDS = 2 ** 31 - 1
+
 /** The only source of time. Tasks read the time from a clock; decisions get it as a parameter. */
 export interface Clock {
   /** Returns the current time in milliseconds since the epoch. */
@@ -32,10 +35,21 @@
   }
 
   schedule (deadline: Timestamp, callback: () => void): Timer {
-    const handle = setTimeout(callback, Math.max(0, deadline - Date.now()))
+    return startTimer(() => deadline - Date.now(), callback)
+  }
+}
+
+/** Starts a timer of the operating system that does not keep the process alive, however far its deadline is. */
+export function startTimer (remainingMilliseconds: () => number, callback: () => void): Timer {
+  let handle: NodeJS.Timeout
+  const wait = (): void => {
+    const remaining = remainingMilliseconds()
+    const isLast = !(remaining > MAXIMUM_TIMEOUT_MILLISECONDS)
+    handle = setTimeout(isLast ? callback : wait, Math.max(0, Math.min(MAXIMUM_TIMEOUT_MILLISECONDS, remaining)))
     handle.unref()
-    return { cancel: () => clearTimeout(handle) }
   }
+  wait()
+  return { cancel: () => clearTimeout(handle) }
 }
 
 interface ScheduledCallback {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+export * from './backgroundTasks.js'
 export * from './boundedEventLog.js'
 export * from './callContext.js'
 export * from './clock.js'
+export * from './guardedClock.js'
 export * from './hopByHopHeaders.js'
 export * from './errors.js'
 export * from './eventLog.js'
--- a/packages/common/src/instrumentation.ts
+++ b/packages/common/src/instrumentation.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import type { Clock, Timestamp } from './clock.js'
+import { describeError } from './errors.js'
+import { getLogger } from './logging.js'
 
 /** Attributes of an event: a flat object that fits on one line. */
 export type EventAttributes = Readonly<Record<string, string | number | boolean | undefined>>
@@ -33,6 +35,7 @@
   readonly incarnation: string
   private readonly _clock: Clock
   private readonly _listeners: EventListener[] = []
+  private readonly _log = getLogger('events')
   private _sequence = 0
 
   private constructor (process: string, incarnation: string, clock: Clock) {
@@ -62,6 +65,15 @@
       attempt,
       attributes
     }
-    for (const listener of this._listeners) listener(event)
+    for (const listener of this._listeners) this._notify(listener, event)
+  }
+
+  /** The work that an event tells of goes on also if a listener fails. */
+  private _notify (listener: EventListener, event: ActionEvent): void {
+    try {
+      listener(event)
+    } catch (error) {
+      this._log.error(`A listener failed for an event of kind ${event.kind}: ${describeError(error)}. Report this to the developers.`)
+    }
   }
 }
--- a/packages/common/src/monotonicClock.ts
+++ b/packages/common/src/monotonicClock.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { performance } from 'node:perf_hooks'
+import { startTimer } from './clock.js'
 import type { Clock, Timer, Timestamp } from './clock.js'
 
 /** Adds the monotonic time since the process start to the time of that start, so that steps of the time of day don't shift deadlines. */
@@ -17,9 +18,7 @@
   }
 
   schedule (deadline: Timestamp, callback: () => void): Timer {
-    const handle = setTimeout(callback, Math.max(0, deadline - this.now()))
-    handle.unref()
-    return { cancel: () => clearTimeout(handle) }
+    return startTimer(() => deadline - this.now(), callback)
   }
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -36,6 +36,7 @@
     metricsAddress: options.metricsPort === 0 ? undefined : `${splitAddress(settings.peerAddress).host}:${options.metricsPort}`,
     droppedLogLines: () => events?.droppedLines ?? 0
   })
+  keepRunningAfterErrors(gateway)
   SettingsWatcher.create(path, clock, instrumentation, changed => gateway.applySettings(changed)).start()
   const stop = (): void => {
     void gateway.stop().then(() => {
@@ -47,6 +48,13 @@
   process.once('SIGINT', stop)
 }
 
+/** The requests of all callers depend on the process, so an error that reaches no handler is reported and does not end it. */
+function keepRunningAfterErrors (gateway: ServingGateway): void {
+  process.on('uncaughtException', error => gateway.tasks.report('process', error))
+  // A reader of the log that goes away.
+  for (const output of [process.stdout, process.stderr]) output.on('error', () => {})
+}
+
 /** Runs `plumstage-entry` until it receives SIGTERM or SIGINT. */
 export function runEntry (): void {
   const options = readEntryOptions(process.argv.slice(2), process.env)
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Timer, Timestamp } from '@plumstage/common'
+import type { BackgroundTasks, Timer, Timestamp } from '@plumstage/common'
 import type { CallerExchange } from '../callers/callerExchange.js'
 import { createRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
@@ -44,6 +44,7 @@
 export interface RequestServices extends CrashTrackingServices {
   /** Time of day in milliseconds since the epoch, for usage windows. */
   timeOfDay: () => Timestamp
+  tasks: BackgroundTasks
   protocol: UpstreamProtocol
   access: UpstreamAccess
   running: RunningRequests
@@ -103,7 +104,7 @@
     this._services.running.open(this)
     this._deadlineTimer = clock.schedule(deadline, () => this._expire())
     this._exchange.onDisconnected(() => this._cancelForCaller())
-    if (this._continuity.isResumed) return void this._resume()
+    if (this._continuity.isResumed) return this._watch(this._resume())
     this._startUnlessRefused()
   }
 
@@ -163,14 +164,14 @@
     if (outcome.failure === 'server-error' || (outcome.failure === 'broken' && !outcome.connectionLost)) this._recordAnswer(true)
     this._recordFailure(outcome.failure, upstream)
     const checked = this._crashes.checkForCrash(outcome, upstream, this._relay.attemptHasBegun)
-    if (checked) void checked.then(() => this._proceedAfterFailure(outcome.failure, path))
+    if (checked) this._watch(checked.then(() => this._proceedAfterFailure(outcome.failure, path)))
     else this._proceedAfterFailure(outcome.failure, path)
   }
 
   private _proceedAfterFailure (failure: AttemptFailure, path: UpstreamPath): void {
     if (this._done) return
     const decision = decideAfterFailure(failure, this._progress, () => this._retries.takeAfterFailure(failure))
-    if (decision.kind === 'retry') return void this._services.access.settled().then(() => this._startRetry(failure, path))
+    if (decision.kind === 'retry') return this._watch(this._services.access.settled().then(() => this._startRetry(failure, path)))
     if (decision.kind === 'reject') return this._reject(decision.rejection)
     this._cut('cut-after-failure')
   }
@@ -298,6 +299,17 @@
     this._relay.finish()
   }
 
+  /** Ends the request if what it waits for fails. */
+  private _watch (work: Promise<void>): void {
+    work.catch((error: unknown) => {
+      this._services.tasks.report('request', error)
+      if (this._done) return
+      this._progress.mayHaveRun ||= this._abandonAttempt()
+      if (this._relay.started) return this._cut('cut-after-failure')
+      this._reject(createRejection('internal-error', 'The gateway failed while it processed the request, which may have been executed. Check its effect before sending it again, and report this to the operator.'))
+    })
+  }
+
   private _failWithoutUpstream (): void {
     if (this._relay.started) return this._cut('cut-without-upstream')
     if (this._progress.mayHaveRun) return this._reject(createRejection('upstream-failed', 'No upstream is available for another attempt, and the request may have been executed. Check its effect before sending it again.'))
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -43,7 +43,7 @@
 
   private constructor (options: CallerServerOptions) {
     this._options = options
-    this.server = createServer({ maxHeaderSize: MAXIMUM_HEAD_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS, requestTimeout: 0 }, (incoming, response) => this._receive(incoming, response))
+    this.server = createServer({ maxHeaderSize: MAXIMUM_HEAD_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS, requestTimeout: 0 }, (incoming, response) => this._serve(incoming, response))
     this.applyLimits()
   }
 
@@ -58,9 +58,20 @@
     this.server.keepAliveTimeout = limits?.idleTimeoutMilliseconds ?? DEFAULT_IDLE_TIMEOUT_MILLISECONDS
   }
 
-  private _receive (incoming: IncomingMessage, response: ServerResponse): void {
-    const { protocol, services, admission, pauses, closesConnection } = this._options
+  private _serve (incoming: IncomingMessage, response: ServerResponse): void {
+    const { protocol, closesConnection } = this._options
     const exchange = HttpCallerExchange.create(response, protocol, closesConnection)
+    this._guard(exchange, () => this._receive(incoming, response, exchange))
+  }
+
+  /** Answers a request whose processing fails; it is not known whether it was executed. */
+  private _guard (exchange: CallerExchange, action: () => void): void {
+    if (this._options.services.tasks.guard('callers', action)) return
+    exchange.reject(createRejection('internal-error', 'The gateway failed while it processed the request. Check its effect before sending it again, and report this to the operator.'))
+  }
+
+  private _receive (incoming: IncomingMessage, response: ServerResponse, exchange: CallerExchange): void {
+    const { protocol, services, admission, pauses } = this._options
     const acceptedAt = services.clock.now()
     const head = protocol.readHead(incoming)
     if (head.isErr()) return this._reject(exchange, head.error, incoming)
@@ -74,7 +85,7 @@
       if (exchange.started) return
       if (body.isErr()) return this._reject(exchange, body.error, incoming, head.value)
       const { value } = body
-      const accept = (): void => this._accept(exchange, incoming, head.value, admitted.value, value, acceptedAt)
+      const accept = (): void => this._guard(exchange, () => this._accept(exchange, incoming, head.value, admitted.value, value, acceptedAt))
       if (pauses.isCatchingUp) afterNextPoll(accept)
       else accept()
     })
--- a/packages/serving/src/callers/rejection.ts
+++ b/packages/serving/src/callers/rejection.ts
@@ -26,6 +26,8 @@
   | 'not-run'
   | 'timeout'
   | 'upstream-failed'
+  /** This gateway has a fault. */
+  | 'internal-error'
 
 const STATUSES: Readonly<Record<RejectionKind, number>> = {
   malformed: 400,
@@ -45,7 +47,8 @@
   quarantined: 503,
   'not-run': 503,
   timeout: 504,
-  'upstream-failed': 502
+  'upstream-failed': 502,
+  'internal-error': 500
 }
 
 /** What a request would have used of a quota that had not enough left, and the limits of the quota. */
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { getLogger } from '@plumstage/common'
-import type { CallContext, Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
+import type { BackgroundTasks, CallContext, Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import type { KeyValueChange, KeyValueEntry, KeyValueError, KeyValueService, KeyValueWatchBatch, StorePosition } from '@plumstage/coordination'
 import type { DeploymentView, ViewChange } from './deploymentView.js'
 
@@ -29,6 +29,8 @@
   | 'compacted'
   /** The store has come back from a copy. */
   | 'restored'
+  /** What was read last could not be applied. */
+  | 'failed'
 
 /** Receives all entries and changes that are read from the store. */
 export interface StoreObserver {
@@ -45,6 +47,7 @@
   clock: Clock
   random: SeededRandom
   instrumentation: Instrumentation
+  tasks: BackgroundTasks
   observers: readonly StoreObserver[]
   /** Number of gateways that watch the store. */
   countGateways: () => number
@@ -82,14 +85,24 @@
 
   async run (context: CallContext): Promise<void> {
     while (!context.cancelled) {
+      await this._follow(context)
+      await context.sleepUntil(this._options.clock.now() + this._takePauseMilliseconds())
+    }
+  }
+
+  /** After an error, nothing is known of what was applied: everything is read again. */
+  private async _follow (context: CallContext): Promise<void> {
+    try {
       if (!this._position) await this._readSnapshot(context)
       if (this._position) await this._watch(context, this._position)
-      await context.sleepUntil(this._options.clock.now() + this._takePauseMilliseconds())
+    } catch (error) {
+      this._requireSnapshot('failed')
+      throw error
     }
   }
 
   private async _readSnapshot (context: CallContext): Promise<void> {
-    const { store, view, clock, observers, instrumentation } = this._options
+    const { store, view, clock, instrumentation } = this._options
     const callContext = context.createChild(clock.now() + SNAPSHOT_TIMEOUT_MILLISECONDS)
     const snapshot = await store.list(callContext, ALL_KEYS)
     callContext.finish()
@@ -99,7 +112,7 @@
     this._recordSuccess(era)
     instrumentation.emit('store-snapshot-read', { reason: this._snapshotReason, era, revision, entries: entries.length })
     this._options.onChange(view.applyStoreSnapshot(snapshot.value, clock.now()))
-    for (const observer of observers) observer.onSnapshot(entries, { era, revision })
+    this._notify(observer => observer.onSnapshot(entries, { era, revision }))
   }
 
   private async _watch (context: CallContext, position: StorePosition): Promise<void> {
@@ -117,9 +130,15 @@
   }
 
   private _apply (batch: KeyValueWatchBatch): void {
-    const { view, clock, observers } = this._options
+    const { view, clock } = this._options
     this._options.onChange(view.applyStoreChanges(batch, clock.now()))
-    for (const observer of observers) observer.onChanges(batch.changes, batch)
+    this._notify(observer => observer.onChanges(batch.changes, batch))
+  }
+
+  /** An observer that fails keeps neither the others nor this task from following the store. */
+  private _notify (inform: (observer: StoreObserver) => void): void {
+    const { observers, tasks } = this._options
+    for (const observer of observers) tasks.guard('store-observer', () => inform(observer))
   }
 
   private _handleWatchError (error: KeyValueError): void {
--- a/packages/serving/src/duties/cloudDuties.ts
+++ b/packages/serving/src/duties/cloudDuties.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
+import type { BackgroundTasks, CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import type { DutyTask, KeyValueService } from '@plumstage/coordination'
 import type { DeploymentDecoder } from '../deployment/deploymentDecoder.js'
 import type { StoreObserver } from '../deployment/deploymentTask.js'
@@ -30,11 +30,13 @@
   clock: Clock
   timeOfDay: () => Timestamp
   instrumentation: Instrumentation
+  tasks: BackgroundTasks
 }
 
 /** The tasks of the cloud duty at one gateway. */
 export class CloudDuties {
   private readonly _duty: DutyTask
+  private readonly _tasks: BackgroundTasks
   /** Undefined when the gateway reports no usage. */
   private readonly _usageReports: UsageReportTask | undefined
   /** Undefined when the gateway orders no upstreams. */
@@ -42,8 +44,9 @@
   private readonly _rollouts: RolloutTask
 
   private constructor (options: CloudDutiesOptions) {
-    const { duty, settings, state } = options
+    const { duty, settings, state, tasks } = options
     this._duty = duty
+    this._tasks = tasks
     this._rollouts = RolloutTask.create(options)
     if (settings.ordersUpstreams) this._fleet = FleetTask.create({ ...options, holder: settings.name })
     if (!settings.reportsUsage) return
@@ -65,11 +68,11 @@
     return this._usageReports ? [this._usageReports] : []
   }
 
-  /** Runs the tasks until the context is cancelled. */
-  run (context: CallContext): void {
-    void this._duty.run(context)
-    void this._usageReports?.run(context)
-    void this._fleet?.run(context)
-    void this._rollouts.run(context)
+  /** Starts the tasks; they end with the context. */
+  start (context: CallContext): void {
+    this._tasks.start('cloud-duty', context, async () => await this._duty.run(context))
+    this._tasks.start('usage-reports', context, async () => await this._usageReports?.run(context))
+    this._tasks.start('fleet', context, async () => await this._fleet?.run(context))
+    this._tasks.start('rollouts', context, async () => await this._rollouts.run(context))
   }
 }
--- a/packages/serving/src/links/upstreamAccess.ts
+++ b/packages/serving/src/links/upstreamAccess.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { splitAddress } from '@plumstage/common'
-import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
+import type { BackgroundTasks, CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import { listRelayCandidates } from '../relay/relayCandidates.js'
 import { RelayConnections } from '../relay/relayConnections.js'
 import { RelayDialer } from '../relay/relayDialer.js'
@@ -41,6 +41,7 @@
   isStopping: () => boolean
   clock: Clock
   instrumentation: Instrumentation
+  tasks: BackgroundTasks
   /** Called when the links to all upstreams are lost, and at short intervals: running attempts may need another path. */
   reconsiderPaths: () => void
 }
@@ -120,13 +121,11 @@
     return await (this.linkState === 'lost' ? this._relayedCrashProbe : this._directCrashProbe).hasCrashed(upstream)
   }
 
-  async run (context: CallContext): Promise<void> {
-    const { clock, reconsiderPaths } = this._options
-    void this._links.run(context)
-    while (!context.cancelled) {
-      reconsiderPaths()
-      await context.sleepUntil(clock.now() + RECONSIDER_MILLISECONDS)
-    }
+  /** Starts the tasks; they end with the context. */
+  start (context: CallContext): void {
+    const { tasks } = this._options
+    tasks.start('upstream-links', context, async () => await this._links.run(context))
+    tasks.start('attempt-paths', context, async () => await this._reconsiderPaths(context))
   }
 
   /** Closes the connections of a removed upstream, after the requests that use them. */
@@ -146,6 +145,14 @@
     await Promise.all([this._direct.close(), this._relayed.close()])
   }
 
+  private async _reconsiderPaths (context: CallContext): Promise<void> {
+    const { clock, reconsiderPaths } = this._options
+    while (!context.cancelled) {
+      reconsiderPaths()
+      await context.sleepUntil(clock.now() + RECONSIDER_MILLISECONDS)
+    }
+  }
+
   /** What failed over lost links says nothing about the upstreams. */
   private _recordLinksLost (): void {
     for (const upstream of this._options.state.upstreams.list()) upstream.health.reset()
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -48,6 +48,7 @@
   { kind: 'store-snapshot-read', name: 'plumstage_store_snapshots_total', help: 'Snapshots of all entries that were read from the store, by reason.', label: { attribute: 'reason', name: 'reason' } },
   { kind: 'upstream-links-probed', name: 'plumstage_link_probes_total', help: 'Probes of upstreams that show whether the links of this gateway work.', amount: 'probes' },
   { kind: 'rollout-decided', name: 'plumstage_rollout_decisions_total', help: 'Changes of the stage of roll-outs that this gateway decided, by stage.', label: { attribute: 'stage', name: 'stage' } },
+  { kind: 'task-failed', name: 'plumstage_task_failures_total', help: 'Errors that a background task did not handle, by task.', label: { attribute: 'task', name: 'task' } },
   { kind: 'stream-archive-read', name: 'plumstage_stream_archive_reads_total', help: 'Shards of the archive of stream origins that were read.' },
   { kind: 'stream-archive-not-written', name: 'plumstage_stream_archive_failures_total', help: 'Batches for the archive of stream origins that the store did not take at once.' }
 ]
--- a/packages/serving/src/peers/peerExchange.ts
+++ b/packages/serving/src/peers/peerExchange.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { getLogger } from '@plumstage/common'
-import type { CallContext, Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
+import type { BackgroundTasks, CallContext, Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import { AggregationState } from '../aggregation/aggregationState.js'
 import { AggregationTask } from '../aggregation/aggregationTask.js'
 import type { AggregationStep } from '../aggregation/aggregationStep.js'
@@ -33,6 +33,7 @@
   timeOfDay: () => Timestamp
   random: SeededRandom
   instrumentation: Instrumentation
+  tasks: BackgroundTasks
   /** Whether this gateway reaches upstreams itself. */
   links: () => ReportedLinks
   /** Name of the gateway that holds the cloud duty; undefined when none does. */
@@ -72,9 +73,10 @@
 
   /** Starts the exchange; it ends with the context. */
   start (): void {
-    void this._gossip.run()
-    this._aggregation.start(this._options.context)
-    void this._pullInitialDeployment()
+    const { context, tasks } = this._options
+    tasks.start('peer-reports', context, async () => await this._gossip.run())
+    tasks.start('initial-deployment', context, async () => await this._pullInitialDeployment())
+    this._aggregation.start(context)
   }
 
   /** Tells the peers that this gateway shuts down: all of them if some have tunnels open through it. */
--- a/packages/serving/src/peers/peerSocket.ts
+++ b/packages/serving/src/peers/peerSocket.ts
@@ -7,6 +7,7 @@
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
 import { getLogger, splitAddress } from '@plumstage/common'
+import type { BackgroundTasks } from '@plumstage/common'
 
 const STREAM_MARK = 0
 
@@ -21,15 +22,15 @@
   private _onReport: DatagramHandler = () => {}
   private _onStreamMessage: DatagramHandler = () => {}
 
-  private constructor (address: string) {
+  private constructor (address: string, tasks: BackgroundTasks) {
     this._socket = createSocket('udp4')
     this._socket.on('error', error => this._log.warn(`The datagram socket at ${address} failed: ${error.message}. Messages to peers resume when it works again.`))
-    this._socket.on('message', (bytes, sender) => this._receive(bytes, `${sender.address}:${sender.port}`))
+    this._socket.on('message', (bytes, sender) => { tasks.guard('peer-messages', () => this._receive(bytes, `${sender.address}:${sender.port}`)) })
   }
 
-  /** Binds the socket to `address`. */
-  static async create (address: string): Promise<PeerSocket> {
-    const created = new PeerSocket(address)
+  /** Binds the socket to `address`. `tasks` reports the errors of the handlers. */
+  static async create (address: string, tasks: BackgroundTasks): Promise<PeerSocket> {
+    const created = new PeerSocket(address, tasks)
     const { host, port } = splitAddress(address)
     await new Promise<void>((resolve, reject) => {
       created._socket.once('error', reject)
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { CallContext, Listener, describeError, getLogger } from '@plumstage/common'
+import { BackgroundTasks, CallContext, GuardedClock, Listener, describeError, getLogger } from '@plumstage/common'
 import type { Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
 import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
@@ -76,6 +76,8 @@
 /** A running gateway. */
 export class ServingGateway {
   readonly state: ServingState
+  /** The tasks of the gateway, which report errors that nothing else handles. */
+  readonly tasks: BackgroundTasks
   private _settings: ServingSettings
   private readonly _environment: ServingEnvironment
   private readonly _context: CallContext
@@ -101,7 +103,8 @@
   private readonly _registry: GatewayRegistry
   private _stopping = false
 
-  private constructor (settings: ServingSettings, environment: ServingEnvironment, socket: PeerSocket) {
+  private constructor (settings: ServingSettings, environment: ServingEnvironment, tasks: BackgroundTasks, socket: PeerSocket) {
+    this.tasks = tasks
     const { clock, leaseClock, instrumentation, store } = environment
     this._socket = socket
     this._settings = settings
@@ -114,7 +117,7 @@
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._pauses = PauseMonitor.create(leaseClock)
-    this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, reconsiderPaths: () => this._reconsiderPaths() })
+    this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, tasks, reconsiderPaths: () => this._reconsiderPaths() })
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
     const addresses = GatewayAddresses.create(this.state.peers)
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
@@ -129,7 +132,9 @@
 
   /** Opens the listeners and starts the tasks. */
   static async create (settings: ServingSettings, environment: ServingEnvironment): Promise<ServingGateway> {
-    const gateway = new ServingGateway(settings, environment, await PeerSocket.create(settings.peerAddress))
+    const tasks = BackgroundTasks.create(environment.clock, environment.instrumentation)
+    const guarded = { ...environment, clock: GuardedClock.create(environment.clock, tasks) }
+    const gateway = new ServingGateway(settings, guarded, tasks, await PeerSocket.create(settings.peerAddress, tasks))
     await gateway._listen()
     gateway._startTasks()
     return gateway
@@ -200,6 +205,7 @@
       clock,
       random,
       instrumentation,
+      tasks: this.tasks,
       countGateways: () => this.state.peers.listRegistrations().length,
       observers: [this._registry, this._softwareHistoryTask, this.state.rollouts, ...this._duties?.observers ?? []],
       onChange: change => this._applyChange(change)
@@ -209,13 +215,13 @@
   private _createDuties (): CloudDuties | undefined {
     const { store, cloud, clock, instrumentation, timeOfDay } = this._environment
     if (!cloud) return undefined
-    return CloudDuties.create({ duty: this._duty, cloud, store, keys: this._keys, decoder: this._environment.decoder, state: this.state, settings: this._settings, usageDelayMilliseconds: () => this._settings.usageDelayMilliseconds, clock, timeOfDay, instrumentation })
+    return CloudDuties.create({ duty: this._duty, cloud, store, keys: this._keys, decoder: this._environment.decoder, state: this.state, settings: this._settings, usageDelayMilliseconds: () => this._settings.usageDelayMilliseconds, clock, timeOfDay, instrumentation, tasks: this.tasks })
   }
 
   private _createCallerServer (): CallerServer {
     const { clock, timeOfDay, instrumentation, upstreamProtocol, callerProtocol } = this._environment
     return CallerServer.create({
-      services: { clock, timeOfDay, instrumentation, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, streamOrigins: this._streamOrigins, crashProbe: this._access },
+      services: { clock, timeOfDay, instrumentation, tasks: this.tasks, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, streamOrigins: this._streamOrigins, crashProbe: this._access },
       admission: RequestAdmission.create(this.state),
       protocol: callerProtocol,
       pauses: this._pauses,
@@ -240,6 +246,7 @@
       timeOfDay,
       random,
       instrumentation,
+      tasks: this.tasks,
       links: () => this._access.linkState,
       dutyHolder: () => this._registry.dutyHolder,
       watchMilliseconds: () => this._deploymentTask.watchMilliseconds,
@@ -253,19 +260,24 @@
     const { store, clock, leaseClock, instrumentation } = this._environment
     const { name, peerSeeds } = this._settings
     for (const seed of peerSeeds) this.state.peers.addKnownAddress(seed, clock.now())
-    void this._pauses.run(this._context)
-    void this._deploymentTask.run(this._context)
+    const membership = MembershipTask.create({ store, key: this._keys.gatewayKey(name), registration: this.state.peers.self, clock: leaseClock, instrumentation })
+    this._startTask('pause-monitor', this._pauses)
+    this._startTask('deployment', this._deploymentTask)
     this._peerExchange.start()
-    void this._access.run(this._context)
-    void this._softwareHistoryTask.run(this._context)
-    void this._streamArchive.run(this._context)
+    this._access.start(this._context)
+    this._startTask('software-history', this._softwareHistoryTask)
+    this._startTask('stream-archive', this._streamArchive)
     this._internalListenersOpened = this._openInternalListeners()
-    void this._expireEntries()
-    void MembershipTask.create({ store, key: this._keys.gatewayKey(name), registration: this.state.peers.self, clock: leaseClock, instrumentation }).run(this._context)
-    this._duties?.run(this._context)
+    this._startTask('entry-expiry', { run: async () => await this._expireEntries() })
+    this._startTask('membership', membership)
+    this._duties?.start(this._context)
     instrumentation.emit('started', { name, failureDomain: this._settings.failureDomain })
   }
 
+  private _startTask (name: string, task: { run: (context: CallContext) => Promise<void> }): void {
+    this.tasks.start(name, this._context, async context => await task.run(context))
+  }
+
   /** Opens the listeners for peers and metrics. Their modules are loaded after callers are served, to shorten the start. */
   private async _openInternalListeners (): Promise<void> {
     const { clock, instrumentation, droppedLogLines, metricsAddress } = this._environment
--- a/tests/serving/deploymentTask.spec.ts
+++ b/tests/serving/deploymentTask.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { CallContext, Instrumentation, SeededRandom, VirtualClock } from '@plumstage/common'
+import { BackgroundTasks, CallContext, Instrumentation, SeededRandom, VirtualClock } from '@plumstage/common'
 import type { KeyValueError, KeyValueService, KeyValueWatchBatch } from '@plumstage/coordination'
 import { DeploymentAdapter } from '@plumstage/platform'
 import { DeploymentTask, DeploymentView } from '@plumstage/serving'
@@ -29,12 +29,14 @@
   const clock = VirtualClock.create()
   const store = createBusyStore(clock)
   const context = CallContext.create(clock)
+  const instrumentation = Instrumentation.create('edge-1', 'run', clock)
   const task = DeploymentTask.create({
     store: store.service,
     view: DeploymentView.create(DeploymentAdapter.create()),
     clock,
     random: SeededRandom.create(1),
-    instrumentation: Instrumentation.create('edge-1', 'run', clock),
+    instrumentation,
+    tasks: BackgroundTasks.create(clock, instrumentation),
     observers: [],
     countGateways: () => gateways,
     onChange: () => {}
@@ -49,6 +51,36 @@
 }
 
 describe('deployment task', () => {
+  // Guards against: an entry that one observer can't handle keeps the gateway from following the store.
+  it('informs all observers, and goes on, when one of them fails', async () => {
+    const clock = VirtualClock.create()
+    const store = createBusyStore(clock)
+    const context = CallContext.create(clock)
+    const instrumentation = Instrumentation.create('edge-1', 'run', clock)
+    let informed = 0
+    const fail = (): never => { throw new Error('no') }
+    const count = (): void => { informed++ }
+    const task = DeploymentTask.create({
+      store: store.service,
+      view: DeploymentView.create(DeploymentAdapter.create()),
+      clock,
+      random: SeededRandom.create(1),
+      instrumentation,
+      tasks: BackgroundTasks.create(clock, instrumentation),
+      observers: [{ onSnapshot: fail, onChanges: fail }, { onSnapshot: count, onChanges: count }],
+      countGateways: () => 1,
+      onChange: () => {}
+    })
+    void task.run(context)
+    for (let change = 0; change < 10; change++) {
+      await new Promise(resolve => setImmediate(resolve))
+      clock.advanceTo(clock.now() + CHANGE_INTERVAL_MILLISECONDS * 2)
+    }
+    context.cancel('shutdown')
+    assert.ok(informed > 5, `${informed} times`)
+    assert.equal(task.isFollowingStore, true)
+  })
+
   it('batches changes for longer the more gateways there are, so that the total number of calls stays bounded', async () => {
     assert.ok(await measureCallRate(9) <= 11)
     assert.ok(await measureCallRate(72) <= 2)
