Bound what callers state of sizes, and every figure of reports

Cause: the decoder of callers' heads took any number of tokens and any estimate. Their sums go into fields of 32 bits of the reports between gateways, whose encoder throws for what does not fit; so one estimate of 20,000,000,000 tokens ended the gateway that took it.

Change: numbers of tokens are whole, from 0 to 1,000,000,000, an estimate is at most the stated maximum, and one that can't be read is ignored; a request counts for no more work than fits into an engine; encoders of reports and of aggregation steps bound every figure. Headers are passed on as they came, and quotas are charged with what the caller states.

--- a/packages/serving/src/aggregation/aggregationStep.ts
+++ b/packages/serving/src/aggregation/aggregationStep.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { gossip } from '@plumstage/protocol'
+import { toUint32 } from '../peers/reportNumbers.js'
 import { emptyAggregate } from './aggregate.js'
 import type { Aggregate } from './aggregate.js'
 
@@ -43,7 +44,7 @@
   return {
     ...step.round,
     kind: KINDS[step.kind],
-    budgetMilliseconds: step.kind === 'collect' ? Math.max(0, Math.round(step.budgetMilliseconds)) : 0,
+    budgetMilliseconds: step.kind === 'collect' ? toUint32(step.budgetMilliseconds) : 0,
     aggregate: step.kind === 'partial' || step.kind === 'total' ? encodeAggregate(step.aggregate) : undefined,
     includedNumber: step.kind === 'total' ? step.includedNumber : undefined
   }
@@ -69,23 +70,23 @@
   const demandSums = [...demands.values()]
   const answerSums = [...answers.values()]
   return {
-    gateways,
+    gateways: toUint32(gateways),
     fingerprint,
     upstreams: [...loads.keys()],
-    requests: loadSums.map(load => toCount(load.requests)),
-    waitingTokens: loadSums.map(load => toCount(load.waitingTokens)),
+    requests: loadSums.map(load => toUint32(load.requests)),
+    waitingTokens: loadSums.map(load => toUint32(load.waitingTokens)),
     workspaces: [...usage.keys()],
     admittedUnits: usageSums.map(sum => sum.admittedUnits),
-    admittedUnitsPerSecond: usageSums.map(sum => toCount(sum.admittedUnitsPerSecond)),
-    offeredUnitsPerSecond: usageSums.map(sum => toCount(sum.offeredUnitsPerSecond)),
+    admittedUnitsPerSecond: usageSums.map(sum => toUint32(sum.admittedUnitsPerSecond)),
+    offeredUnitsPerSecond: usageSums.map(sum => toUint32(sum.offeredUnitsPerSecond)),
     services: [...demands.keys()],
-    promptTokensPerSecond: demandSums.map(sum => toCount(sum.promptTokensPerSecond)),
-    outputTokensPerSecond: demandSums.map(sum => toCount(sum.outputTokensPerSecond)),
-    prefillSamples: demandSums.map(sum => toCount(sum.prefillSamples)),
+    promptTokensPerSecond: demandSums.map(sum => toUint32(sum.promptTokensPerSecond)),
+    outputTokensPerSecond: demandSums.map(sum => toUint32(sum.outputTokensPerSecond)),
+    prefillSamples: demandSums.map(sum => toUint32(sum.prefillSamples)),
     weightedPrefillRates: demandSums.map(sum => sum.weightedPrefillRate),
     answerNames: [...answers.keys()],
-    answers: answerSums.map(sum => toCount(sum.answers)),
-    badAnswers: answerSums.map(sum => toCount(sum.bad))
+    answers: answerSums.map(sum => toUint32(sum.answers)),
+    badAnswers: answerSums.map(sum => toUint32(sum.bad))
   }
 }
 
@@ -114,7 +115,3 @@
 function isTable (names: readonly number[], columns: ReadonlyArray<readonly number[]>): boolean {
   return columns.every(column => column.length === names.length && column.every(value => Number.isFinite(value) && value >= 0))
 }
-
-function toCount (value: number): number {
-  return Math.max(0, Math.round(value))
-}
--- a/packages/serving/src/attempts/acceptedRequest.ts
+++ b/packages/serving/src/attempts/acceptedRequest.ts
@@ -5,7 +5,7 @@
  */
 import type { Timestamp } from '@plumstage/common'
 import type { RouteRecord, ServiceRecord } from '@plumstage/records'
-import type { CallerHead } from '../callers/callerProtocol.js'
+import type { CallerHead, GenerationDemand } from '../callers/callerProtocol.js'
 
 /** A request that the gateway has accepted. */
 export interface AcceptedRequest {
@@ -15,6 +15,8 @@
   workspace?: string
   /** Order among requests; 0 goes first. */
   rank: number
+  /** The work that it requires of a model engine. */
+  generation?: GenerationDemand
   /** Units that were charged to its workspace's quota. */
   quotaUnits: number
   body: Buffer
--- a/packages/serving/src/attempts/crashTracking.ts
+++ b/packages/serving/src/attempts/crashTracking.ts
@@ -40,7 +40,7 @@
   private constructor (services: CrashTrackingServices, request: AcceptedRequest) {
     this._services = services
     this._request = request
-    this._partIds = sharedPartIdsOf(request.head.generation)
+    this._partIds = sharedPartIdsOf(request.generation)
   }
 
   static create (services: CrashTrackingServices, request: AcceptedRequest): CrashTracking {
--- a/packages/serving/src/attempts/dispatchRefusal.ts
+++ b/packages/serving/src/attempts/dispatchRefusal.ts
@@ -50,8 +50,8 @@
 
   private _checkOverload (): Rejection | undefined {
     const { clock, state, instrumentation } = this._services
-    const { head, deadline } = this._request
-    if (!head.generation) return undefined
+    const { head, generation, deadline } = this._request
+    if (!generation) return undefined
     const now = clock.now()
     const remainingMilliseconds = deadline - now
     const waitMilliseconds = state.expectedWaitMilliseconds(this._service, this._continuity.required, now)
--- a/packages/serving/src/attempts/upstreamChoice.ts
+++ b/packages/serving/src/attempts/upstreamChoice.ts
@@ -65,12 +65,12 @@
   /** Returns the upstream for the next attempt; undefined if none may get one now. */
   choose (software: SoftwareId | undefined): RoutingChoice | undefined {
     const { clock, state } = this._services
-    const { service, head, route } = this._request
+    const { service, generation, route } = this._request
     const now = clock.now()
     const usable = this._listUsable(software)
     const untried = usable.filter(upstream => !this._failed.has(upstream))
     const { tokensPerMillisecond } = state.capacities.capacityOf(service.name, now)
-    const demand = { generation: head.generation, objectiveMilliseconds: route.objectiveMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS, prefillTokensPerMillisecond: tokensPerMillisecond }
+    const demand = { generation, objectiveMilliseconds: route.objectiveMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS, prefillTokensPerMillisecond: tokensPerMillisecond }
     return state.routerOf(service).choose(demand, untried.length > 0 ? untried : usable, now)
   }
 
--- a/packages/serving/src/callers/requestAdmission.ts
+++ b/packages/serving/src/callers/requestAdmission.ts
@@ -9,7 +9,7 @@
 import type { Configuration, RouteRecord, ServiceRecord, WorkspaceRecord } from '@plumstage/records'
 import { rendezvousWeight } from '../routing/rendezvousHash.js'
 import type { ServingState } from '../servingState.js'
-import type { CallerHead } from './callerProtocol.js'
+import type { CallerHead, GenerationDemand } from './callerProtocol.js'
 import { createRejection } from './rejection.js'
 import type { Rejection } from './rejection.js'
 
@@ -28,6 +28,8 @@
   workspace?: string
   rank: number
   deadline: Timestamp
+  /** The work that it requires of a model engine, at most as much as fits into one. */
+  generation?: GenerationDemand
 }
 
 /** Admits or rejects the requests of one gateway. */
@@ -60,7 +62,8 @@
       service,
       workspace: workspace.value?.name,
       rank: workspace.value?.rank ?? configuration.priorities.get(route.priority)?.rank ?? DEFAULT_RANK,
-      deadline: now + timeoutMilliseconds
+      deadline: now + timeoutMilliseconds,
+      generation: head.generation && boundByMemory(head.generation, service)
     })
   }
 
@@ -101,6 +104,20 @@
   return route.split[route.split.length - 1].service
 }
 
+/** An engine refuses a request that does not fit into its memory, so what lies beyond is no load, nor demand for further engines. */
+function boundByMemory (demand: GenerationDemand, { engine }: ServiceRecord): GenerationDemand {
+  const maximumTokens = engine?.kvCacheTokens ?? 0
+  if (maximumTokens <= 0) return demand
+  const bound = (tokens: number): number => Math.min(tokens, maximumTokens)
+  return {
+    ...demand,
+    promptTokens: bound(demand.promptTokens),
+    maximumOutputTokens: bound(demand.maximumOutputTokens),
+    expectedOutputTokens: demand.expectedOutputTokens === undefined ? undefined : bound(demand.expectedOutputTokens),
+    segments: demand.segments.map(({ id, tokens }) => ({ id, tokens: bound(tokens) }))
+  }
+}
+
 function countTokens (head: CallerHead): number | undefined {
   return head.generation && head.generation.promptTokens + head.generation.maximumOutputTokens
 }
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -15,6 +15,7 @@
 import type { ReportedLimit } from '../limits/reportedLimit.js'
 import type { WorkspaceUsage } from '../quotas/workspaceUsage.js'
 import type { PartSuspicion } from '../recovery/suspectPart.js'
+import { toUint32, toUint64 } from './reportNumbers.js'
 
 /** Load of one gateway on one upstream. */
 export interface ReportedLoad {
@@ -102,19 +103,24 @@
   aggregation?: AggregationStep
 }
 
-/** Encodes a report as one datagram. */
+/** Encodes a report as one datagram; numbers that do not fit into their fields become the nearest that do. */
 export function encodeReport (report: GatewayReport): Uint8Array {
+  const { configuration, upstreams, relayed } = report
   return toBinary(gossip.GatewayReportSchema, create(gossip.GatewayReportSchema, {
     ...report,
-    sequence: BigInt(report.sequence),
-    configurationRevision: BigInt(report.configuration?.revision ?? 0),
-    configurationEra: report.configuration?.era,
-    configurationVersion: report.configuration?.version,
-    upstreamsRevision: BigInt(report.upstreams.revision),
-    upstreamsEra: report.upstreams.era,
+    sequence: toUint64(report.sequence),
+    configurationRevision: toUint64(configuration?.revision ?? 0),
+    configurationEra: toUint32(configuration?.era ?? 0),
+    configurationVersion: configuration?.version,
+    upstreamsRevision: toUint64(upstreams.revision),
+    upstreamsEra: toUint32(upstreams.era),
+    loads: report.loads.map(encodeLoad),
     uses: report.uses.map(encodeUsage),
-    relayed: report.relayed && { ...report.relayed, uses: report.relayed.uses.map(encodeUsage) },
-    windows: report.windows.map(count => ({ ...count, window: BigInt(count.window) })),
+    relayed: relayed && { gateways: toUint32(relayed.gateways), loads: relayed.loads.map(encodeLoad), uses: relayed.uses.map(encodeUsage) },
+    windows: report.windows.map(({ window, workspace, requests }) => ({ window: toUint64(window), workspace, requests: toUint32(requests) })),
+    demands: report.demands.map(encodeDemand),
+    limits: report.limits.map(limit => ({ ...limit, ageMilliseconds: toUint32(limit.ageMilliseconds), number: toUint32(limit.number) })),
+    answers: report.answers?.map(({ name, answers, bad }) => ({ name, answers: toUint32(answers), bad: toUint32(bad) })),
     links: LINK_STATES[report.links],
     aggregation: report.aggregation && encodeStep(report.aggregation),
     suspicions: report.suspicions.map(({ digest, crashes, cleared }) => ({ digest, crashes: [...crashes], cleared: [...cleared] })),
@@ -171,12 +177,26 @@
   return requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0)
 }
 
+function encodeLoad ({ upstream, requests, waitingTokens }: ReportedLoad): ReportedLoad {
+  return { upstream, requests: toUint32(requests), waitingTokens: toUint32(waitingTokens) }
+}
+
+function encodeDemand ({ service, ...figures }: ReportedDemand): ReportedDemand {
+  return {
+    service,
+    promptTokensPerSecond: toUint32(figures.promptTokensPerSecond),
+    outputTokensPerSecond: toUint32(figures.outputTokensPerSecond),
+    prefillTokensPerSecond: toUint32(figures.prefillTokensPerSecond),
+    prefillSamples: toUint32(figures.prefillSamples)
+  }
+}
+
 function encodePartSuspicion ({ part, crashes, cleared, ageMilliseconds }: PartSuspicion): { part: number, crashes: Array<{ crash: number, companions: number[], isTrial: boolean }>, cleared: number[], ageMilliseconds: number } {
-  return { part, ageMilliseconds, crashes: crashes.map(({ crash, companions, isTrial }) => ({ crash, companions: [...companions], isTrial })), cleared: [...cleared] }
+  return { part, ageMilliseconds: toUint32(ageMilliseconds), crashes: crashes.map(({ crash, companions, isTrial }) => ({ crash, companions: [...companions], isTrial })), cleared: [...cleared] }
 }
 
 function encodeUsage ({ workspace, admittedUnits, offeredUnitsPerSecond }: WorkspaceUsage): { workspace: string, admittedUnits: bigint, offeredUnitsPerSecond: number } {
-  return { workspace, admittedUnits: BigInt(admittedUnits), offeredUnitsPerSecond }
+  return { workspace, admittedUnits: toUint64(admittedUnits), offeredUnitsPerSecond: toUint32(offeredUnitsPerSecond) }
 }
 
 function decodeUsage ({ workspace, admittedUnits, offeredUnitsPerSecond }: gossip.WorkspaceUse): WorkspaceUsage {
--- a/tests/platform/callerAdapter.spec.ts
+++ b/tests/platform/callerAdapter.spec.ts
@@ -37,6 +37,21 @@
     assert.deepEqual([head.timeoutMilliseconds, head.lastEventId, head.generation], [undefined, undefined, undefined])
   })
 
+  // Guards against: sums of what callers state grow beyond what gateways can tell each other, and end the process.
+  it('bounds numbers of tokens, and takes an odd estimate for no reason to refuse the request', () => {
+    const counts = { 'plumstage-token-count': '200,24' }
+    const estimateOf = (text: string): number | undefined => read({ ...counts, 'plumstage-length-hint': text }).generation!.expectedOutputTokens
+    assert.deepEqual(['20000000000', '1e300', '-3', 'many', '', '7.5', '0', 'Infinity'].map(estimateOf), [24, undefined, undefined, undefined, undefined, 8, 0, undefined])
+    const { generation } = read({ 'plumstage-token-count': '5000000000,20000000000', 'plumstage-prompt-prefix': 'a:99999999999999999999,b:-5,c:1e9,d:3', 'plumstage-length-hint': '20000000000' })
+    assert.deepEqual(generation, { model: '', promptTokens: 1_000_000_000, maximumOutputTokens: 1_000_000_000, expectedOutputTokens: 1_000_000_000, segments: [{ id: 'a', tokens: 1_000_000_000 }, { id: 'd', tokens: 3 }] })
+    for (const text of ['-200,24', '200,-24', '200', '200,', ',24', '1e400,1', 'NaN,1', '0x10,1']) assert.equal(read({ 'plumstage-token-count': text }).generation, undefined, text)
+    assert.equal(read({ 'plumstage-token-count': ' 1460.2 , 80 ' }).generation?.promptTokens, 1461)
+  })
+
+  it('reads the id of an event only if it is a whole number', () => {
+    assert.deepEqual(['12', '1.5', '1e300', '-1', '99999999999999999999'].map(id => read({ 'last-event-id': id }).lastEventId), [12, undefined, undefined, undefined, undefined])
+  })
+
   it('encodes Retry-After in seconds with decimals', () => {
     assert.deepEqual(CallerAdapter.create().encodeRejection({ kind: 'overloaded', status: 503, retryAfterMilliseconds: 250, message: '' }), ['retry-after', '0.250'])
   })
--- a/tests/serving/crashTracking.spec.ts
+++ b/tests/serving/crashTracking.spec.ts
@@ -17,7 +17,7 @@
 
 function createRequest (parts: readonly string[]): AcceptedRequest {
   const segments = [...parts, 'own'].map(id => ({ id, tokens: 10 }))
-  return { head: { requestId: 'r', generation: { model: 'm', promptTokens: 40, maximumOutputTokens: 5, segments } }, service: { name: SERVICE }, digest: parts.join() } as unknown as AcceptedRequest
+  return { head: { requestId: 'r' }, generation: { model: 'm', promptTokens: 40, maximumOutputTokens: 5, segments }, service: { name: SERVICE }, digest: parts.join() } as unknown as AcceptedRequest
 }
 
 describe('crash tracking', () => {
--- a/tests/serving/gatewayReport.spec.ts
+++ b/tests/serving/gatewayReport.spec.ts
@@ -34,6 +34,32 @@
     assert.deepEqual(decodeReport(encodeReport({ ...REPORT, configuration: { era: 1, revision: 4 } }))._unsafeUnwrap().configuration, { version: undefined, era: 1, revision: 4 })
   })
 
+  // Guards against: a figure that has grown beyond its field ends the gateway that reports it.
+  it('is sent with the nearest figures that fit into its fields', () => {
+    const huge = 20_000_000_000
+    const report = decodeReport(encodeReport({
+      ...REPORT,
+      sequence: 2 ** 60,
+      upstreams: { era: 1.5, revision: 2.5 },
+      loads: [{ upstream: 'i-1', requests: Number.NaN, waitingTokens: huge }],
+      uses: [{ workspace: 'press', admittedUnits: 1540.5, offeredUnitsPerSecond: huge }],
+      windows: [{ window: -1, workspace: 'press', requests: huge }],
+      demands: [{ service: 'model', promptTokensPerSecond: huge, outputTokensPerSecond: Number.POSITIVE_INFINITY, prefillTokensPerSecond: -7, prefillSamples: 1.5 }],
+      limits: [{ upstream: 'i-1', incarnation: '1', requestsPerSecond: 1e300, ageMilliseconds: huge, origin: 1, number: 1 }],
+      partSuspicions: [{ part: 1, crashes: [], cleared: [], ageMilliseconds: huge }],
+      answers: [{ name: 1, answers: huge, bad: -1 }],
+      relayed: { gateways: huge, loads: [{ upstream: 'i-1', requests: huge, waitingTokens: -3.5 }], uses: [{ workspace: 'press', admittedUnits: 0.5, offeredUnitsPerSecond: 0.4 }] }
+    }))._unsafeUnwrap()
+    const maximum = 2 ** 32 - 1
+    assert.deepEqual([report.sequence, report.upstreams.revision], [Number.MAX_SAFE_INTEGER, 3])
+    assert.deepEqual([report.loads[0].requests, report.loads[0].waitingTokens], [0, maximum])
+    assert.deepEqual(report.uses, [{ workspace: 'press', admittedUnits: 1541, offeredUnitsPerSecond: maximum }])
+    assert.deepEqual([report.windows[0].window, report.windows[0].requests], [0, maximum])
+    const { promptTokensPerSecond, outputTokensPerSecond, prefillTokensPerSecond, prefillSamples } = report.demands[0]
+    assert.deepEqual([promptTokensPerSecond, outputTokensPerSecond, prefillTokensPerSecond, prefillSamples], [maximum, maximum, 0, 2])
+    assert.deepEqual([report.limits[0].ageMilliseconds, report.partSuspicions[0].ageMilliseconds, report.answers![0].answers, report.relayed!.gateways], [maximum, maximum, maximum, maximum])
+  })
+
   it('is rejected when the datagram is not a report', () => {
     assert.equal(decodeReport(Buffer.from('not a report')).isErr(), true)
   })
