Do not pass on statuses that promise what an upstream has not stated

Cause: 408, 421, 425, 429 and 503 tell a caller that its request was not executed. The check of response heads passed such a status on from every upstream that had signed its response, also when it had executed the request and only failed then.

Change: such a response without the statement of a refusal counts as a server error: it is tried again where the request may be repeated, else the caller gets 502. An upstream's Retry-After is not passed on.

--- a/packages/serving/src/attempts/headCheck.ts
+++ b/packages/serving/src/attempts/headCheck.ts
@@ -7,6 +7,11 @@
 import type { ResponseHead } from './upstreamProtocol.js'
 
 const FIRST_REDIRECT_STATUS = 300
+/**
+ * Statuses that tell a caller that its request was not executed. An upstream that only answers with one of them has not
+ * stated that.
+ */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 425, 429, 503])
 
 /** Why a response can't be used. */
 export interface HeadProblem {
@@ -29,7 +34,8 @@
 /** Returns why a response of the right upstream can't be forwarded; undefined if it can. */
 export function findUnusableHead (head: ResponseHead, requestId: string, status: number): HeadProblem | undefined {
   if (head.notRun) return { failure: 'not-run', detail: `the upstream refused the request with status ${status}` }
-  if (status < FIRST_REDIRECT_STATUS && !(matchesRequest(head, requestId) && head.signed)) return { failure: 'broken', detail: 'the response is not signed for this request' }
+  if (status < FIRST_REDIRECT_STATUS && !matchesRequest(head, requestId)) return { failure: 'broken', detail: 'the response does not name this request' }
   if (!head.signed) return { failure: 'broken', detail: `the response with status ${status} is not signed by the upstream` }
+  if (PROMISING_STATUSES.has(status)) return { failure: 'server-error', detail: `the upstream returned status ${status} without stating that it did not execute the request` }
   return undefined
 }
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -109,6 +109,41 @@
     assert.equal(countRequests(), 1)
   })
 
+  // Guards against: a status that promises that the request was not executed is passed on from an upstream that has executed it.
+  it('does not pass on a status of an upstream that promises what the upstream has not stated', async () => {
+    for (const status of ['408 Request Timeout', '425 Too Early', '429 Too Many Requests', '503 Service Unavailable']) {
+      setScript(respond('executed', status))
+      for (const target of ['/page/x', '/summary/x', '/search/x', '/manual/x']) {
+        const response = await deployment.sendRequest(target, { method: 'POST' })
+        assert.deepEqual([response.status, response.headers.get('retry-after'), response.headers.get('plumstage-server-stamp')], [502, undefined, undefined], `${status} at ${target}`)
+      }
+    }
+    setScript(respond('executed', '503 Service Unavailable', 'Retry-After: 1\r\n'))
+    const response = await deployment.sendRequest('/page/x', { method: 'POST' })
+    assert.deepEqual([response.status, response.headers.get('retry-after')], [502, undefined])
+  })
+
+  it('does not repeat a request that may be executed once after such a status', async () => {
+    setScripts(respond('executed', '503 Service Unavailable'), respond('second'))
+    assert.equal((await deployment.sendRequest('/page/x', { method: 'POST' })).status, 502)
+    assert.equal(countRequests(), 1)
+    setScripts(respond('executed', '503 Service Unavailable'), respond('second'))
+    assert.equal((await deployment.sendRequest('/search/x')).body, 'second')
+  })
+
+  it('does not state that a request was not executed when one upstream failed and the next refused it', async () => {
+    setScripts(respond('executed', '503 Service Unavailable'), refuse())
+    assert.equal((await deployment.sendRequest('/search/x')).status, 502)
+    setScripts(respond('executed', '429 Too Many Requests'), refuse())
+    assert.equal((await deployment.sendRequest('/manual/x', { method: 'POST' })).status, 502)
+  })
+
+  it('passes on an error of an upstream without its delay, which only a refusal may state', async () => {
+    setScript(respond('error', '500 Internal Server Error', 'Retry-After: 1\r\n'))
+    const response = await deployment.sendRequest('/page/x', { method: 'POST' })
+    assert.deepEqual([response.status, response.headers.get('retry-after')], [500, undefined])
+  })
+
   it('reuses the connection to an upstream after a refusal', async () => {
     setScripts(refuse(), respond('second'))
     await deployment.sendRequest('/search/x')
