Infer the version of a stream only after catching up with the store

Cause: a gateway that was cut off or stood still for a few seconds took the only version that it knew for the one that began a stream, because its last call to the store had succeeded and the next one still waited. If peers did not know the stream, it inferred even without the store. Callers saw: streams that had begun at a new version through other gateways went on at the old one, with events of both (ORDER).

Change: before it infers, a gateway reads the position of the store and waits until it has applied everything up to it, else it rejects the request with a delay; versions that come and go within one batch of changes count; further gateways write the entry of versions if the first one does not.

--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -6,6 +6,7 @@
 import { getLogger } from '@plumstage/common'
 import type { BackgroundTasks, CallContext, Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import type { KeyValueChange, KeyValueEntry, KeyValueError, KeyValueService, KeyValueWatchBatch, StorePosition } from '@plumstage/coordination'
+import { AppliedPosition } from './appliedPosition.js'
 import type { DeploymentView, ViewChange } from './deploymentView.js'
 
 const RETRY_MILLISECONDS = 250
@@ -56,6 +57,8 @@
 
 /** Reads and watches the store for one gateway. */
 export class DeploymentTask {
+  /** How far the changes of the store were applied, by the view and by all observers. */
+  readonly applied = AppliedPosition.create()
   private readonly _options: DeploymentTaskOptions
   private readonly _log = getLogger('deployment')
   private _failingSince: Timestamp | undefined
@@ -113,6 +116,7 @@
     instrumentation.emit('store-snapshot-read', { reason: this._snapshotReason, era, revision, entries: entries.length })
     this._options.onChange(view.applyStoreSnapshot(snapshot.value, clock.now()))
     this._notify(observer => observer.onSnapshot(entries, { era, revision }))
+    this.applied.advance(this._position)
   }
 
   private async _watch (context: CallContext, position: StorePosition): Promise<void> {
@@ -123,8 +127,9 @@
       if (era !== position.era) return this._requireSnapshot('restored')
       this._recordSuccess(era)
       this._position = { era, revision }
+      if (changes.length > 0) this._apply(batch.value)
+      this.applied.advance(this._position)
       if (changes.length === 0) continue
-      this._apply(batch.value)
       await context.sleepUntil(clock.now() + this._batchDelayMilliseconds)
     }
   }
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -17,6 +17,7 @@
 import { RequestAdmission } from './callers/requestAdmission.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
 import { DeploymentTask } from './deployment/deploymentTask.js'
+import { StoreCatchUp } from './deployment/storeCatchUp.js'
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
 import { CloudDuties } from './duties/cloudDuties.js'
@@ -121,12 +122,13 @@
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
     const addresses = GatewayAddresses.create(this.state.peers)
     this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
-    this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, addresses, clock, instrumentation })
+    this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, decoder: environment.decoder, addresses, clock, instrumentation })
     this._streamArchive = StreamArchive.create({ store, keys: this._keys, writer: instrumentation.incarnation, history: this._softwareHistory, addresses, socket, clock, instrumentation })
-    this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, archive: this._streamArchive, isFollowingStore: () => this._deploymentTask.isFollowingStore, context: this._context, clock, instrumentation })
     this._duties = this._createDuties()
     this._peerExchange = this._createPeerExchange()
     this._deploymentTask = this._createDeploymentTask()
+    const catchUp = StoreCatchUp.create({ store, key: this._keys.softwareHistoryKey, applied: this._deploymentTask.applied, context: this._context, clock, instrumentation })
+    this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, archive: this._streamArchive, isFollowingStore: () => this._deploymentTask.isFollowingStore, catchUp, context: this._context, clock, instrumentation })
     this._callerServer = this._createCallerServer()
   }
 
--- a/packages/serving/src/streams/originLookup.ts
+++ b/packages/serving/src/streams/originLookup.ts
@@ -49,11 +49,3 @@
     this._origin ??= origin
   }
 }
-
-/**
- * Whether the version of a stream may be inferred from the list of upstreams although no record was found. A gateway that
- * is cut off from the store and from other gateways may not have heard of the version that began the stream.
- */
-export function isInferenceSafe (recorded: LookupResult, isFollowingStore: boolean): boolean {
-  return isFollowingStore || recorded.kind === 'not-found'
-}
--- a/packages/serving/src/streams/streamOriginTask.ts
+++ b/packages/serving/src/streams/streamOriginTask.ts
@@ -5,9 +5,10 @@
  */
 import { getLogger } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
+import type { StoreCatchUp } from '../deployment/storeCatchUp.js'
 import type { GatewayAddresses } from '../peers/gatewayAddresses.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
-import { OriginLookup, isInferenceSafe } from './originLookup.js'
+import { OriginLookup } from './originLookup.js'
 import type { LookupResult } from './originLookup.js'
 import { OriginReplicas } from './originReplicas.js'
 import type { SoftwareHistory } from './softwareHistory.js'
@@ -27,8 +28,9 @@
   addresses: GatewayAddresses
   history: SoftwareHistory
   archive: StreamArchive
-  /** Whether the list of upstreams is up to date. */
+  /** Whether the last call to the store succeeded. */
   isFollowingStore: () => boolean
+  catchUp: Pick<StoreCatchUp, 'confirm'>
   /** Cancelled when the gateway shuts down. */
   context: CallContext
   clock: Clock
@@ -111,7 +113,7 @@
   /** Returns what gateways have recorded; without a record, what can be inferred or what the archive holds. */
   private async _complete (service: string, key: StreamKey | undefined, recorded: LookupResult): Promise<LookupResult> {
     if (recorded.kind === 'found') return recorded
-    const inferred = this._inferOrigin(service, recorded)
+    const inferred = await this._inferOrigin(service)
     if (inferred) return inferred
     return key === undefined ? recorded : await this._findArchived(key, recorded)
   }
@@ -124,9 +126,14 @@
     return archived.kind === 'not-found' ? recorded : archived
   }
 
-  private _inferOrigin (service: string, recorded: LookupResult): LookupResult | undefined {
-    const { clock, history, isFollowingStore } = this._options
-    if (!isInferenceSafe(recorded, isFollowingStore())) return undefined
+  /**
+   * Infers what began a stream if only one software may have. That needs a list of upstreams that is current after the
+   * stream broke off: before, a version may have joined and begun the stream of which this gateway has not heard.
+   */
+  private async _inferOrigin (service: string): Promise<LookupResult | undefined> {
+    const { clock, history, isFollowingStore, catchUp } = this._options
+    if (history.onlySoftwareOf(service, clock.now()) === undefined) return undefined
+    if (!isFollowingStore() || !await catchUp.confirm()) return { kind: 'unanswered' }
     const software = history.onlySoftwareOf(service, clock.now())
     return software === undefined ? undefined : { kind: 'found', origin: { software, expiresAt: clock.now() } }
   }
--- a/tests/platform/streamVersions.spec.ts
+++ b/tests/platform/streamVersions.spec.ts
@@ -22,8 +22,8 @@
   beforeEach(async () => await startDeployment(VERSIONS))
   afterEach(async () => await deployment.stop())
 
-  async function startDeployment (versions: readonly string[]): Promise<void> {
-    deployment = await ProcessDeployment.create(GATEWAYS, versions.map(version => ({ version, capacity: 64 })))
+  async function startDeployment (versions: readonly string[], hasPeerGates = false): Promise<void> {
+    deployment = await ProcessDeployment.create(GATEWAYS, versions.map(version => ({ version, capacity: 64 })), { hasPeerGates })
     for (const [index, upstream] of deployment.upstreams.entries()) upstream.script = streamSlowly(versions[index], EVENTS, EVENT_MILLISECONDS)
   }
 
@@ -203,6 +203,52 @@
     assert.ok(callers.every(caller => caller.tries.length === 1 || caller.tries.at(-1)!.status !== 0), 'a caller got no answer')
   })
 
+  // Guards against: a gateway that has not heard of a new version takes the only one that it knows for the one that began a stream.
+  it('ORDER: no stream goes on at another version at a gateway that was out of step while its version joined', async () => {
+    await deployment.stop()
+    await startDeployment(['v1', 'v1'], true)
+    const { store } = deployment
+    await wait(HISTORY_WRITTEN_MILLISECONDS)
+    store.areSecondAddressesSilent = true
+    deployment.togglePeers(1)
+    for (let count = 0; count < 4; count++) await deployment.addUpstream({ version: 'v1.1', capacity: 64 }, streamSlowly('v1.1', EVENTS, EVENT_MILLISECONDS))
+    await wait(500)
+    const callers = createCallers(60)
+    const others = deployment.gateways.numbers.slice(1)
+    await Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(others[index % others.length]), 5 + index % 20)))
+    assert.ok(callers.filter(caller => caller.versions[0] === 'v1.1').length >= 10, 'streams have begun at the new version')
+    await Promise.all(callers.map(async caller => await caller.send(urlOf(1))))
+    assert.deepEqual(callers.filter(caller => caller.isMixed), [])
+    assert.deepEqual(callers.filter(caller => !caller.isComplete && caller.tries.at(-1)!.status !== SERVICE_UNAVAILABLE), [], 'the others are rejected')
+    store.areSecondAddressesSilent = false
+    deployment.togglePeers(1)
+    await wait(HISTORY_WRITTEN_MILLISECONDS)
+    await Promise.all(callers.filter(caller => !caller.isComplete).map(async caller => await caller.send(urlOf(1))))
+    assert.deepEqual(callers.filter(caller => caller.isMixed), [])
+    assertMostGoOn(callers)
+  })
+
+  // Guards against: the same, of a gateway that stood still, and whose callers do not name the request that began the stream.
+  it('ORDER: no stream goes on at another version at a gateway that stood still while its version joined', async () => {
+    await deployment.stop()
+    await startDeployment(['v1', 'v1'])
+    const { gateways } = deployment
+    await wait(HISTORY_WRITTEN_MILLISECONDS)
+    const callers = Array.from({ length: 60 }, (_, index) => StreamCaller.create(`s${index}`, { namesBeginning: false }))
+    gateways.signal(1, 'SIGSTOP')
+    for (let count = 0; count < 4; count++) await deployment.addUpstream({ version: 'v1.1', capacity: 64 }, streamSlowly('v1.1', EVENTS, EVENT_MILLISECONDS))
+    await wait(500)
+    const others = gateways.numbers.slice(1)
+    await Promise.all(callers.map(async (caller, index) => await caller.send(urlOf(others[index % others.length]), 5 + index % 20)))
+    for (const number of others) gateways.signal(number, 'SIGKILL')
+    const resumed = Promise.all(callers.filter(caller => !caller.isComplete).map(async caller => await caller.send(urlOf(1))))
+    await wait(100)
+    gateways.signal(1, 'SIGCONT')
+    await resumed
+    assert.deepEqual(callers.filter(caller => caller.isMixed), [])
+    assert.ok(callers.filter(caller => caller.versions[0] === 'v1.1').length >= 10, 'streams have begun at the new version')
+  })
+
   const noneLeft = 'ORDER: a stream of which no upstream of its version is left is rejected at once'
   // Guards against: a stream goes on at another version, or its caller waits, when its own version is gone.
   it(noneLeft, knownRed(noneLeft), async () => {
--- a/tests/platform/support/processDeployment.ts
+++ b/tests/platform/support/processDeployment.ts
@@ -5,12 +5,14 @@
  */
 import { GatewayProcesses } from './gatewayProcesses.js'
 import { LinkProxies } from './linkProxies.js'
+import type { GatewayLaunch } from './linkProxies.js'
 import { TOKEN, formatConfiguration, formatUpstreamEntry } from './platformDeployment.js'
 import { StoreStandin } from './storeStandin.js'
 import { UpstreamStandin } from './upstreamStandin.js'
 import type { ResponseScript } from './upstreamStandin.js'
 
 const SERVICE = 'front'
+const PEER_GATE = new URL('peerGate.mjs', import.meta.url).href
 /** No quota restricts the load. */
 const WORKSPACES = [{ name: 'notaries', api_keys: [TOKEN], unit: 'tokens', uncached_tokens: 10, rate_per_s: 0, burst: 0 }]
 
@@ -20,6 +22,8 @@
   settings?: object
   /** Whether each gateway reaches each upstream through a proxy of its own, whose mode can be set. */
   hasLinkProxies?: boolean
+  /** Whether gateways can be cut off from the others, by `togglePeers`. */
+  hasPeerGates?: boolean
 }
 
 /** A running deployment; `stop` ends it. */
@@ -39,12 +43,12 @@
    * Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. The
    * first gateway has an address of the store of its own, so that it can be cut off.
    */
-  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false, settings = {} }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
+  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false, hasPeerGates = false, settings = {} }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
     const deployment = new ProcessDeployment(await StoreStandin.create(), LinkProxies.create(hasLinkProxies ? gatewayCount : 0))
     deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES }))
     for (const fields of entries) await deployment.addUpstream(fields)
     const firstAddress = await deployment.store.openSecondAddress()
-    deployment.gateways = await GatewayProcesses.create(number => number === 1 ? firstAddress : deployment.store.address, gatewayCount, settings, number => deployment.links.launchOf(number))
+    deployment.gateways = await GatewayProcesses.create(number => number === 1 ? firstAddress : deployment.store.address, gatewayCount, settings, number => withPeerGate(deployment.links.launchOf(number), hasPeerGates))
     return deployment
   }
 
@@ -56,6 +60,11 @@
     return upstream
   }
 
+  /** Cuts a gateway off from all others, or ends that. */
+  togglePeers (gateway: number): void {
+    this.gateways.signal(gateway, 'SIGUSR2')
+  }
+
   /** Writes the entries of all upstreams again, as they do after a return of the store. */
   putAllEntries (): void {
     for (const upstream of this.upstreams) this.putEntry(upstream, {})
@@ -72,3 +81,7 @@
     await this.store.stop()
   }
 }
+
+function withPeerGate (launch: GatewayLaunch, hasPeerGate: boolean): GatewayLaunch {
+  return hasPeerGate ? { ...launch, arguments: [...launch.arguments, '--import', PEER_GATE] } : launch
+}
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -54,6 +54,8 @@
   /** Further addresses, each of which can be cut off. */
   private readonly _secondServers: Server[] = []
   private readonly _cutServers = new Set<Server>()
+  /** Whether second addresses accept calls and never answer them, also not those that wait already. */
+  areSecondAddressesSilent = false
   private _items = new Map<string, Item>()
   private _history: Array<Item | Deletion> = []
   private readonly _pendingWatches = new Set<() => void>()
@@ -178,7 +180,7 @@
   private _createServer (): Server {
     const server = createServer((request, response) => {
       if (this._cutServers.has(server)) return void request.socket.destroy()
-      void this._serve(request, response)
+      void this._serve(request, response, () => this.areSecondAddressesSilent && server !== this._server)
     })
     return server
   }
@@ -202,25 +204,25 @@
     for (const wake of [...this._pendingWatches]) wake()
   }
 
-  private async _serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async _serve (request: IncomingMessage, response: ServerResponse, isSilent: () => boolean): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store')
     this.requests.push(`${request.method} ${url.pathname}`)
     const fault = url.pathname.startsWith(this.faultPath) ? this.fault : 'none'
     const chunks: Buffer[] = []
     for await (const chunk of request) chunks.push(chunk as Buffer)
-    if (fault === 'silent') return
+    if (fault === 'silent' || isSilent()) return
     if (this.era !== undefined) response.setHeader('store-era', this.era)
     if (fault === 'busy') return send(response, { status: 503, document: {} })
-    const reply = this._route(request.method ?? 'GET', url, Buffer.concat(chunks).toString(), response)
+    const reply = this._route(request.method ?? 'GET', url, Buffer.concat(chunks).toString(), response, isSilent)
     if (fault === 'lose-response') return void request.socket.destroy()
     if (reply) send(response, reply)
   }
 
-  private _route (method: string, url: URL, body: string, response: ServerResponse): Reply {
+  private _route (method: string, url: URL, body: string, response: ServerResponse, isSilent: () => boolean): Reply {
     const path = url.pathname
     if (path === '/v1/kv-key') return this._get(url.searchParams.get('key') ?? '')
     if (path === '/v1/kv-range') return this._range(url)
-    if (path === '/v1/kv-watch') return this._watch(url, response)
+    if (path === '/v1/kv-watch') return this._watch(url, response, isSilent)
     if (path === '/v1/kv-txn') return this._transact(JSON.parse(body) as TransactionDocument)
     if (path === '/v1/kv-lease') return this._grant(JSON.parse(body) as { ttl_ms: number })
     if (path.startsWith('/v1/kv-keep/')) return this._leases.has(Number(path.split('/').at(-1))) ? { status: 200, document: { ttl_ms: 3000 } } : { status: 404, document: {} }
@@ -240,7 +242,7 @@
     return { status: 200, document: { items: items.slice(0, PAGE_SIZE), more_pages: items.length > PAGE_SIZE, current_rev: this._revision } }
   }
 
-  private _watch (url: URL, response: ServerResponse): Reply {
+  private _watch (url: URL, response: ServerResponse, isSilent: () => boolean): Reply {
     const after = Number(url.searchParams.get('after'))
     const prefix = url.searchParams.get('prefix') ?? ''
     if (after < this._compactedBefore || after > this._revision) return { status: 410, document: {} }
@@ -259,7 +261,7 @@
     const finish = (reply: Reply): void => {
       clearTimeout(timer)
       this._pendingWatches.delete(wake)
-      if (reply) send(response, reply)
+      if (reply && !isSilent()) send(response, reply)
     }
     this._pendingWatches.add(wake)
     response.once('close', () => finish(undefined))
--- a/tests/platform/support/streamCaller.ts
+++ b/tests/platform/support/streamCaller.ts
@@ -25,22 +25,30 @@
   retryAfter?: string
 }
 
+/** Options of a caller. */
+export interface StreamCallerOptions {
+  /** Whether it names the request that began the stream when it resumes it. */
+  namesBeginning?: boolean
+}
+
 /** Receives one stream through several tries. */
 export class StreamCaller {
   /** Version that wrote each event, in order. */
   readonly versions: string[] = []
   readonly tries: StreamTry[] = []
   private readonly _id: string
+  private readonly _namesBeginning: boolean
   /** Id of the try that brought the first event. */
   private _beginningId: string | undefined
   private _lastEventId = 0
 
-  private constructor (id: string) {
+  private constructor (id: string, namesBeginning: boolean) {
     this._id = id
+    this._namesBeginning = namesBeginning
   }
 
-  static create (id: string): StreamCaller {
-    return new StreamCaller(id)
+  static create (id: string, { namesBeginning = true }: StreamCallerOptions = {}): StreamCaller {
+    return new StreamCaller(id, namesBeginning)
   }
 
   /** Whether events of different versions were received. */
@@ -77,7 +85,8 @@
   private _createHeaders (id: string): Record<string, string> {
     const headers = { host: HOST, authorization: `Bearer ${TOKEN}`, 'plumstage-attempt-id': id, 'plumstage-deadline-ms': '15000' }
     if (this._beginningId === undefined) return headers
-    return { ...headers, resumes: this._beginningId, 'last-event-id': String(this._lastEventId) }
+    const resumed = { ...headers, 'last-event-id': String(this._lastEventId) }
+    return this._namesBeginning ? { ...resumed, resumes: this._beginningId } : resumed
   }
 
   private async _receive ({ body, statusCode }: Dispatcher.ResponseData, id: string, result: StreamTry, leaveAfter: number): Promise<void> {
--- a/tests/serving/streamVersions.spec.ts
+++ b/tests/serving/streamVersions.spec.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { ok } from 'neverthrow'
+import { CallContext, Instrumentation, VirtualClock } from '@plumstage/common'
 import type { KeyValueEntry } from '@plumstage/coordination'
-import { OriginLookup, OriginReplicas, SoftwareHistory, SoftwareHistoryTask, StreamOrigins, UpstreamTable, decodeStreamMessage, encodeStreamMessage, isInferenceSafe, softwareOf, streamExpiryOf, streamKeyOf } from '@plumstage/serving'
+import { DeploymentAdapter } from '@plumstage/platform'
+import { OriginLookup, OriginReplicas, SoftwareHistory, SoftwareHistoryTask, StreamOrigins, UpstreamTable, decodeStreamMessage, encodeStreamMessage, softwareOf, streamExpiryOf, streamKeyOf } from '@plumstage/serving'
 
 import type { ListedUpstream, SoftwareHistoryTaskOptions, StreamMessage } from '@plumstage/serving'
 
@@ -96,12 +99,6 @@
     assert.deepEqual([lookup.isSettled, lookup.result], [true, { kind: 'unanswered' }])
   })
 
-  it('allows no inference to a gateway that may not have heard of the version', () => {
-    assert.equal(isInferenceSafe({ kind: 'unanswered' }, false), false)
-    assert.equal(isInferenceSafe({ kind: 'unanswered' }, true), true)
-    assert.equal(isInferenceSafe({ kind: 'not-found' }, false), true)
-  })
-
   it('tells a stream that nobody knows from gateways that do not answer', () => {
     const lookup = OriginLookup.create(['a', 'b'])
     lookup.recordReply('a', undefined)
@@ -165,7 +162,7 @@
   it('does not infer from an entry of an earlier era of the store until it is written again', () => {
     const newcomer = SoftwareHistory.create(0, false)
     newcomer.observe(v1, 0)
-    const task = SoftwareHistoryTask.create({ key: 'software', history: newcomer } as unknown as SoftwareHistoryTaskOptions)
+    const task = SoftwareHistoryTask.create({ key: 'software', history: newcomer, decoder: DeploymentAdapter.create(), clock: VirtualClock.create() } as unknown as SoftwareHistoryTaskOptions)
     const write = (era: number): KeyValueEntry => ({ key: 'software', value: JSON.stringify({ software: ['model@v1'], era }), createRevision: 5, modRevision: 5 })
     task.onSnapshot([write(1)], { era: 2, revision: 9 })
     assert.equal(newcomer.onlySoftwareOf('model', 1000), undefined)
@@ -174,6 +171,41 @@
     assert.equal(newcomer.onlySoftwareOf('model', 2000), 'v1')
   })
 
+  // Guards against: a version that has come and gone while a gateway stood still is never heard of there.
+  it('names a version whose upstreams came and went within one batch of changes', () => {
+    const history = SoftwareHistory.create(0, true)
+    history.applyStored({ kind: 'absent' })
+    history.observe(v1, 0)
+    const task = SoftwareHistoryTask.create({ key: 'software', history, decoder: DeploymentAdapter.create(), clock: VirtualClock.create() } as unknown as SoftwareHistoryTaskOptions)
+    const value = JSON.stringify({ service: 'model', address: '10.2.0.1:90', zone: 'east', version: 'v2', capacity: 64, state: 'ready', warmup_left_ms: 0, seq: 1 })
+    task.onChanges([{ kind: 'put', entry: { key: 'servers/i-3', value, createRevision: 6, modRevision: 6 } }, { kind: 'delete', key: 'servers/i-3', modRevision: 7 }])
+    assert.equal(history.onlySoftwareOf('model', 0), undefined)
+  })
+
+  // Guards against: nobody writes which versions there are while the one gateway that is to do so stands still.
+  it('is written by the next gateways when the first one does not', async () => {
+    const addresses = listAddresses(4)
+    const writtenAt: number[] = []
+    for (const self of addresses) {
+      const clock = VirtualClock.create()
+      const context = CallContext.create(clock)
+      const history = SoftwareHistory.create(0, true)
+      history.applyStored({ kind: 'absent' })
+      const transact = async (): Promise<unknown> => {
+        writtenAt.push(clock.now())
+        context.cancel('shutdown')
+        return ok({ succeeded: true })
+      }
+      const task = SoftwareHistoryTask.create({ key: 'software', history, decoder: DeploymentAdapter.create(), store: { era: 0, transact }, addresses: { list: () => addresses, self }, view: { listUpstreams: () => v1 }, clock, instrumentation: Instrumentation.create('edge-1', 'run', clock) } as unknown as SoftwareHistoryTaskOptions)
+      void task.run(context)
+      for (let now = 0; now <= 8000; now += 500) {
+        await new Promise(resolve => setImmediate(resolve))
+        clock.advanceTo(now)
+      }
+    }
+    assert.deepEqual(writtenAt.sort((left, right) => left - right), [0, 2000, 3000, 5000])
+  })
+
   // Guards against: a gateway that was cut off while another version began streams takes its own view for the whole system's.
   it('does not infer the software of a stream that began with a version of which only the store\'s entry tells', () => {
     const history = SoftwareHistory.create(0, true)
