Believe a refusal only if it names the request, on a connection of its own

Cause: a response without an id was believed unless it was a success, so a refusal that a faulty upstream wrote once more was taken for the answer to the next request on the connection. And an id names the request, not the attempt: a second attempt at the same upstream could meet the repeated refusal of the first one. Callers saw: 503 for requests that an upstream was executing (REFUSED), or such a request ran at a second upstream as well (TWICE).

Change: every response has to name the request; a misdirection without an id counts only if it names another instance; both end the connection. An attempt at an upstream at which the request has failed before gets a connection, or a tunnel, of its own.

Result: of eleven cases of repeatedRefusals.spec five fail on (a request executed twice, one four times) and all pass here. All suites: 723 tests, 707 pass, 0 fail, 16 known red.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -17,7 +17,7 @@
 import { CrashTracking } from './crashTracking.js'
 import type { CrashTrackingServices } from './crashTracking.js'
 import { DispatchRefusal } from './dispatchRefusal.js'
-import { findForeignHead, findUnusableHead, matchesRequest } from './headCheck.js'
+import { findForeignHead, findUnusableHead } from './headCheck.js'
 import { RequestLoad } from './requestLoad.js'
 import { ResponseRelay } from './responseRelay.js'
 import { StreamContinuity } from './streamContinuity.js'
@@ -131,11 +131,10 @@
   receiveHead (status: number, headers: ResponseHeaders): ReceiveDecision {
     this._path?.recordBytes()
     const head = this._services.protocol.readHead(status, headers)
-    const { requestId } = this._request.head
-    const foreign = findForeignHead(head, requestId)
+    const foreign = findForeignHead(head, { requestId: this._request.head.requestId, upstreamId: this._upstream!.listed.id })
     if (foreign) return { kind: 'fail', ...foreign }
-    if (matchesRequest(head, requestId)) this._statements.apply(head, this._upstream!, this._attemptStartedAt)
-    const unusable = findUnusableHead(head, requestId, status)
+    this._statements.apply(head, this._upstream!, this._attemptStartedAt)
+    const unusable = findUnusableHead(head, status)
     if (unusable) return { kind: 'fail', ...unusable }
     if (status >= FIRST_SERVER_ERROR_STATUS && this._retries.takeAfterServerError(this._progress)) return fail('server-error', `the upstream returned status ${status}`)
     if (!this._request.route.stream) this._recordUsage()
@@ -221,7 +220,7 @@
     this._crashes.beginAttempt(upstream, this._attemptStartedAt)
     this._log.recordStarted({ upstream, kind: this._attemptKind, startedAt: this._attemptStartedAt, lastEventId: this._relay.lastEventId, withinResponse: this._relay.started })
     this._attempt = UpstreamAttempt.create(this)
-    this._path = this._services.access.choosePath(upstream)
+    this._path = this._services.access.choosePath(upstream, this._choice.hasFailedAt(upstream) ? 'separate' : 'shared')
     this._path.begin()
     const { head, body, workspace, rank, deadline } = this._request
     const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
--- a/packages/serving/src/attempts/upstreamAttempt.ts
+++ b/packages/serving/src/attempts/upstreamAttempt.ts
@@ -116,7 +116,7 @@
     if (decision.kind !== 'fail') return
     this._ended = true
     // A valid response is read to its end even if it is not used, so that its connection can be reused.
-    if (decision.failure === 'broken') this._controller?.abort(new Error(decision.detail))
+    if (decision.failure === 'broken' || decision.failure === 'other-instance') this._controller?.abort(new Error(decision.detail))
     this._end({ kind: 'failed', failure: decision.failure, detail: decision.detail, connectionLost: false })
   }
 
--- a/packages/serving/src/attempts/upstreamProtocol.ts
+++ b/packages/serving/src/attempts/upstreamProtocol.ts
@@ -30,6 +30,8 @@
   requestId?: string
   /** Whether the upstream states that it did not execute the request. */
   notRun: boolean
+  /** The instance that responds, if it is stated. */
+  instanceId?: string
   /** Whether the address now belongs to another instance. */
   otherInstance: boolean
   /** Whether the upstream has signed its response. */
--- a/packages/serving/src/links/upstreamAccess.ts
+++ b/packages/serving/src/links/upstreamAccess.ts
@@ -23,7 +23,7 @@
 import { UpstreamLinkTask } from './upstreamLinkTask.js'
 import type { UpstreamLinkState } from './upstreamLinks.js'
 import { DirectPath, RelayedPath } from './upstreamPath.js'
-import type { UpstreamPath } from './upstreamPath.js'
+import type { ConnectionUse, UpstreamPath } from './upstreamPath.js'
 import { HttpUpstreamProbe } from './upstreamProbe.js'
 
 /** How often running requests are asked whether their path still works. */
@@ -99,9 +99,10 @@
   }
 
   /** Returns the path of a new attempt: through a peer only while the links are lost and a peer is usable. */
-  choosePath (upstream: Upstream): UpstreamPath {
+  choosePath (upstream: Upstream, use: ConnectionUse): UpstreamPath {
     const { clock } = this._options
     const peer = this.linkState === 'lost' ? this._choosePeer(upstream) : undefined
+    if (use === 'separate') return this._createSeparatePath(upstream, peer)
     if (peer === undefined) return DirectPath.create(this._direct.clientOf(upstream), upstream, this._links, clock)
     return RelayedPath.create(this._relayed.clientThrough(peer, upstream), peer, this._relayPeers, clock)
   }
@@ -145,6 +146,17 @@
     await Promise.all([this._direct.close(), this._relayed.close()])
   }
 
+  /** Returns a path whose connection carries one attempt only. */
+  private _createSeparatePath (upstream: Upstream, peer: string | undefined): UpstreamPath {
+    const { clock } = this._options
+    if (peer === undefined) {
+      const { client, release } = this._direct.createSeparateClient(upstream)
+      return DirectPath.create(client, upstream, this._links, clock, release)
+    }
+    const { client, release } = this._relayed.createSeparateClient(peer, upstream)
+    return RelayedPath.create(client, peer, this._relayPeers, clock, release)
+  }
+
   private async _reconsiderPaths (context: CallContext): Promise<void> {
     const { clock, reconsiderPaths } = this._options
     while (!context.cancelled) {
--- a/packages/serving/src/links/upstreamPath.ts
+++ b/packages/serving/src/links/upstreamPath.ts
@@ -17,6 +17,17 @@
 /** Errors that concern the upstream, not the peer. */
 const UPSTREAM_ERRORS: ReadonlySet<RelayErrorKind> = new Set(['upstream-refused', 'upstream-unreachable', 'upstream-unlisted'])
 
+/**
+ * Whether an attempt shares the connections of all requests or gets one of its own. A response of an earlier attempt of the same
+ * request bears the same id, so it must not arrive on the connection of a later one.
+ */
+export type ConnectionUse = 'shared' | 'separate'
+
+/** Closes the client of a path that has it for itself. */
+export type ClientRelease = () => void
+
+const KEEP_CLIENT: ClientRelease = () => {}
+
 /** How an attempt ended without a complete response. */
 export type FailedOutcome = Extract<AttemptOutcome, { kind: 'failed' }>
 
@@ -42,18 +53,20 @@
   private readonly _upstream: Upstream
   private readonly _links: UpstreamLinkTask
   private readonly _clock: Clock
+  private readonly _release: ClientRelease
   private _silentSince: Timestamp
 
-  private constructor (client: HttpClient, upstream: Upstream, links: UpstreamLinkTask, clock: Clock) {
+  private constructor (client: HttpClient, upstream: Upstream, links: UpstreamLinkTask, clock: Clock, release: ClientRelease) {
     this.client = client
+    this._release = release
     this._upstream = upstream
     this._links = links
     this._clock = clock
     this._silentSince = clock.now()
   }
 
-  static create (client: HttpClient, upstream: Upstream, links: UpstreamLinkTask, clock: Clock): DirectPath {
-    return new DirectPath(client, upstream, links, clock)
+  static create (client: HttpClient, upstream: Upstream, links: UpstreamLinkTask, clock: Clock, release: ClientRelease = KEEP_CLIENT): DirectPath {
+    return new DirectPath(client, upstream, links, clock, release)
   }
 
   get silentSince (): Timestamp {
@@ -76,6 +89,7 @@
 
   end (): void {
     this._links.endExchange()
+    this._release()
   }
 }
 
@@ -85,18 +99,20 @@
   readonly peer: string
   private readonly _peers: RelayPeers
   private readonly _clock: Clock
+  private readonly _release: ClientRelease
   private _silentSince: Timestamp
 
-  private constructor (client: HttpClient, peer: string, peers: RelayPeers, clock: Clock) {
+  private constructor (client: HttpClient, peer: string, peers: RelayPeers, clock: Clock, release: ClientRelease) {
     this.client = client
+    this._release = release
     this.peer = peer
     this._peers = peers
     this._clock = clock
     this._silentSince = clock.now()
   }
 
-  static create (client: HttpClient, peer: string, peers: RelayPeers, clock: Clock): RelayedPath {
-    return new RelayedPath(client, peer, peers, clock)
+  static create (client: HttpClient, peer: string, peers: RelayPeers, clock: Clock, release: ClientRelease = KEEP_CLIENT): RelayedPath {
+    return new RelayedPath(client, peer, peers, clock, release)
   }
 
   get silentSince (): Timestamp {
@@ -118,5 +134,7 @@
     return 'peer-unavailable'
   }
 
-  end (): void {}
+  end (): void {
+    this._release()
+  }
 }
--- a/packages/serving/src/relay/relayConnections.ts
+++ b/packages/serving/src/relay/relayConnections.ts
@@ -8,7 +8,9 @@
 import type { Duplex } from 'node:stream'
 import type { Dispatcher as HttpClient, Pool, buildConnector } from 'undici'
 import type { ResetObserver } from '../upstreams/resetObserver.js'
+import { ClosingPools } from '../upstreams/closingPools.js'
 import { createUpstreamPool } from '../upstreams/upstreamPool.js'
+import type { SeparateClient } from '../upstreams/upstreamPool.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { RelayDialer } from './relayDialer.js'
 
@@ -24,7 +26,7 @@
   private readonly _options: RelayConnectionsOptions
   private readonly _poolsByPeer = new Map<string, Map<Upstream, Pool>>()
   /** Pools that are closed once the requests on them have ended. */
-  private readonly _retired = new Set<Pool>()
+  private readonly _retired = ClosingPools.create()
 
   private constructor (options: RelayConnectionsOptions) {
     this._options = options
@@ -48,9 +50,14 @@
     return pool
   }
 
+  /** Creates a client with a tunnel of its own, for one request. */
+  createSeparateClient (peerAddress: string, upstream: Upstream): SeparateClient {
+    return this._retired.createSeparate(this._createPool(peerAddress, upstream))
+  }
+
   /** Closes the tunnels through a peer, after the requests that use them. */
   retirePeer (peerAddress: string): void {
-    for (const pool of this._poolsByPeer.get(peerAddress)?.values() ?? []) this._retire(pool)
+    for (const pool of this._poolsByPeer.get(peerAddress)?.values() ?? []) this._retired.add(pool)
     this._poolsByPeer.delete(peerAddress)
   }
 
@@ -64,19 +71,14 @@
     for (const pools of this._poolsByPeer.values()) {
       const pool = pools.get(upstream)
       pools.delete(upstream)
-      if (pool) this._retire(pool)
+      if (pool) this._retired.add(pool)
     }
   }
 
   /** Closes all tunnels immediately. */
   async close (): Promise<void> {
     this.retireAll()
-    await Promise.all([...this._retired].map(async pool => await pool.destroy()))
-  }
-
-  private _retire (pool: Pool): void {
-    this._retired.add(pool)
-    void pool.close().then(() => this._retired.delete(pool))
+    await this._retired.destroy()
   }
 
   private _createPool (peerAddress: string, upstream: Upstream): Pool {
--- a/packages/serving/src/upstreams/upstreamConnections.ts
+++ b/packages/serving/src/upstreams/upstreamConnections.ts
@@ -6,7 +6,9 @@
 import { buildConnector } from 'undici'
 import type { Dispatcher as HttpClient, Pool } from 'undici'
 import { ResetObserver } from './resetObserver.js'
+import { ClosingPools } from './closingPools.js'
 import { createUpstreamPool } from './upstreamPool.js'
+import type { SeparateClient } from './upstreamPool.js'
 import type { Upstream } from './upstreamTable.js'
 
 /** Time limit for establishing a connection. */
@@ -15,6 +17,8 @@
 /** Provides the connections to upstreams. */
 export interface UpstreamConnections {
   clientOf (upstream: Upstream): HttpClient
+  /** Creates a client with a new connection, for one request. */
+  createSeparateClient (upstream: Upstream): SeparateClient
   /** Whether a connection is being reset at this moment: a response that ends with its connection is then incomplete. */
   readonly resetting: boolean
   /** Closes the connections of a removed upstream, after the requests that use them. */
@@ -25,6 +29,8 @@
 /** Keeps a pool of connections for each incarnation of an upstream. */
 export class PooledUpstreamConnections implements UpstreamConnections {
   private readonly _pools = new Map<Upstream, Pool>()
+  /** Pools that are closed once the requests on them have ended. */
+  private readonly _closing = ClosingPools.create()
   private readonly _connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS })
   private readonly _resets: ResetObserver
 
@@ -49,15 +55,20 @@
     return pool
   }
 
+  createSeparateClient (upstream: Upstream): SeparateClient {
+    return this._closing.createSeparate(this._createPool(upstream.listed.address))
+  }
+
   forget (upstream: Upstream): void {
-    void this._pools.get(upstream)?.close()
+    const pool = this._pools.get(upstream)
     this._pools.delete(upstream)
+    if (pool) this._closing.add(pool)
   }
 
   async close (): Promise<void> {
     const pools = [...this._pools.values()]
     this._pools.clear()
-    await Promise.all(pools.map(async pool => await pool.destroy()))
+    await Promise.all([...pools.map(async pool => await pool.destroy()), this._closing.destroy()])
   }
 
   private _createPool (address: string): Pool {
--- a/packages/serving/src/upstreams/upstreamPool.ts
+++ b/packages/serving/src/upstreams/upstreamPool.ts
@@ -13,6 +13,12 @@
 /** A connection is no longer reused from this long before the upstream closes it. */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 400
 
+/** A client for one request; `release` closes it once that has ended. */
+export interface SeparateClient {
+  client: Pool
+  release: () => void
+}
+
 /** Creates a pool for the upstream at `address`, whose connections `connect` opens. */
 export function createUpstreamPool (address: string, connect: buildConnector.connector): Pool {
   return new Pool(`http://${address}`, {
