Read the instances of the product's own list one by one

Found by reading; no caller has reported it.

Change: instances are decoded one by one, with the check of addresses; the tasks run under BackgroundTasks. As errors of tasks no longer end a scenario, the invariant checker finds them (no-task-fails).

--- a/packages/coordination/src/instances/instanceList.ts
+++ b/packages/coordination/src/instances/instanceList.ts
@@ -7,7 +7,7 @@
 import * as z from 'zod'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { PlumstageError, describeError } from '@plumstage/common'
+import { PlumstageError, describeError, getLogger, isNetworkAddress } from '@plumstage/common'
 import type { CallContext, Timestamp } from '@plumstage/common'
 
 /** Whether an instance runs or is about to be reclaimed. */
@@ -36,21 +36,23 @@
   list (context: CallContext): Promise<Result<Instance[], Error>>
 }
 
-const instancesSchema = z.object({
-  instances: z.array(z.object({
-    pool: z.string(),
-    address: z.string(),
-    failureDomain: z.string(),
-    instanceClass: z.string(),
-    incarnation: z.string(),
-    state: z.enum(['live', 'leaving']),
-    deadline: z.number().optional()
-  }))
+const instanceSchema = z.object({
+  pool: z.string(),
+  address: z.string().refine(isNetworkAddress, 'must be an IP address and a port'),
+  failureDomain: z.string(),
+  instanceClass: z.string(),
+  incarnation: z.string(),
+  state: z.enum(['live', 'leaving']),
+  deadline: z.int().min(0).optional()
 })
 
+/** Instances are decoded one by one, so that one that can't be read does not hide the others. */
+const listSchema = z.object({ instances: z.array(z.unknown()) })
+
 /** Reads the instance list as JSON over HTTP. */
 export class HttpInstanceList implements InstanceList {
   private readonly _address: string
+  private readonly _log = getLogger('instances')
 
   private constructor (address: string) {
     this._address = address
@@ -64,9 +66,15 @@
   async list (context: CallContext): Promise<Result<Instance[], Error>> {
     try {
       const response = await request(new URL('/instances', this._address), { signal: context.signal })
-      return ok(instancesSchema.parse(await response.body.json()).instances)
+      return ok(this._decode(listSchema.parse(await response.body.json()).instances))
     } catch (error) {
       return err(new InstanceListError(`The instance list at ${this._address} can't be read: ${describeError(error)}. Check that its address is correct and reachable.`))
     }
   }
+
+  private _decode (documents: readonly unknown[]): Instance[] {
+    const instances = documents.map(document => instanceSchema.safeParse(document)).filter(result => result.success).map(({ data }) => data!)
+    if (instances.length < documents.length) this._log.warn(`${documents.length - instances.length} of ${documents.length} instances in the list at ${this._address} can't be read and are left out. Correct their entries.`)
+    return instances
+  }
 }
--- a/packages/gateway/src/bin/gatewayMain.ts
+++ b/packages/gateway/src/bin/gatewayMain.ts
@@ -28,6 +28,7 @@
     keyValueService: embedded?.keyValueService ?? EtcdKeyValueService.create(settings.keyValueService, clock),
     instanceList: settings.instanceList === undefined ? undefined : HttpInstanceList.create(settings.instanceList)
   })
+  process.on('uncaughtException', error => gateway.reportError(error))
   if (embedded) printWelcome(gateway.address, embedded.workspaceToken)
   const stop = (): void => {
     void gateway.stop().then(async () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -91,6 +91,11 @@
     return this._core.status
   }
 
+  /** Reports an error that reaches no handler; the requests of all callers depend on the process, so it goes on. */
+  reportError (error: unknown): void {
+    this._core.tasks.report('process', error)
+  }
+
   /** Stops gracefully: after the drain delay, closes the listener for callers and waits until every request has ended. */
   async stop (): Promise<void> {
     this._stopped ??= this._stopGracefully()
--- a/packages/gateway/src/gatewayCore.ts
+++ b/packages/gateway/src/gatewayCore.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { CallContext, IdGenerator } from '@plumstage/common'
+import { BackgroundTasks, CallContext, IdGenerator } from '@plumstage/common'
 import type { Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import { DutyTask, KeySpace } from '@plumstage/coordination'
 import type { Instance, InstanceList, KeyValueService } from '@plumstage/coordination'
@@ -70,6 +70,8 @@
 /** Creates the components of a gateway and connects them. */
 export class GatewayCore {
   readonly context: CallContext
+  /** The tasks of the gateway, which report errors that nothing else handles. */
+  readonly tasks: BackgroundTasks
   readonly table = UpstreamTable.create()
   readonly router: ScoreRouter
   readonly membership: MembershipTable
@@ -94,6 +96,7 @@
     this._environment = environment
     this._instanceAddress = identity.instanceAddress
     this.context = CallContext.create(clock)
+    this.tasks = BackgroundTasks.create(clock, instrumentation)
     this.router = ScoreRouter.create(identity.failureDomain, this._prefixIndex)
     this.configuration = ConfigurationTask.create(keyValueService, keySpace, clock, ConfigurationState.create(), instrumentation)
     this._dispatch = DispatchTask.create(Dispatcher.create(identity.name, this.table, this.router, this._prefixIndex, this.configuration.state.configuration), clock)
@@ -172,9 +175,9 @@
   run (): void {
     const { clock, instanceList, instrumentation } = this._environment
     this.configuration.addListener(configuration => this._applyConfiguration(configuration))
-    void this.configuration.run(this.context)
-    void this.peers.run(this.context)
-    if (instanceList) void InstanceListTask.create(instanceList, clock, instances => this._applyInstances(instances)).run(this.context)
+    this._startTask('configuration', this.configuration)
+    this._startTask('peers', this.peers)
+    if (instanceList) this._startTask('instance-list', InstanceListTask.create(instanceList, clock, instances => this._applyInstances(instances)))
     this._runDuties()
     const { name, failureDomain } = this.membership.self
     instrumentation.emit('gateway-started', { name, failureDomain })
@@ -190,11 +193,15 @@
     return preceding.length < MAXIMUM_DUTY_CANDIDATES
   }
 
+  private _startTask (name: string, task: { run: (context: CallContext) => Promise<void> }): void {
+    this.tasks.start(name, this.context, async context => await task.run(context))
+  }
+
   private _runDuties (): void {
     const { clock, instrumentation, engineOrders } = this._environment
     const configuration = (): Configuration => this.configuration.state.configuration
-    void this._orderDuty.run(this.context)
-    void EngineOrderTask.create({ clock, instrumentation, duty: this._orderDuty, orders: engineOrders, table: this.table, configuration }).run(this.context)
+    this._startTask('order-duty', this._orderDuty)
+    this._startTask('engine-orders', EngineOrderTask.create({ clock, instrumentation, duty: this._orderDuty, orders: engineOrders, table: this.table, configuration }))
   }
 
   /** Starts to process a validated request. */
@@ -243,7 +250,7 @@
 
   private _applyInstances (instances: readonly Instance[]): void {
     const localInstance = instances.find(instance => instance.address === this._instanceAddress)
-    if (localInstance?.state === 'leaving' && !this._stopping) void this._prepareForReclaim(localInstance.deadline ?? this._environment.clock.now())
+    if (localInstance?.state === 'leaving' && !this._stopping) this.tasks.watch('reclaim', this._prepareForReclaim(localInstance.deadline ?? this._environment.clock.now()))
     this._applyUpstreamChanges(this.table.applyInstances(instances, this._environment.clock.now()))
     this._dispatch.dispatchWaiting()
   }
--- a/scenarios/checker/invariantChecker.ts
+++ b/scenarios/checker/invariantChecker.ts
@@ -12,10 +12,12 @@
 export type InvariantName =
   | 'every-call-ends' | 'survives-reclaim' | 'own-whole-answer' | 'not-run-is-true' | 'at-most-once'
   | 'leaving-gets-no-work' | 'planned-stop-cuts-nothing' | 'configuration-never-reverts' | 'configuration-in-force'
+  | 'no-task-fails'
 
 export const INVARIANT_NAMES: readonly InvariantName[] = [
   'every-call-ends', 'survives-reclaim', 'own-whole-answer', 'not-run-is-true', 'at-most-once',
-  'leaving-gets-no-work', 'planned-stop-cuts-nothing', 'configuration-never-reverts', 'configuration-in-force'
+  'leaving-gets-no-work', 'planned-stop-cuts-nothing', 'configuration-never-reverts', 'configuration-in-force',
+  'no-task-fails'
 ]
 
 /** A violated invariant, with what was observed. */
@@ -47,7 +49,8 @@
     ...checkLeavingUpstreams(history),
     ...checkPlannedStops(history),
     ...checkConfigurationOrder(history),
-    ...checkConfigurationInForce(history, gateways)
+    ...checkConfigurationInForce(history, gateways),
+    ...checkTasks(history)
   ]
 }
 
@@ -156,3 +159,9 @@
   return gateways.filter(gateway => gateway.serving && gateway.configurationRevision < accepted)
     .map(gateway => ({ invariant: 'configuration-in-force', detail: `${gateway.name} has revision ${gateway.configurationRevision} in force, but ${accepted} was accepted` }))
 }
+
+/** Gateways go on after the error of a task, so that it would not show otherwise. */
+function checkTasks (history: RunHistory): Violation[] {
+  return history.events.filter(({ kind }) => kind === 'task-failed')
+    .map(({ process, attributes }) => ({ invariant: 'no-task-fails', detail: `the task ${attributes?.task} of ${process} failed: ${attributes?.error}` }))
+}
--- a/tests/invariants/invariantChecker.spec.ts
+++ b/tests/invariants/invariantChecker.spec.ts
@@ -27,6 +27,7 @@
   ['leaving-gets-no-work', 'a late request to a leaving upstream', history => { const execution = history.executions[0]; history.reclaims.push({ address: execution.upstream, incarnation: 'i', announcedAt: execution.startedAt - 3001, deadline: execution.startedAt + 1000 }) }],
   ['planned-stop-cuts-nothing', 'a request cut off by a planned stop', history => { const request = requestOf(history, 'stream'); history.stops.push({ gateway: request.gateway, startedAt: request.sentAt + 1 }); delete request.outcome }],
   ['configuration-never-reverts', 'an older revision in force', history => { const event = history.events.find(candidate => candidate.kind === 'configuration-adopted')!; history.events.push({ ...event, attributes: { ...event.attributes, revision: 1 } }) }],
+  ['no-task-fails', 'a task that failed and went on', history => { history.events.push({ ...history.events[0], kind: 'task-failed', attributes: { task: 'peers', error: 'no' } }) }],
   ['configuration-in-force', 'a gateway with an outdated configuration', (_history, gateways) => { gateways[0].configurationRevision = 0 }]
 ]
 
