Reject a request that can't be sent at once, and blame no upstream for it

Cause: found on the way, by trying names of workspaces that no header can hold: the HTTP client refuses to write the request, which counted as an upstream that can't be reached. The request was tried at all upstreams until its deadline (16 attempts in 1.5 s, then 503 as not executed), and they counted as unreachable for the requests of all others.

--- a/packages/serving/src/attempts/attemptPolicy.ts
+++ b/packages/serving/src/attempts/attemptPolicy.ts
@@ -11,6 +11,8 @@
 export type AttemptFailure =
   /** No connection could be established; nothing was sent. */
   | 'unreachable'
+  /** The request can't be sent, at whichever upstream; nothing was sent. */
+  | 'unsendable'
   /** The peer that was to carry the attempt opened no tunnel; nothing was sent. */
   | 'peer-unavailable'
   /** This gateway's links to the upstreams were lost. The request may have executed if it was sent. */
@@ -44,7 +46,7 @@
 
 const RETRY_AFTER_REFUSED_MILLISECONDS = 300
 /** Attempts that failed so did not reach their upstream, or were cut off from it; they do not count. */
-const UNCOUNTED_FAILURES: ReadonlySet<AttemptFailure> = new Set(['unreachable', 'peer-unavailable', 'links-lost', 'other-instance'])
+const UNCOUNTED_FAILURES: ReadonlySet<AttemptFailure> = new Set(['unreachable', 'unsendable', 'peer-unavailable', 'links-lost', 'other-instance'])
 
 /** Whether a request may be executed more than once. */
 export function mayRepeat (route: RouteRecord): boolean {
@@ -65,11 +67,13 @@
 export function decideAfterFailure (failure: AttemptFailure, progress: RequestProgress, tryTakeRetry: () => boolean): AttemptDecision {
   if (isRetryAllowed(failure, progress) && tryTakeRetry()) return { kind: 'retry' }
   if (progress.started) return { kind: 'cut' }
+  if (failure === 'unsendable' && !progress.mayHaveRun) return { kind: 'reject', rejection: createRejection('internal-error', 'The request can\'t be sent to an upstream, and it was not executed. The operator finds the reason in the log and has to correct the name of the workspace or the headers.') }
   if (progress.mayHaveRun) return { kind: 'reject', rejection: createRejection('upstream-failed', 'The upstream failed before its response was complete, and the request may have been executed. Check its effect before sending it again.') }
   return { kind: 'reject', rejection: createRejection('not-run', 'No upstream accepted the request, and it was not executed. Send it again after the indicated delay.', RETRY_AFTER_REFUSED_MILLISECONDS) }
 }
 
 function isRetryAllowed (failure: AttemptFailure, progress: RequestProgress): boolean {
+  if (failure === 'unsendable') return false
   if (progress.started && progress.route.stream?.resumable !== true) return false
   if (progress.mayHaveRun && !mayRepeat(progress.route)) return false
   if (isUncounted(failure)) return true
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -282,7 +282,7 @@
     this._choice.recordFailure(upstream)
     this._progress.started = this._relay.started
     if (failure === 'broken' || failure === 'server-error') this._progress.mayHaveRun = true
-    if (failure === 'peer-unavailable' || failure === 'links-lost') return
+    if (failure === 'unsendable' || failure === 'peer-unavailable' || failure === 'links-lost') return
     if (failure === 'unreachable' || failure === 'other-instance') upstream.health.recordUnreachable(now)
     else upstream.health.recordFailure(now)
   }
--- a/packages/serving/src/attempts/upstreamAttempt.ts
+++ b/packages/serving/src/attempts/upstreamAttempt.ts
@@ -8,6 +8,8 @@
 import type { ResponseHeaders } from './upstreamProtocol.js'
 
 const FIRST_FINAL_STATUS = 200
+/** Code of the HTTP client for a request that it can't write, for example for the characters of a header. */
+const INVALID_REQUEST_CODE = 'UND_ERR_INVALID_ARG'
 
 /** How to proceed after the receiver has processed part of a response. */
 export type ReceiveDecision =
@@ -107,8 +109,12 @@
   onResponseError (_controller: HttpClient.DispatchController, error: Error): void {
     // undici also reports the abort of an attempt that has already ended.
     if (this._ended) return
-    const failure = this._dispatched ? 'broken' : 'unreachable'
-    this._end({ kind: 'failed', failure, detail: error.message, connectionLost: this._dispatched, error })
+    this._end({ kind: 'failed', failure: this._failureOf(error), detail: error.message, connectionLost: this._dispatched, error })
+  }
+
+  private _failureOf (error: Error): AttemptFailure {
+    if (this._dispatched) return 'broken'
+    return (error as NodeJS.ErrnoException).code === INVALID_REQUEST_CODE ? 'unsendable' : 'unreachable'
   }
 
   private _applyDecision (decision: ReceiveDecision): void {
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -64,6 +64,19 @@
     assert.equal(countRequests(), 0)
   })
 
+  // Guards against: a request that can't be sent is tried until its deadline, and all upstreams count as unreachable for it.
+  it('rejects a request that can\'t be sent at once, and blames no upstream', async () => {
+    const [tenant] = [{ name: '\u0141\u00f3d\u017a', api_keys: [TOKEN], unit: 'tokens', uncached_tokens: 10, rate_per_s: 0, burst: 0 }]
+    const revision = deployment.configure({ tenants: [tenant] })
+    await deployment.waitForEvent(event => event.kind === 'configuration-applied' && Number(event.attributes?.revision) === revision)
+    const startedAt = deployment.clock.now()
+    assert.equal((await deployment.sendRequest('/page/x', { method: 'POST' })).status, 500)
+    assert.ok(deployment.clock.now() < startedAt + 500)
+    const now = deployment.clock.now()
+    assert.deepEqual(deployment.gateways[0].state.upstreams.list().map(({ health }) => [health.isSuspended(now), health.failureRate]), [[false, 0], [false, 0]])
+    assert.equal((await deployment.sendRequest('/open/x', { headers: { Authorization: '' } })).status, 200)
+  })
+
   it('selects the route with the longest prefix', async () => {
     const other = await deployment.addUpstream('i-9', 'other')
     await deployment.waitForUpstreamList()
