--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -12,6 +12,7 @@
 import type { StreamOriginTask } from '../streams/streamOriginTask.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
+import { AttemptEffects } from './attemptEffects.js'
 import { AttemptLog } from './attemptLog.js'
 import type { AttemptKind } from './attemptLog.js'
 import { CrashTracking } from './crashTracking.js'
@@ -62,6 +63,7 @@
   private readonly _continuity: StreamContinuity
   private readonly _crashes: CrashTracking
   private readonly _refusal: DispatchRefusal
+  private readonly _effects: AttemptEffects
   private readonly _log: AttemptLog
   private readonly _statements: UpstreamStatements
   private readonly _choice: UpstreamChoice
@@ -72,7 +74,6 @@
   private _path: UpstreamPath | undefined
   private _attemptStartedAt: Timestamp = 0
   private _firstEventMilliseconds: number | undefined
-  private _usageRecorded = false
   private _deadlineTimer: Timer | undefined
   private _pauseTimer: Timer | undefined
   private _done = false
@@ -88,6 +89,7 @@
     this._choice = UpstreamChoice.create(services, request, this._crashes)
     this._retries = RetryAllowance.create(services, request)
     this._refusal = DispatchRefusal.create(services, request, this._continuity, this._crashes)
+    this._effects = AttemptEffects.create(services, request)
     this._log = AttemptLog.create(services.instrumentation, request.head)
     this._statements = UpstreamStatements.create(services.state, services.clock, this._log)
     this._progress = { route: request.route, attempts: 0, mayHaveRun: false, started: false }
@@ -137,7 +139,7 @@
     const unusable = findUnusableHead(head, status)
     if (unusable) return { kind: 'fail', ...unusable }
     if (status >= FIRST_SERVER_ERROR_STATUS && this._retries.takeAfterServerError(this._progress)) return fail('server-error', `the upstream returned status ${status}`)
-    if (!this._request.route.stream) this._recordUsage()
+    if (!this._request.route.stream) this._effects.recordUsage()
     return this._relay.receiveHead(status, headers)
   }
 
@@ -259,39 +261,26 @@
     this._continuity.recordFirstEvent(this._upstream!.software)
     this._load.recordFirstEvent(this._services.clock.now())
     this._recordAnswer(false)
-    this._recordUsage()
+    this._effects.recordUsage()
     this._firstEventMilliseconds ??= this._elapsedMilliseconds()
     this._log.recordFirstEvent({ upstream: this._upstream!, milliseconds: this._elapsedMilliseconds(), prefillTokens: this._load.prefillTokens, backlogTokens: this._load.backlogTokens })
   }
 
-  private _recordUsage (): void {
-    if (this._usageRecorded || this._request.workspace === undefined) return
-    this._usageRecorded = true
-    this._services.state.usage.record(this._request.workspace, this._services.timeOfDay())
-  }
-
-  /** Tells roll-outs what became of the attempt. Lost connections say nothing about a version. */
   private _recordAnswer (failed: boolean): void {
-    const { state, clock } = this._services
-    const now = clock.now()
-    state.rollouts.recordAnswer(this._upstream!, this._request.route.name, { failed, milliseconds: now - this._attemptStartedAt }, now)
+    this._effects.recordAnswer(this._upstream!, failed, this._attemptStartedAt)
   }
 
   private _recordFailure (failure: AttemptFailure, upstream: Upstream): void {
-    const now = this._services.clock.now()
     this._choice.recordFailure(upstream)
     this._progress.started = this._relay.started
     if (failure === 'broken' || failure === 'server-error') this._progress.mayHaveRun = true
-    if (failure === 'unsendable' || failure === 'peer-unavailable' || failure === 'links-lost') return
-    if (failure === 'unreachable' || failure === 'other-instance') upstream.health.recordUnreachable(now)
-    else upstream.health.recordFailure(now)
+    this._effects.recordFailure(upstream, failure)
   }
 
   private _finish (upstream: Upstream): void {
     const failed = this._relay.status >= FIRST_SERVER_ERROR_STATUS
     if (failed || !this._request.route.stream) this._recordAnswer(failed)
-    if (failed) upstream.health.recordFailure(this._services.clock.now())
-    else upstream.health.recordSuccess()
+    this._effects.recordComplete(upstream, failed)
     if (this._relay.attemptHasBegun) this._crashes.recordBegin()
     this._crashes.recordFinished()
     this._end('complete')
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -6,7 +6,7 @@
 import { getLogger } from '@plumstage/common'
 import type { BackgroundTasks, CallContext, Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import type { KeyValueChange, KeyValueEntry, KeyValueError, KeyValueService, KeyValueWatchBatch, StorePosition } from '@plumstage/coordination'
-import { AppliedPosition } from './appliedPosition.js'
+import type { AppliedPosition } from './appliedPosition.js'
 import type { DeploymentView, ViewChange } from './deploymentView.js'
 
 const RETRY_MILLISECONDS = 250
@@ -49,6 +49,8 @@
   random: SeededRandom
   instrumentation: Instrumentation
   tasks: BackgroundTasks
+  /** Is told how far the changes of the store were applied, by the view and by all observers. */
+  applied: AppliedPosition
   observers: readonly StoreObserver[]
   /** Number of gateways that watch the store. */
   countGateways: () => number
@@ -57,8 +59,6 @@
 
 /** Reads and watches the store for one gateway. */
 export class DeploymentTask {
-  /** How far the changes of the store were applied, by the view and by all observers. */
-  readonly applied = AppliedPosition.create()
   private readonly _options: DeploymentTaskOptions
   private readonly _log = getLogger('deployment')
   private _failingSince: Timestamp | undefined
@@ -105,7 +105,7 @@
   }
 
   private async _readSnapshot (context: CallContext): Promise<void> {
-    const { store, view, clock, instrumentation } = this._options
+    const { store, view, clock, instrumentation, applied } = this._options
     const callContext = context.createChild(clock.now() + SNAPSHOT_TIMEOUT_MILLISECONDS)
     const snapshot = await store.list(callContext, ALL_KEYS)
     callContext.finish()
@@ -116,11 +116,11 @@
     instrumentation.emit('store-snapshot-read', { reason: this._snapshotReason, era, revision, entries: entries.length })
     this._options.onChange(view.applyStoreSnapshot(snapshot.value, clock.now()))
     this._notify(observer => observer.onSnapshot(entries, { era, revision }))
-    this.applied.advance(this._position)
+    applied.advance({ era, revision })
   }
 
   private async _watch (context: CallContext, position: StorePosition): Promise<void> {
-    const { store, clock } = this._options
+    const { store, clock, applied } = this._options
     for await (const batch of store.watch(context, ALL_KEYS, { era: position.era, revision: position.revision + 1 })) {
       if (batch.isErr()) return this._handleWatchError(batch.error)
       const { era, revision, changes } = batch.value
@@ -128,7 +128,7 @@
       this._recordSuccess(era)
       this._position = { era, revision }
       if (changes.length > 0) this._apply(batch.value)
-      this.applied.advance(this._position)
+      applied.advance({ era, revision })
       if (changes.length === 0) continue
       await context.sleepUntil(clock.now() + this._batchDelayMilliseconds)
     }
--- /dev/null
+++ b/packages/serving/src/observability/servingMetricSources.ts
@@ -0,0 +1,43 @@
+/**
+ * The values of a gateway's state that its metrics show.
+ *
+ * @module
+ */
+import type { Clock } from '@plumstage/common'
+import type { RunningRequests } from '../attempts/runningRequests.js'
+import type { DeploymentTask } from '../deployment/deploymentTask.js'
+import type { UpstreamAccess } from '../links/upstreamAccess.js'
+import type { ServingState } from '../servingState.js'
+import type { StreamTracking } from '../streams/streamTracking.js'
+import type { ServingMetricSources } from './servingMetrics.js'
+
+/** The parts of a gateway that the values come from. */
+export interface MetricOrigins {
+  state: ServingState
+  running: RunningRequests
+  access: UpstreamAccess
+  streams: StreamTracking
+  deployment: DeploymentTask
+  droppedLogLines: () => number
+  clock: Clock
+}
+
+/** Returns functions that read the values when metrics are fetched. */
+export function createMetricSources ({ state, running, access, streams, deployment, droppedLogLines, clock }: MetricOrigins): ServingMetricSources {
+  const { view, peers, upstreams, partQuarantine } = state
+  return {
+    running: () => running.count,
+    configurationRevision: () => view.configurationRevision,
+    upstreamsRevision: () => view.upstreamsRevision,
+    storeEra: () => view.upstreamsPosition.era,
+    presentGateways: () => peers.countPresent(clock.now()),
+    aggregateAgeMilliseconds: () => clock.now() - (peers.currentTotals(clock.now())?.receivedAt ?? Number.NaN),
+    areLinksLost: () => access.linkState === 'lost',
+    openTunnels: () => access.tunnels.openTunnels,
+    quarantinedParts: () => partQuarantine.countQuarantined(clock.now()),
+    limitedUpstreams: () => upstreams.list().filter(upstream => upstream.limit.requestsPerSecond !== undefined).length,
+    droppedLogLines,
+    streamRecords: () => streams.origins.recordCount,
+    isFollowingStore: () => deployment.isFollowingStore
+  }
+}
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { BackgroundTasks, CallContext, GuardedClock, Listener, describeError, getLogger } from '@plumstage/common'
+import { BackgroundTasks, CallContext, GuardedClock, Listener } from '@plumstage/common'
 import type { Clock, Instrumentation, SeededRandom, Timestamp } from '@plumstage/common'
 import { DutyTask } from '@plumstage/coordination'
-import type { DutyLeaseTiming, KeyValueService } from '@plumstage/coordination'
+import type { KeyValueService } from '@plumstage/coordination'
 import { RunningRequests } from './attempts/runningRequests.js'
 import { StreamMigration } from './attempts/streamMigration.js'
 import type { UpstreamProtocol } from './attempts/upstreamProtocol.js'
@@ -16,15 +16,17 @@
 import { createReadinessServer } from './callers/readinessServer.js'
 import { RequestAdmission } from './callers/requestAdmission.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
+import { AppliedPosition } from './deployment/appliedPosition.js'
 import { DeploymentTask } from './deployment/deploymentTask.js'
-import { StoreCatchUp } from './deployment/storeCatchUp.js'
 import type { ViewChange } from './deployment/deploymentView.js'
 import type { Cloud } from './duties/cloud.js'
 import { CloudDuties } from './duties/cloudDuties.js'
+import { dutyLeaseTimingOf } from './duties/dutyLeaseTiming.js'
 import { UpstreamAccess } from './links/upstreamAccess.js'
 import { GatewayRegistry } from './peers/gatewayRegistry.js'
 import type { LimitSource } from './limits/upstreamLimits.js'
-import { GatewayAddresses } from './peers/gatewayAddresses.js'
+import { InternalListeners } from './observability/internalListeners.js'
+import { createMetricSources } from './observability/servingMetricSources.js'
 import { MembershipTask } from './peers/membershipTask.js'
 import { PeerSocket } from './peers/peerSocket.js'
 import { PeerExchange } from './peers/peerExchange.js'
@@ -32,16 +34,9 @@
 import type { ServingSettings } from './servingSettings.js'
 import { ServingState } from './servingState.js'
 import { StoreKeys } from './storeKeys.js'
-import { SoftwareHistory } from './streams/softwareHistory.js'
-import { SoftwareHistoryTask } from './streams/softwareHistoryTask.js'
-import { StreamArchive } from './streams/streamArchive.js'
-import { StreamOriginTask } from './streams/streamOriginTask.js'
+import { StreamTracking } from './streams/streamTracking.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
 
-/** The lease of the cloud duty is renewed, and failed calls are retried, this many times within its duration. */
-const RENEWALS_PER_LEASE = 3
-/** The holder stops acting on the duty before the lease expires; this margin is the lease duration divided by this. */
-const LEASE_MARGIN_DIVISOR = 4
 const EXPIRY_CHECK_MILLISECONDS = 500
 /**
  * Time after the stop signal during which requests are still accepted. The load balancer keeps sending connections for
@@ -51,8 +46,6 @@
 /** The process exits this long before it would be killed. */
 const STOP_MARGIN_MILLISECONDS = 700
 const STOP_POLL_MILLISECONDS = 50
-/** The listeners for peers and metrics open this long after the start, so that a gateway that was killed serves callers first. */
-const INTERNAL_LISTENERS_DELAY_MILLISECONDS = 1000
 
 /** External dependencies of a serving gateway. */
 export interface ServingEnvironment {
@@ -90,17 +83,14 @@
   private readonly _deploymentTask: DeploymentTask
   private readonly _callerServer: CallerServer
   private readonly _migration: StreamMigration
-  private readonly _log = getLogger('serving')
   private readonly _listeners: Listener[] = []
   private readonly _peerExchange: PeerExchange
   private readonly _socket: PeerSocket
-  private readonly _softwareHistory: SoftwareHistory
-  private readonly _softwareHistoryTask: SoftwareHistoryTask
-  private readonly _streamArchive: StreamArchive
-  private readonly _streamOrigins: StreamOriginTask
+  private readonly _applied = AppliedPosition.create()
+  private readonly _streams: StreamTracking
   /** Undefined when the gateway does not call the cloud. */
   private readonly _duties: CloudDuties | undefined
-  private _internalListenersOpened: Promise<void> = Promise.resolve()
+  private readonly _internalListeners: InternalListeners
   private readonly _registry: GatewayRegistry
   private _stopping = false
 
@@ -119,17 +109,13 @@
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._pauses = PauseMonitor.create(leaseClock)
     this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, tasks, reconsiderPaths: () => this._reconsiderPaths() })
-    this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings))
-    const addresses = GatewayAddresses.create(this.state.peers)
-    this._softwareHistory = SoftwareHistory.create(clock.now(), settings.isFirstStart)
-    this._softwareHistoryTask = SoftwareHistoryTask.create({ store, key: this._keys.softwareHistoryKey, history: this._softwareHistory, view: this.state.view, decoder: environment.decoder, addresses, clock, instrumentation })
-    this._streamArchive = StreamArchive.create({ store, keys: this._keys, writer: instrumentation.incarnation, history: this._softwareHistory, addresses, socket, clock, instrumentation })
+    this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings.dutyLeaseMilliseconds))
+    this._streams = this._createStreams()
     this._duties = this._createDuties()
     this._peerExchange = this._createPeerExchange()
     this._deploymentTask = this._createDeploymentTask()
-    const catchUp = StoreCatchUp.create({ store, key: this._keys.softwareHistoryKey, applied: this._deploymentTask.applied, context: this._context, clock, instrumentation })
-    this._streamOrigins = StreamOriginTask.create({ socket, addresses, history: this._softwareHistory, archive: this._streamArchive, isFollowingStore: () => this._deploymentTask.isFollowingStore, catchUp, context: this._context, clock, instrumentation })
     this._callerServer = this._createCallerServer()
+    this._internalListeners = this._createInternalListeners()
   }
 
   /** Opens the listeners and starts the tasks. */
@@ -189,8 +175,7 @@
     this._context.cancel('shutdown')
     this._socket.close()
     this._migration.cancel()
-    await this._internalListenersOpened
-    await Promise.all([...this._listeners.map(async listener => await listener.destroy()), this._access.close()])
+    await Promise.all([this._internalListeners.destroy(), ...this._listeners.map(async listener => await listener.destroy()), this._access.close()])
   }
 
   private async _listen (): Promise<void> {
@@ -199,6 +184,30 @@
     this._listeners.push(await Listener.create(createReadinessServer(callerProtocol.readinessPath, () => this.isReady), this._settings.readinessAddress))
   }
 
+  private _createStreams (): StreamTracking {
+    const { store, decoder, clock, instrumentation } = this._environment
+    return StreamTracking.create({
+      store,
+      keys: this._keys,
+      decoder,
+      view: this.state.view,
+      peers: this.state.peers,
+      socket: this._socket,
+      applied: this._applied,
+      isFollowingStore: () => this._deploymentTask.isFollowingStore,
+      isFirstStart: this._settings.isFirstStart,
+      context: this._context,
+      clock,
+      instrumentation
+    })
+  }
+
+  private _createInternalListeners (): InternalListeners {
+    const { clock, instrumentation, metricsAddress, droppedLogLines } = this._environment
+    const metrics = createMetricSources({ state: this.state, running: this._running, access: this._access, streams: this._streams, deployment: this._deploymentTask, droppedLogLines, clock })
+    return InternalListeners.create({ peerAddress: this._settings.peerAddress, metricsAddress, view: this.state.view, tunnels: this._access.tunnels, metrics, clock, instrumentation })
+  }
+
   private _createDeploymentTask (): DeploymentTask {
     const { store, clock, random, instrumentation } = this._environment
     return DeploymentTask.create({
@@ -208,8 +217,9 @@
       random,
       instrumentation,
       tasks: this.tasks,
+      applied: this._applied,
       countGateways: () => this.state.peers.listRegistrations().length,
-      observers: [this._registry, this._softwareHistoryTask, this.state.rollouts, ...this._duties?.observers ?? []],
+      observers: [this._registry, this._streams.observer, this.state.rollouts, ...this._duties?.observers ?? []],
       onChange: change => this._applyChange(change)
     })
   }
@@ -223,7 +233,7 @@
   private _createCallerServer (): CallerServer {
     const { clock, timeOfDay, instrumentation, upstreamProtocol, callerProtocol } = this._environment
     return CallerServer.create({
-      services: { clock, timeOfDay, instrumentation, tasks: this.tasks, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, streamOrigins: this._streamOrigins, crashProbe: this._access },
+      services: { clock, timeOfDay, instrumentation, tasks: this.tasks, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, streamOrigins: this._streams.origins, crashProbe: this._access },
       admission: RequestAdmission.create(this.state),
       protocol: callerProtocol,
       pauses: this._pauses,
@@ -267,9 +277,8 @@
     this._startTask('deployment', this._deploymentTask)
     this._peerExchange.start()
     this._access.start(this._context)
-    this._startTask('software-history', this._softwareHistoryTask)
-    this._startTask('stream-archive', this._streamArchive)
-    this._internalListenersOpened = this._openInternalListeners()
+    this._streams.start(this.tasks)
+    this._internalListeners.start(this._context)
     this._startTask('entry-expiry', { run: async () => await this._expireEntries() })
     this._startTask('membership', membership)
     this._duties?.start(this._context)
@@ -280,35 +289,6 @@
     this.tasks.start(name, this._context, async context => await task.run(context))
   }
 
-  /** Opens the listeners for peers and metrics. Their modules are loaded after callers are served, to shorten the start. */
-  private async _openInternalListeners (): Promise<void> {
-    const { clock, instrumentation, droppedLogLines, metricsAddress } = this._environment
-    await this._context.sleepUntil(clock.now() + INTERNAL_LISTENERS_DELAY_MILLISECONDS)
-    if (this._context.cancelled) return
-    try {
-      const { createMetricsServer, createPeerServer } = await import('./observability/internalServers.js')
-      this._listeners.push(await Listener.create(createPeerServer(this.state.view, this._access.tunnels), this._settings.peerAddress))
-      if (metricsAddress === undefined) return
-      this._listeners.push(await Listener.create(createMetricsServer({
-        running: () => this._running.count,
-        configurationRevision: () => this.state.view.configurationRevision,
-        upstreamsRevision: () => this.state.view.upstreamsRevision,
-        storeEra: () => this.state.view.upstreamsPosition.era,
-        presentGateways: () => this.state.peers.countPresent(clock.now()),
-        aggregateAgeMilliseconds: () => clock.now() - (this.state.peers.currentTotals(clock.now())?.receivedAt ?? Number.NaN),
-        areLinksLost: () => this._access.linkState === 'lost',
-        openTunnels: () => this._access.tunnels.openTunnels,
-        quarantinedParts: () => this.state.partQuarantine.countQuarantined(clock.now()),
-        limitedUpstreams: () => this.state.upstreams.list().filter(upstream => upstream.limit.requestsPerSecond !== undefined).length,
-        droppedLogLines,
-        streamRecords: () => this._streamOrigins.recordCount,
-        isFollowingStore: () => this._deploymentTask.isFollowingStore
-      }, instrumentation), metricsAddress))
-    } catch (error) {
-      this._log.error(`The listeners for peers and metrics could not be opened: ${describeError(error)}. Callers are still served.`)
-    }
-  }
-
   private _reconsiderPaths (): void {
     for (const task of this._running.list()) task.reconsiderPath()
   }
@@ -337,7 +317,7 @@
   private _applyUpstreams (): void {
     const { clock, instrumentation } = this._environment
     const listed = this.state.view.listUpstreams()
-    this._softwareHistory.observe(listed, clock.now())
+    this._streams.observe(listed)
     const removed = this.state.upstreams.apply(listed, clock.now())
     for (const upstream of removed) {
       this._access.forget(upstream)
@@ -354,12 +334,3 @@
     return !this._stopping && this._registry.isDutyOpenTo(this._peerExchange.hasSenior ? 'junior' : 'senior')
   }
 }
-
-function dutyLeaseTimingOf ({ dutyLeaseMilliseconds }: ServingSettings): DutyLeaseTiming {
-  return {
-    leaseMilliseconds: dutyLeaseMilliseconds,
-    renewIntervalMilliseconds: dutyLeaseMilliseconds / RENEWALS_PER_LEASE,
-    retryIntervalMilliseconds: dutyLeaseMilliseconds / RENEWALS_PER_LEASE,
-    safetyMarginMilliseconds: dutyLeaseMilliseconds / LEASE_MARGIN_DIVISOR
-  }
-}
--- a/tests/serving/deploymentTask.spec.ts
+++ b/tests/serving/deploymentTask.spec.ts
@@ -5,7 +5,7 @@
 import { BackgroundTasks, CallContext, Instrumentation, SeededRandom, VirtualClock } from '@plumstage/common'
 import type { KeyValueError, KeyValueService, KeyValueWatchBatch } from '@plumstage/coordination'
 import { DeploymentAdapter } from '@plumstage/platform'
-import { DeploymentTask, DeploymentView } from '@plumstage/serving'
+import { AppliedPosition, DeploymentTask, DeploymentView } from '@plumstage/serving'
 
 const CHANGES = 200
 const CHANGE_INTERVAL_MILLISECONDS = 10
@@ -37,6 +37,7 @@
     random: SeededRandom.create(1),
     instrumentation,
     tasks: BackgroundTasks.create(clock, instrumentation),
+    applied: AppliedPosition.create(),
     observers: [],
     countGateways: () => gateways,
     onChange: () => {}
@@ -67,6 +68,7 @@
       random: SeededRandom.create(1),
       instrumentation,
       tasks: BackgroundTasks.create(clock, instrumentation),
+      applied: AppliedPosition.create(),
       observers: [{ onSnapshot: fail, onChanges: fail }, { onSnapshot: count, onChanges: count }],
       countGateways: () => 1,
       onChange: () => {}
