End a process also when its graceful stop fails

Cause: since errors that reach no handler no longer end a process, one in the graceful stop would leave it running until it is killed.

Change: the process ends after the stop whatever became of it. The wait for a position of the store is written without a placeholder.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -39,7 +39,7 @@
   keepRunningAfterErrors(gateway)
   SettingsWatcher.create(path, clock, instrumentation, changed => gateway.applySettings(changed)).start()
   const stop = (): void => {
-    void gateway.stop().then(() => {
+    gateway.stop().catch((error: unknown) => gateway.tasks.report('stop', error)).finally(() => {
       events?.close()
       process.exit(0)
     })
--- a/packages/gateway/src/bin/gatewayMain.ts
+++ b/packages/gateway/src/bin/gatewayMain.ts
@@ -31,8 +31,7 @@
   process.on('uncaughtException', error => gateway.reportError(error))
   if (embedded) printWelcome(gateway.address, embedded.workspaceToken)
   const stop = (): void => {
-    void gateway.stop().then(async () => {
-      await embedded?.stop()
+    gateway.stop().then(async () => await embedded?.stop()).catch((error: unknown) => gateway.reportError(error)).finally(() => {
       events?.close()
       process.exit(0)
     })
--- a/packages/serving/src/deployment/appliedPosition.ts
+++ b/packages/serving/src/deployment/appliedPosition.ts
@@ -24,6 +24,8 @@
 
   /** Resolves to whether a position was reached before the context is cancelled. */
   async reaches (position: StorePosition, context: CallContext): Promise<boolean> {
+    if (this._includes(position)) return true
+    if (context.cancelled) return false
     return await new Promise<boolean>(resolve => {
       const finish = (isReached: boolean): void => {
         this._waiters.delete(check)
@@ -31,10 +33,8 @@
         resolve(isReached)
       }
       const check = (): void => { if (this._includes(position)) finish(true) }
-      let stopListening = (): void => {}
+      const stopListening = context.onCancel(() => finish(false))
       this._waiters.add(check)
-      stopListening = context.onCancel(() => finish(false))
-      if (this._waiters.has(check)) check()
     })
   }
 
