Check the position of the store again after a call that failed unexpectedly

Cause: found by reading the change. A check waits for the one before, so an error that is thrown there would have reached all later ones.

Change: only the end of the last check counts. A set of upstreams has a plainer name.

Result: the new case of storeCatchUp.spec passes.

--- a/packages/serving/src/attempts/upstreamChoice.ts
+++ b/packages/serving/src/attempts/upstreamChoice.ts
@@ -25,8 +25,8 @@
   private readonly _request: AcceptedRequest
   private readonly _crashes: CrashTracking
   private readonly _failed = new Set<Upstream>()
-  /** Like `_failed`, but never forgotten. */
-  private readonly _failedEver = new Set<Upstream>()
+  /** Upstreams at which attempts have failed, also those that were forgotten since. */
+  private readonly _everFailed = new Set<Upstream>()
   private _hasFailed = false
 
   private constructor (services: UpstreamChoiceServices, request: AcceptedRequest, crashes: CrashTracking) {
@@ -47,12 +47,12 @@
   recordFailure (upstream: Upstream): void {
     this._hasFailed = true
     this._failed.add(upstream)
-    this._failedEver.add(upstream)
+    this._everFailed.add(upstream)
   }
 
   /** Whether an attempt has failed at an upstream before, for whatever reason. */
   hasFailedAt (upstream: Upstream): boolean {
-    return this._failedEver.has(upstream)
+    return this._everFailed.has(upstream)
   }
 
   /** Forgets where attempts have failed, because the path was at fault and not the upstreams. */
--- a/packages/serving/src/deployment/storeCatchUp.ts
+++ b/packages/serving/src/deployment/storeCatchUp.ts
@@ -31,7 +31,8 @@
   /** A check that has not begun yet, so that its result also holds for those who ask now. */
   private _waiting: Promise<boolean> | undefined
   private _lastBeganAt: Timestamp = Number.NEGATIVE_INFINITY
-  private _running: Promise<boolean> = Promise.resolve(true)
+  /** Resolves when no check runs, whatever became of the last one. */
+  private _ended: Promise<void> = Promise.resolve()
 
   private constructor (options: StoreCatchUpOptions) {
     this._options = options
@@ -49,12 +50,13 @@
 
   private async _checkNext (): Promise<boolean> {
     const { context } = this._options
-    await this._running
+    await this._ended
     await context.sleepUntil(this._lastBeganAt + CHECK_INTERVAL_MILLISECONDS)
     this._waiting = undefined
     this._lastBeganAt = this._options.clock.now()
-    this._running = this._check()
-    return await this._running
+    const check = this._check()
+    this._ended = check.then(() => {}, () => {})
+    return await check
   }
 
   private async _check (): Promise<boolean> {
--- a/tests/serving/storeCatchUp.spec.ts
+++ b/tests/serving/storeCatchUp.spec.ts
@@ -113,6 +113,20 @@
     assert.deepEqual(await Promise.all(later), [true, true, true])
   })
 
+  // Guards against: after one call that failed unexpectedly, no version is ever inferred again.
+  it('is tried again after a call that failed unexpectedly', async () => {
+    const { store, applied, catchUp, advance } = create()
+    applied.advance({ era: 1, revision: 5 })
+    const { list } = store
+    store.list = async () => { throw new Error('no') }
+    await assert.rejects(catchUp.confirm(), /no/)
+    store.list = list
+    const confirmed = catchUp.confirm()
+    await advance(200)
+    store.answer()
+    assert.equal(await confirmed, true)
+  })
+
   it('ends with the gateway', async () => {
     const { context, catchUp, advance } = create()
     const confirmed = catchUp.confirm()
