--- a/tests/serving/storeCatchUp.spec.ts
+++ b/tests/serving/storeCatchUp.spec.ts
@@ -119,7 +119,9 @@
     applied.advance({ era: 1, revision: 5 })
     const { list } = store
     store.list = async () => { throw new Error('no') }
-    await assert.rejects(catchUp.confirm(), /no/)
+    const rejected = assert.rejects(catchUp.confirm(), /no/)
+    await advance(0)
+    await rejected
     store.list = list
     const confirmed = catchUp.confirm()
     await advance(200)
