--- a/tests/platform/documents.spec.ts
+++ b/tests/platform/documents.spec.ts
@@ -7,6 +7,8 @@
 
 const ROUTE = { name: 'r', host: 'Wiki.example', prefix: '/a/', route_type: 'streaming', service: 'model', resumable: true, gap_objective_ms: 300, timeout_ms: 8000, objective_ms: 800, priority: 0, max_attempts: 2 }
 const SERVICE = { name: 'model', max_conns: 370, engine: { capacity: 64, kv_capacity: 344_095, most: 12, models: [{ name: 'm' }] }, scaling: { min: 1, max: 6, boot_s: 4, spot_price: 0.22, zone_prices: { east: 0.85 } } }
+/** Node fires a timer with a longer delay at once. */
+const LONGEST_TIMER_MILLISECONDS = 2 ** 31 - 1
 const TENANT = { name: 'press', api_keys: ['one', 'two'], unit: 'tokens', uncached_tokens: 200, rate_per_s: 100, burst: 50, priority: 1 }
 
 function parseConfiguration (fields: Record<string, unknown>) {
@@ -41,6 +43,21 @@
     assert.equal(parseConfigurationDocument('[]', 1).isErr(), true)
   })
 
+  // Guards against: a gateway closes the connections of all callers after a millisecond, because Node can't wait for so long.
+  it('bounds numbers that are out of all proportion, and comes into force', () => {
+    const limits = { max_header_bytes: 1e300, max_body_bytes: -1, header_timeout_ms: -5, idle_timeout_ms: 1e12 }
+    const { configuration } = parseConfiguration({ limits, routes: [{ ...ROUTE, timeout_ms: 1e300, max_attempts: -3 }], tenants: [{ ...TENANT, burst: -1e300 }] })._unsafeUnwrap()
+    const { callerLimits } = configuration
+    const route = configuration.findRouteByHost('wiki.example', '/a/b')
+    assert.ok(callerLimits)
+    assert.ok(callerLimits.idleTimeoutMilliseconds > 1000 && callerLimits.idleTimeoutMilliseconds < LONGEST_TIMER_MILLISECONDS)
+    assert.equal(callerLimits.headerTimeoutMilliseconds, 0)
+    assert.ok(callerLimits.maximumBodyBytes === 0 && Number.isSafeInteger(callerLimits.maximumHeaderBytes))
+    assert.ok(route?.timeoutMilliseconds !== undefined && route.timeoutMilliseconds < LONGEST_TIMER_MILLISECONDS)
+    assert.equal(route.maximumAttempts, 1)
+    assert.equal(configuration.workspaces.get('press')?.quota?.burstUnits, 0)
+  })
+
   it('has no version number when its version is text that is not a number', () => {
     assert.equal(parseConfiguration({ version: '19' })._unsafeUnwrap().version, 19)
     assert.equal(parseConfiguration({ version: 'spring' })._unsafeUnwrap().version, undefined)
