Fail at once when a tunnel is asked of an address that is none

Cause: the client of node:http throws for a port out of range, within a promise that nothing watched; the request then waited for its deadline. The address of a peer comes from reports of other gateways.

Change: the dialer returns the error as 'peer-unavailable', like any peer that is not reached, so the next attempt takes another path.

Result: the new case of relayConnections.spec failed before (1 of 1, with an unhandled error) and passes now, with the 27 others of the two files.

--- a/packages/serving/src/relay/relayDialer.ts
+++ b/packages/serving/src/relay/relayDialer.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { splitAddress } from '@plumstage/common'
+import { describeError, splitAddress } from '@plumstage/common'
 import type { Clock } from '@plumstage/common'
 import { RelayError } from './relayError.js'
 import type { RelayErrorKind } from './relayError.js'
@@ -51,8 +51,15 @@
 
   /** Opens a tunnel through the peer at an address to an upstream of its list. Nothing is sent to the upstream yet. */
   async open (peerAddress: string, upstreamId: string): Promise<Result<TunnelConnection, RelayError>> {
+    try {
+      return await this._send(peerAddress, this._createRequest(peerAddress, upstreamId))
+    } catch (error) {
+      return err(createUnavailable(peerAddress, describeError(error)))
+    }
+  }
+
+  private async _send (peerAddress: string, request: ClientRequest): Promise<Result<TunnelConnection, RelayError>> {
     const { clock } = this._options
-    const request = this._createRequest(peerAddress, upstreamId)
     return await new Promise(resolve => {
       const timer = clock.schedule(clock.now() + DIAL_TIMEOUT_MILLISECONDS, () => request.destroy(new Error('It did not answer in time.')))
       const finish = (outcome: Result<TunnelConnection, RelayError>): void => {
@@ -60,7 +67,7 @@
         resolve(outcome)
       }
       request.once('connect', (response, socket, head) => finish(readAnswer(peerAddress, response, socket, head)))
-      request.on('error', error => finish(err(RelayError.create('peer-unavailable', `No tunnel could be opened through ${peerAddress}: ${error.message}`))))
+      request.on('error', error => finish(err(createUnavailable(peerAddress, error.message))))
       request.end()
     })
   }
@@ -72,6 +79,10 @@
   }
 }
 
+function createUnavailable (peerAddress: string, reason: string): RelayError {
+  return RelayError.create('peer-unavailable', `No tunnel could be opened through ${peerAddress}: ${reason}`)
+}
+
 function readAnswer (peerAddress: string, { statusCode, headers }: IncomingMessage, socket: Socket, head: Buffer): Result<TunnelConnection, RelayError> {
   socket.on('error', () => {})
   if (statusCode === TUNNEL_OPEN_STATUS) return ok(createConnection(socket, head))
--- a/tests/serving/relayConnections.spec.ts
+++ b/tests/serving/relayConnections.spec.ts
@@ -183,6 +183,16 @@
   }
 
   // Guards against: a request that may have been executed is sent again.
+  // Guards against: a request waits for its deadline, because the address of a peer can't be connected to.
+  it('fail at once if the address of the peer is none', async () => {
+    await network.startUpstream('i-1', socket => { socket.end() })
+    const handler = dispatch('i-1', undefined, '127.0.0.20:70000')
+    await handler.ended
+    assert.ok(RelayError.is(handler.error))
+    assert.equal(handler.error.kind, 'peer-unavailable')
+    assert.equal(handler.controller, undefined)
+  })
+
   it('dispatch a request once, also when the upstream closes a tunnel that is reused', async () => {
     let received = 0
     await network.startUpstream('i-1', socket => {
