Give a round of sums a module of its own

Change: AggregationRound keeps who was asked, who has answered and who is waited for; AggregationNode decides what to send. No behavior changes.

--- a/packages/serving/src/aggregation/aggregationNode.ts
+++ b/packages/serving/src/aggregation/aggregationNode.ts
@@ -12,6 +12,8 @@
 import type { Timestamp } from '@plumstage/common'
 import { addAggregate, emptyAggregate, subtractAggregate } from './aggregate.js'
 import type { Aggregate } from './aggregate.js'
+import { AggregationRound } from './aggregationRound.js'
+import type { FinishedRound, PartialSum } from './aggregationRound.js'
 import type { AggregationStep, RoundId } from './aggregationStep.js'
 import type { AggregationTree } from './aggregationTree.js'
 import { RootElection } from './rootElection.js'
@@ -28,8 +30,6 @@
 const MAXIMUM_REUSED_ROUNDS = 1
 /** Number of past rounds whose own contribution is remembered. */
 const REMEMBERED_ROUNDS = 4
-/** Bounds the messages of a gateway below which many don't acknowledge. */
-const MAXIMUM_ASKED = 16
 
 /** What the task of a gateway has to do. */
 export type AggregationAction =
@@ -50,39 +50,10 @@
   createOwn: (now: Timestamp) => Aggregate
 }
 
-interface Answer {
-  number: number
-  aggregate: Aggregate
-}
-
 interface Child {
   /** Whether it did not acknowledge when it was last asked. */
   isSilent: boolean
-  lastAnswer?: Answer
-}
-
-interface Round {
-  id: RoundId
-  /** Undefined at the root. */
-  parent: string | undefined
-  own: Aggregate
-  asked: Set<string>
-  unacknowledged: Set<string>
-  /** Silent gateways by those that were asked in their place. */
-  bypassed: Map<string, string>
-  /** Children whose answers are waited for. */
-  pending: Set<string>
-  answers: Map<string, Answer>
-  bypassAt: Timestamp
-  deadline: Timestamp
-}
-
-interface FinishedRound {
-  number: number
-  own: Aggregate
-  recipients: readonly string[]
-  /** Numbers of the rounds whose partial sums of the children are included. */
-  includedNumbers: ReadonlyMap<string, number>
+  lastAnswer?: PartialSum
 }
 
 /** Takes part in the rounds of one gateway. */
@@ -92,7 +63,7 @@
   private readonly _election: RootElection
   /** The gateway that asked this one in the last round. */
   private _parent: string | undefined
-  private _round: Round | undefined
+  private _round: AggregationRound | undefined
   private _finished: FinishedRound[] = []
   private _nextRoundAt: Timestamp
   private _roundNumber = 0
@@ -176,78 +147,59 @@
   }
 
   private _begin (id: RoundId, parent: string | undefined, budgetMilliseconds: number, now: Timestamp): void {
-    const round: Round = {
-      id,
-      parent,
-      own: this._options.createOwn(now),
-      asked: new Set(),
-      unacknowledged: new Set(),
-      bypassed: new Map(),
-      pending: new Set(),
-      answers: new Map(),
-      bypassAt: now + this._acknowledgeMilliseconds,
-      deadline: now + budgetMilliseconds
-    }
+    const round = AggregationRound.create({ id, parent, own: this._options.createOwn(now), bypassAt: now + this._acknowledgeMilliseconds, deadline: now + budgetMilliseconds })
     this._round = round
     const { address, tree } = this._options
     this._ask(round, parent === undefined ? tree().childrenOfActingRoot(address) : tree().childrenOf(address), now)
     this._removeFormerChildren(round)
-    if (round.pending.size === 0) this._finish(round)
+    if (round.isComplete) this._finish(round)
   }
 
   /** Asks gateways for their sums; also the children of those that were silent before, without waiting for these. */
-  private _ask (round: Round, addresses: readonly string[], now: Timestamp): void {
+  private _ask (round: AggregationRound, addresses: readonly string[], now: Timestamp): void {
     for (const address of addresses) {
-      if (round.asked.has(address) || round.asked.size >= MAXIMUM_ASKED || address === round.parent) continue
-      const child = this._childAt(address)
-      round.asked.add(address)
-      round.unacknowledged.add(address)
+      if (!round.mayAsk(address)) continue
+      const { isSilent } = this._childAt(address)
+      round.recordAsked(address, isSilent)
       this._send(address, { kind: 'collect', round: round.id, budgetMilliseconds: round.deadline - now - this._levelMilliseconds })
-      if (child.isSilent) this._askInPlaceOf(round, address, now)
-      else round.pending.add(address)
+      if (isSilent) this._askInPlaceOf(round, address, now)
     }
   }
 
-  private _askInPlaceOf (round: Round, silent: string, now: Timestamp): void {
+  private _askInPlaceOf (round: AggregationRound, silent: string, now: Timestamp): void {
     const children = this._options.tree().childrenOf(silent)
-    for (const address of children) round.bypassed.set(address, silent)
+    round.recordBypass(silent, children)
     this._ask(round, children, now)
   }
 
-  private _bypassSilent (round: Round, now: Timestamp): void {
-    const silent = [...round.unacknowledged].filter(address => round.pending.has(address))
+  private _bypassSilent (round: AggregationRound, now: Timestamp): void {
+    const silent = round.takeSilent()
     round.bypassAt = silent.length > 0 ? now + this._acknowledgeMilliseconds : Number.POSITIVE_INFINITY
     for (const address of silent) {
       this._childAt(address).isSilent = true
-      round.pending.delete(address)
       this._askInPlaceOf(round, address, now)
     }
-    if (round.pending.size === 0) this._finish(round)
+    if (round.isComplete) this._finish(round)
   }
 
   private _receiveAcknowledgement (id: RoundId, sender: string): void {
-    const child = this._children.get(sender)
     const round = this._round
-    if (!child || !round || !this._isCurrent(id)) return
+    if (!this._children.has(sender) || !round?.matches(id)) return
     this._recordAlive(round, sender)
   }
 
-  /** An asked gateway that is alive will answer, even if others were asked in its place meanwhile. */
-  private _recordAlive (round: Round, address: string): void {
+  private _recordAlive (round: AggregationRound, address: string): void {
     this._childAt(address).isSilent = false
-    round.unacknowledged.delete(address)
-    if (round.asked.has(address) && !round.answers.has(address)) round.pending.add(address)
+    round.recordAlive(address)
   }
 
   private _receiveDecline (id: RoundId, sender: string): void {
     const round = this._round
-    if (!round || !this._isCurrent(id) || !round.asked.has(sender)) return
+    if (!round?.matches(id) || !round.hasAsked(sender)) return
     this._recordAlive(round, sender)
-    const bypassed = round.bypassed.get(sender)
-    if (bypassed !== undefined && round.asked.has(bypassed)) this._recordAlive(round, bypassed)
-    round.asked.delete(sender)
-    round.pending.delete(sender)
-    if (round.pending.size === 0) this._finish(round)
+    const bypassed = round.recordDeclined(sender)
+    if (bypassed !== undefined) this._recordAlive(round, bypassed)
+    if (round.isComplete) this._finish(round)
   }
 
   private _receivePartial (id: RoundId, aggregate: Aggregate, sender: string): void {
@@ -257,42 +209,25 @@
     child.isSilent = false
     child.lastAnswer = answer
     const round = this._round
-    if (!round || !this._isCurrent(id) || !round.asked.has(sender)) return
-    round.answers.set(sender, answer)
-    round.unacknowledged.delete(sender)
-    round.pending.delete(sender)
-    // They have answered the sender, and answer nobody else in this round.
-    for (const address of this._options.tree().childrenOf(sender)) round.pending.delete(address)
-    if (round.pending.size === 0) this._finish(round)
+    if (!round?.matches(id) || !round.hasAsked(sender)) return
+    round.recordAnswer(sender, answer, this._options.tree().childrenOf(sender))
+    if (round.isComplete) this._finish(round)
   }
 
-  private _isCurrent ({ root, number }: RoundId): boolean {
-    return this._round?.id.root === root && this._round.id.number === number
-  }
-
-  private _finish (round: Round): void {
+  private _finish (round: AggregationRound): void {
     this._round = undefined
-    this._reuseLateAnswers(round)
-    const sum = emptyAggregate()
-    addAggregate(sum, round.own)
-    for (const { aggregate } of round.answers.values()) addAggregate(sum, aggregate)
-    this._finished.push({
-      number: round.id.number,
-      own: round.own,
-      recipients: [...round.asked].filter(address => !round.unacknowledged.has(address)),
-      includedNumbers: new Map([...round.answers].map(([address, { number }]) => [address, number]))
-    })
+    round.reuseLateAnswers(address => this._findReusable(address, round.id.number))
+    const sum = round.sum()
+    this._finished.push(round.summarize())
     this._finished = this._finished.slice(-REMEMBERED_ROUNDS)
     if (round.parent === undefined) this._deliverTotal(round.id, sum, round.id.number)
     else this._send(round.parent, { kind: 'partial', round: round.id, aggregate: sum })
   }
 
-  private _reuseLateAnswers (round: Round): void {
-    for (const address of round.pending) {
-      const answer = this._children.get(address)?.lastAnswer
-      if (!answer || round.unacknowledged.has(address) || answer.number < round.id.number - MAXIMUM_REUSED_ROUNDS) continue
-      round.answers.set(address, answer)
-    }
+  /** Returns the last answer of a child if it is recent enough for the round with a number. */
+  private _findReusable (address: string, number: number): PartialSum | undefined {
+    const answer = this._children.get(address)?.lastAnswer
+    return answer && answer.number >= number - MAXIMUM_REUSED_ROUNDS ? answer : undefined
   }
 
   private _receiveTotal (id: RoundId, aggregate: Aggregate, includedNumber: number | undefined, now: Timestamp): void {
@@ -319,8 +254,8 @@
     return child
   }
 
-  private _removeFormerChildren (round: Round): void {
-    for (const address of this._children.keys()) if (!round.asked.has(address)) this._children.delete(address)
+  private _removeFormerChildren (round: AggregationRound): void {
+    for (const address of this._children.keys()) if (!round.hasAsked(address)) this._children.delete(address)
   }
 
   private _send (address: string, step: AggregationStep): void {
