Log how an attempt that goes on with a stream was answered

Cause: a request that ends as complete left nothing that tells whether its last answer added an event, which status it had, how its end was known, and whether its events had ids.

Change: the event stream-continuation-ended, once for each answered attempt that continues a stream. StreamResponse holds what is known of the response of one attempt. No decision changes.

--- a/packages/serving/src/attempts/attemptLog.ts
+++ b/packages/serving/src/attempts/attemptLog.ts
@@ -8,6 +8,7 @@
 import type { LimitStatement } from '../limits/statedLimit.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
+import type { ContinuationSummary } from './streamResponse.js'
 import type { AttemptOutcome } from './upstreamAttempt.js'
 
 /** Values of upstreams that can't be read, and ids that callers choose, are cut to this length. */
@@ -94,6 +95,13 @@
     this._instrumentation.emit('attempt-failed', { upstream: upstream.listed.id, peer, failure, detail, requests, waitingTokens, listRevision, events, hasBegun, promptParts: this._promptParts }, this._head.requestId)
   }
 
+  /** Only an attempt that continued a stream and was answered has a line. */
+  recordContinuationEnded ({ listed }: Upstream, outcome: AttemptOutcome, continuation: ContinuationSummary | undefined): void {
+    if (!continuation) return
+    const result = outcome.kind === 'complete' ? outcome.kind : outcome.failure
+    this._instrumentation.emit('stream-continuation-ended', { upstream: listed.id, result, ...continuation }, this._head.requestId)
+  }
+
   recordFirstEvent ({ upstream, ...event }: FirstEvent): void {
     const { requestId, resumedRequestId: resumedRequest, lastEventId: resumeAfter } = this._head
     const { listed, requests } = upstream
--- a/packages/serving/src/attempts/eventSplitter.ts
+++ b/packages/serving/src/attempts/eventSplitter.ts
@@ -21,6 +21,10 @@
   bytes: Buffer
   /** Number of events in `bytes`. */
   count: number
+  /** Number of events that were dropped because the caller has them. */
+  repeatedCount: number
+  /** Number of events without an id. */
+  unnumberedCount: number
   /** Why the rest of the stream can't be used. */
   problem?: string
 }
@@ -52,19 +56,25 @@
   split (chunk: Buffer): SplitEvents {
     const bytes = this._incompleteEvent.length === 0 ? chunk : Buffer.concat([this._incompleteEvent, chunk])
     const events: Buffer[] = []
+    let repeatedCount = 0
+    let unnumberedCount = 0
     let start = 0
     for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
       const event = bytes.subarray(start, end)
       start = end
       const id = readId(event)
-      if (id !== undefined && this._lastId !== undefined && id <= this._lastId) continue
-      if (id !== undefined && this._lastId !== undefined && id > this._lastId + 1) return { bytes: Buffer.concat(events), count: events.length, problem: `event ${id} follows event ${this._lastId}` }
-      if (id !== undefined) this._lastId = id
+      if (id !== undefined && this._lastId !== undefined && id <= this._lastId) {
+        repeatedCount++
+        continue
+      }
+      if (id !== undefined && this._lastId !== undefined && id > this._lastId + 1) return { bytes: Buffer.concat(events), count: events.length, repeatedCount, unnumberedCount, problem: `event ${id} follows event ${this._lastId}` }
+      if (id === undefined) unnumberedCount++
+      else this._lastId = id
       events.push(event)
     }
     this._incompleteEvent = bytes.subarray(start)
     const problem = this._incompleteEvent.length > MAXIMUM_EVENT_BYTES ? 'an event is larger than 1 MiB' : undefined
-    return { bytes: join(events), count: events.length, problem }
+    return { bytes: join(events), count: events.length, repeatedCount, unnumberedCount, problem }
   }
 }
 
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -161,6 +161,7 @@
     if (this._attempt?.dispatched && !(outcome.kind === 'failed' && isUncounted(outcome.failure))) this._progress.attempts++
     const upstream = this._removeLoad()
     this._log.recordFailed({ upstream, peer: path.peer, outcome, listRevision: this._services.state.view.upstreamsRevision, events: this._relay.eventCount, hasBegun: this._relay.attemptHasBegun })
+    this._log.recordContinuationEnded(upstream, outcome, this._relay.continuation)
     if (outcome.kind === 'complete') return this._finish(upstream)
     if (outcome.failure === 'server-error' || (outcome.failure === 'broken' && !outcome.connectionLost)) this._recordAnswer(true)
     this._recordFailure(outcome.failure, upstream)
--- a/packages/serving/src/attempts/responseRelay.ts
+++ b/packages/serving/src/attempts/responseRelay.ts
@@ -6,6 +6,8 @@
 import type { RouteRecord } from '@plumstage/records'
 import type { CallerExchange } from '../callers/callerExchange.js'
 import { EventSplitter } from './eventSplitter.js'
+import { StreamResponse } from './streamResponse.js'
+import type { ContinuationSummary } from './streamResponse.js'
 import type { ResponseHeaders, UpstreamProtocol } from './upstreamProtocol.js'
 import { CONTINUE, PAUSE } from './upstreamAttempt.js'
 import type { ReceiveDecision } from './upstreamAttempt.js'
@@ -26,20 +28,19 @@
   private readonly _onAttemptBegan: () => void
   private _mode: DeliveryMode = 'none'
   private _status = 0
-  /** Whether the end of the response is only known by the end of its connection. */
-  private _endsWithConnection = false
   private _headers: string[] = []
   private _bufferedChunks: Buffer[] = []
   private _bufferedBytes = 0
   private _splitter: EventSplitter
+  private _response: StreamResponse
   private _eventCount = 0
-  private _attemptEventCount = 0
 
   private constructor (exchange: CallerExchange, protocol: UpstreamProtocol, route: RouteRecord, lastEventId: number | undefined, onAttemptBegan: () => void) {
     this._exchange = exchange
     this._protocol = protocol
     this._route = route
     this._splitter = EventSplitter.create(lastEventId)
+    this._response = StreamResponse.create(lastEventId)
     this._onAttemptBegan = onAttemptBegan
   }
 
@@ -67,7 +68,12 @@
 
   /** Whether the current attempt has brought any new event, or any part of a body that is no stream. */
   get attemptHasBegun (): boolean {
-    return this._attemptEventCount > 0 || this._bufferedBytes > 0
+    return this._response.newEvents > 0 || this._bufferedBytes > 0
+  }
+
+  /** What the current attempt has answered, if it continues a stream. */
+  get continuation (): ContinuationSummary | undefined {
+    return this._route.stream ? this._response.continuation : undefined
   }
 
   get status (): number {
@@ -77,14 +83,14 @@
   /** Prepares for the response of another attempt; a stream continues after the last complete event. */
   beginAttempt (): void {
     this._splitter = EventSplitter.create(this._splitter.lastId)
+    this._response = StreamResponse.create(this._splitter.lastId)
     this._bufferedChunks = []
     this._bufferedBytes = 0
-    this._attemptEventCount = 0
     if (!this.started) this._mode = 'none'
   }
 
   receiveHead (status: number, headers: ResponseHeaders): ReceiveDecision {
-    this._endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+    this._response.recordHead(status, headers)
     const isStream = this._route.stream !== undefined && status < FIRST_REDIRECT_STATUS && String(headers['content-type'] ?? EVENT_STREAM_TYPE).startsWith(EVENT_STREAM_TYPE)
     if (this.started) return isStream && this._mode === 'events' ? CONTINUE : { kind: 'fail', failure: 'broken', detail: `the response with status ${status} does not continue the stream` }
     this._status = status
@@ -108,7 +114,7 @@
     if (this._mode !== 'events') return CONTINUE
     if (this._splitter.endsInsideEvent) return { kind: 'fail', failure: 'broken', detail: 'the stream ended inside an event' }
     // When a connection ends, an upstream that crashed before its first event looks like one that had none to send.
-    if (this._endsWithConnection && this._splitter.lastId === undefined && !this.attemptHasBegun) return { kind: 'fail', failure: 'broken', detail: 'the connection ended before the first event' }
+    if (this._response.endsWithConnection && this._splitter.lastId === undefined && !this.attemptHasBegun) return { kind: 'fail', failure: 'broken', detail: 'the connection ended before the first event' }
     return CONTINUE
   }
 
@@ -120,11 +126,13 @@
   }
 
   private _receiveEvents (chunk: Buffer, resume: () => void): ReceiveDecision {
-    const { bytes, count, problem } = this._splitter.split(chunk)
+    const split = this._splitter.split(chunk)
+    const { bytes, count, problem } = split
+    const isFirst = this._response.newEvents === 0
+    this._response.recordEvents(split)
     if (count > 0) {
-      if (this._attemptEventCount === 0) this._onAttemptBegan()
+      if (isFirst) this._onAttemptBegan()
       this._eventCount += count
-      this._attemptEventCount += count
       if (!this.started) this._exchange.start(this._status, this._headers)
     }
     if (problem !== undefined) {
