--- a/packages/serving/src/attempts/responseRelay.ts
+++ b/packages/serving/src/attempts/responseRelay.ts
@@ -5,50 +5,57 @@
  */
 import type { RouteRecord } from '@plumstage/records'
 import type { CallerExchange } from '../callers/callerExchange.js'
+import type { CallerHead } from '../callers/callerProtocol.js'
+import type { AcceptedRequest } from './acceptedRequest.js'
 import { EventSplitter } from './eventSplitter.js'
+import { StreamResponse } from './streamResponse.js'
+import type { ContinuationSummary } from './streamResponse.js'
 import type { ResponseHeaders, UpstreamProtocol } from './upstreamProtocol.js'
 import { CONTINUE, PAUSE } from './upstreamAttempt.js'
 import type { ReceiveDecision } from './upstreamAttempt.js'
 
-const EVENT_STREAM_TYPE = 'text/event-stream'
-const FIRST_REDIRECT_STATUS = 300
 /** A response up to this size is buffered until it is complete, so that the request can be retried if it breaks off. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024
 
 /** How the response reaches the caller: not known yet, by complete events, in one piece, or as its bytes arrive. */
 type DeliveryMode = 'none' | 'events' | 'buffered' | 'streamed'
 
+/** What the response depends on. */
+export type RelayedRequest = Pick<AcceptedRequest, 'route' | 'generation'> & { head: Pick<CallerHead, 'lastEventId'> }
+
 /** Forwards the response of one request to its caller. */
 export class ResponseRelay {
   private readonly _exchange: CallerExchange
   private readonly _protocol: UpstreamProtocol
   private readonly _route: RouteRecord
+  /** Number of events that the caller had received before this request. */
+  private readonly _earlierEventCount: number
+  /** Each event holds at least one token. */
+  private readonly _maximumEventCount: number
   private readonly _onAttemptBegan: () => void
   private _mode: DeliveryMode = 'none'
   private _status = 0
-  /** Whether the end of the response is only known by the end of its connection. */
-  private _endsWithConnection = false
   private _headers: string[] = []
   private _bufferedChunks: Buffer[] = []
   private _bufferedBytes = 0
   private _splitter: EventSplitter
+  private _response: StreamResponse
   private _eventCount = 0
-  private _attemptEventCount = 0
 
-  private constructor (exchange: CallerExchange, protocol: UpstreamProtocol, route: RouteRecord, lastEventId: number | undefined, onAttemptBegan: () => void) {
+  private constructor (exchange: CallerExchange, protocol: UpstreamProtocol, { route, head, generation }: RelayedRequest, onAttemptBegan: () => void) {
     this._exchange = exchange
     this._protocol = protocol
     this._route = route
-    this._splitter = EventSplitter.create(lastEventId)
+    this._earlierEventCount = head.lastEventId ?? 0
+    this._maximumEventCount = generation?.maximumOutputTokens || Number.POSITIVE_INFINITY
+    this._splitter = EventSplitter.create(head.lastEventId, this._isResumable)
+    this._response = this._createResponse()
     this._onAttemptBegan = onAttemptBegan
   }
 
-  /**
-   * `lastEventId` is the id of the last event that the caller received before this request. `onAttemptBegan` is called
-   * before the first new event of each attempt is forwarded.
-   */
-  static create (exchange: CallerExchange, protocol: UpstreamProtocol, route: RouteRecord, lastEventId: number | undefined, onAttemptBegan: () => void): ResponseRelay {
-    return new ResponseRelay(exchange, protocol, route, lastEventId, onAttemptBegan)
+  /** `onAttemptBegan` is called before the first new event of each attempt is forwarded. */
+  static create (exchange: CallerExchange, protocol: UpstreamProtocol, request: RelayedRequest, onAttemptBegan: () => void): ResponseRelay {
+    return new ResponseRelay(exchange, protocol, request, onAttemptBegan)
   }
 
   /** Whether any part of the response has been sent to the caller. */
@@ -67,29 +74,39 @@
 
   /** Whether the current attempt has brought any new event, or any part of a body that is no stream. */
   get attemptHasBegun (): boolean {
-    return this._attemptEventCount > 0 || this._bufferedBytes > 0
+    return this._response.newEvents > 0 || this._bufferedBytes > 0
+  }
+
+  /** What the current attempt has answered, if it continues a stream. */
+  get continuation (): ContinuationSummary | undefined {
+    return this._route.stream ? this._response.continuation : undefined
   }
 
   get status (): number {
     return this._status
   }
 
+  private get _isResumable (): boolean {
+    return this._route.stream?.resumable === true
+  }
+
   /** Prepares for the response of another attempt; a stream continues after the last complete event. */
   beginAttempt (): void {
-    this._splitter = EventSplitter.create(this._splitter.lastId)
+    this._splitter = EventSplitter.create(this._splitter.lastId, this._isResumable)
+    this._response = this._createResponse()
     this._bufferedChunks = []
     this._bufferedBytes = 0
-    this._attemptEventCount = 0
     if (!this.started) this._mode = 'none'
   }
 
   receiveHead (status: number, headers: ResponseHeaders): ReceiveDecision {
-    this._endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
-    const isStream = this._route.stream !== undefined && status < FIRST_REDIRECT_STATUS && String(headers['content-type'] ?? EVENT_STREAM_TYPE).startsWith(EVENT_STREAM_TYPE)
-    if (this.started) return isStream && this._mode === 'events' ? CONTINUE : { kind: 'fail', failure: 'broken', detail: `the response with status ${status} does not continue the stream` }
+    this._response.recordHead(status, headers)
+    const problem = this._response.findHeadProblem(this.started)
+    if (problem !== undefined) return fail(problem)
+    if (this.started) return this._mode === 'events' ? CONTINUE : fail('a body that is no stream can\'t be continued')
     this._status = status
     this._headers = this._protocol.selectResponseHeaders(headers)
-    this._mode = isStream ? 'events' : 'buffered'
+    this._mode = this._route.stream && this._response.isStream ? 'events' : 'buffered'
     return CONTINUE
   }
 
@@ -106,10 +123,9 @@
 
   receiveEnd (): ReceiveDecision {
     if (this._mode !== 'events') return CONTINUE
-    if (this._splitter.endsInsideEvent) return { kind: 'fail', failure: 'broken', detail: 'the stream ended inside an event' }
-    // When a connection ends, an upstream that crashed before its first event looks like one that had none to send.
-    if (this._endsWithConnection && this._splitter.lastId === undefined && !this.attemptHasBegun) return { kind: 'fail', failure: 'broken', detail: 'the connection ended before the first event' }
-    return CONTINUE
+    if (this._splitter.endsInsideEvent) return fail('the stream ended inside an event')
+    const problem = this._response.findEndProblem()
+    return problem === undefined ? CONTINUE : fail(problem)
   }
 
   /** Ends the response to the caller; the upstream's response is complete. */
@@ -120,18 +136,18 @@
   }
 
   private _receiveEvents (chunk: Buffer, resume: () => void): ReceiveDecision {
-    const { bytes, count, problem } = this._splitter.split(chunk)
-    if (count > 0) {
-      if (this._attemptEventCount === 0) this._onAttemptBegan()
-      this._eventCount += count
-      this._attemptEventCount += count
-      if (!this.started) this._exchange.start(this._status, this._headers)
-    }
+    const split = this._splitter.split(chunk)
+    const { bytes, count, problem } = split
+    const isFirst = this._response.newEvents === 0
+    this._response.recordEvents(split)
+    if (count > 0 && isFirst) this._onAttemptBegan()
+    this._eventCount += count
+    if (bytes.length > 0 && !this.started) this._exchange.start(this._status, this._headers)
     if (problem !== undefined) {
-      if (count > 0) this._exchange.write(bytes)
-      return { kind: 'fail', failure: 'broken', detail: problem }
+      if (bytes.length > 0) this._exchange.write(bytes)
+      return fail(problem)
     }
-    return count > 0 ? this._forward(bytes, resume) : CONTINUE
+    return bytes.length > 0 ? this._forward(bytes, resume) : CONTINUE
   }
 
   private _forward (bytes: Buffer, resume: () => void): ReceiveDecision {
@@ -139,4 +155,16 @@
     this._exchange.onceDrained(resume)
     return PAUSE
   }
+
+  private _createResponse (): StreamResponse {
+    return StreamResponse.create({
+      lastEventId: this._splitter.lastId,
+      isResumable: this._isResumable,
+      isWhole: this._earlierEventCount + this._eventCount >= this._maximumEventCount
+    })
+  }
+}
+
+function fail (detail: string): ReceiveDecision {
+  return { kind: 'fail', failure: 'broken', detail }
 }
