--- a/tests/platform/support/linkProxies.ts
+++ b/tests/platform/support/linkProxies.ts
@@ -11,6 +11,8 @@
 const REDIRECTION = fileURLToPath(new URL('redirectLinks.mjs', import.meta.url))
 /** Last octet of the address that entries of upstreams name, where nothing listens. */
 const COMMON_OCTET = 254
+/** Where upstreams listen. */
+const UPSTREAM_HOST = '127.0.0.1'
 
 /** How the process of a gateway has to be started. */
 export interface GatewayLaunch {
@@ -21,15 +23,13 @@
 
 /**
  * The proxies of gateways with the numbers from 1. Entries name one address of each upstream for all gateways, since
- * gateways pass entries on to each other; each gateway's connections to it are redirected to the gateway's own proxy.
+ * gateways pass entries on to each other; each gateway's connections to it are redirected to the gateway's own proxy, or to
+ * the upstream itself for a gateway without proxies.
  */
 export class LinkProxies {
   /** The proxies of each gateway. */
   private readonly _proxies = new Map<number, LinkProxy[]>()
   private readonly _network = pickLoopbackNetwork()
-  /** Ports of the proxies, by the address of the upstream. */
-  private readonly _ports = new Map<string, number>()
-
   private constructor (gatewayCount: number) {
     for (let gateway = 1; gateway <= gatewayCount; gateway++) this._proxies.set(gateway, [])
   }
@@ -38,25 +38,21 @@
     return new LinkProxies(gatewayCount)
   }
 
-  /** Starts the proxies of an upstream, before its entry is written; all have the same port. */
+  /** Starts the proxies of an upstream, before its entry is written; all have the upstream's port. */
   async addUpstream (address: string): Promise<void> {
-    for (const [gateway, proxies] of this._proxies) {
-      const proxy = await LinkProxy.create(`${this._network}.${gateway}`, address, this._ports.get(address))
-      this._ports.set(address, proxy.port)
-      proxies.push(proxy)
-    }
+    for (const [gateway, proxies] of this._proxies) proxies.push(await LinkProxy.create(`${this._network}.${gateway}`, address, portOf(address)))
   }
 
   /** Returns the address of an upstream that its entry has to name. */
   addressOf (address: string): string {
-    const port = this._ports.get(address)
-    return port === undefined ? address : `${this._commonHost}:${port}`
+    return this._proxies.size === 0 ? address : `${this._commonHost}:${portOf(address)}`
   }
 
   /** Returns how a gateway has to be started. */
   launchOf (gateway: number): GatewayLaunch {
-    if (!this._proxies.has(gateway)) return { arguments: [], environment: {} }
-    return { arguments: ['--import', REDIRECTION], environment: { LINK_COMMON_HOST: this._commonHost, LINK_OWN_HOST: `${this._network}.${gateway}` } }
+    if (this._proxies.size === 0) return { arguments: [], environment: {} }
+    const ownHost = this._proxies.has(gateway) ? `${this._network}.${gateway}` : UPSTREAM_HOST
+    return { arguments: ['--import', REDIRECTION], environment: { LINK_COMMON_HOST: this._commonHost, LINK_OWN_HOST: ownHost } }
   }
 
   /** Sets the mode of the links of some gateways to all upstreams. */
@@ -73,3 +69,7 @@
     return `${this._network}.${COMMON_OCTET}`
   }
 }
+
+function portOf (address: string): number {
+  return Number(address.split(':').at(-1))
+}
--- a/tests/platform/support/platformDeployment.ts
+++ b/tests/platform/support/platformDeployment.ts
@@ -166,14 +166,7 @@
   }
 
   async sendRaw (text: string): Promise<CallerResponse> {
-    const [host, port] = this.gateways[0].callerAddress.split(':')
-    const socket = connect(Number(port), host)
-    const chunks: Buffer[] = []
-    socket.on('data', chunk => chunks.push(chunk))
-    socket.on('error', () => socket.destroy())
-    socket.write(text)
-    await new Promise<void>(resolve => socket.once('close', () => resolve()))
-    return parseResponse(Buffer.concat(chunks).toString('latin1'))
+    return await sendOverNewConnection(this.gateways[0].callerAddress, text)
   }
 
   async stop (): Promise<void> {
@@ -220,7 +213,20 @@
   }
 }
 
-function formatRequest (target: string, { method = 'GET', headers = {}, body = '', id = `request-${Math.random()}` }: RequestFields): string {
+/** Sends the text of a request over a new connection to an address and reads until that is closed. */
+export async function sendOverNewConnection (address: string, text: string): Promise<CallerResponse> {
+  const [host, port] = address.split(':')
+  const socket = connect(Number(port), host)
+  const chunks: Buffer[] = []
+  socket.on('data', chunk => chunks.push(chunk))
+  socket.on('error', () => socket.destroy())
+  socket.write(text)
+  await new Promise<void>(resolve => socket.once('close', () => resolve()))
+  return parseResponse(Buffer.concat(chunks).toString('latin1'))
+}
+
+/** Formats a request, after whose response the connection is closed. */
+export function formatRequest (target: string, { method = 'GET', headers = {}, body = '', id = `request-${Math.random()}` }: RequestFields): string {
   const fields = { Host: HOST, 'Plumstage-Attempt-Id': id, Authorization: `Bearer ${TOKEN}`, Connection: 'close', 'Content-Length': String(body.length), ...headers }
   const lines = Object.entries(fields).filter(([, value]) => value !== '')
   return `${method} ${target} HTTP/1.1\r\n${lines.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n${body}`
--- a/tests/platform/support/processDeployment.ts
+++ b/tests/platform/support/processDeployment.ts
@@ -22,6 +22,8 @@
   settings?: object
   /** Whether each gateway reaches each upstream through a proxy of its own, whose mode can be set. */
   hasLinkProxies?: boolean
+  /** Number of gateways, from the first one on, that have these proxies; all unless it is stated. */
+  proxiedGatewayCount?: number
   /** Whether gateways can be cut off from the others, by `togglePeers`. */
   hasPeerGates?: boolean
 }
@@ -43,8 +45,8 @@
    * Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. The
    * first gateway has an address of the store of its own, so that it can be cut off.
    */
-  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false, hasPeerGates = false, settings = {} }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
-    const deployment = new ProcessDeployment(await StoreStandin.create(), LinkProxies.create(hasLinkProxies ? gatewayCount : 0))
+  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false, proxiedGatewayCount = gatewayCount, hasPeerGates = false, settings = {} }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
+    const deployment = new ProcessDeployment(await StoreStandin.create(), LinkProxies.create(hasLinkProxies ? proxiedGatewayCount : 0))
     deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES }))
     for (const fields of entries) await deployment.addUpstream(fields)
     const firstAddress = await deployment.store.openSecondAddress()
