Report when the revision of the store falls without a new era

Cause: two explanations of late configuration could not be told apart by logs: that the store's revision had gone back, and that a change was never read. Nothing compared the revisions that the store answers with.

Change: the event store-revision-fell, and a warning, when an answer to a call that was sent after another answer shows a lower revision in the same era, or with none stated. Nothing is decided by it.

--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -64,6 +64,8 @@
   private _failingSince: Timestamp | undefined
   /** All changes up to this position were applied; undefined when a snapshot has to be read first. */
   private _position: StorePosition | undefined
+  /** Position that the store stated last. */
+  private _statedPosition: StorePosition | undefined
   private _snapshotReason: SnapshotReason = 'start'
   /** Whether the store's return has just been noticed, and no snapshot was tried since. */
   private _hasJustReturned = false
@@ -112,6 +114,7 @@
     if (snapshot.isErr()) return this._recordFailure(snapshot.error)
     const { era, revision, entries } = snapshot.value
     this._position = { era, revision }
+    this._notePosition({ era, revision })
     this._recordSuccess(era)
     instrumentation.emit('store-snapshot-read', { reason: this._snapshotReason, era, revision, entries: entries.length })
     this._options.onChange(view.applyStoreSnapshot(snapshot.value, clock.now()))
@@ -127,6 +130,7 @@
       if (era !== position.era) return this._requireSnapshot('restored')
       this._recordSuccess(era)
       this._position = { era, revision }
+      this._notePosition({ era, revision })
       if (changes.length > 0) this._apply(batch.value)
       applied.advance({ era, revision })
       if (changes.length === 0) continue
@@ -134,6 +138,15 @@
     }
   }
 
+  /** Each call is sent after the answer to the one before, so a lower revision is no late answer. */
+  private _notePosition (position: StorePosition): void {
+    const last = this._statedPosition
+    this._statedPosition = position
+    if (last?.era !== position.era || position.revision >= last.revision) return
+    this._options.instrumentation.emit('store-revision-fell', { era: position.era, lastRevision: last.revision, revision: position.revision })
+    this._log.warn(`The store's revision has fallen from ${last.revision} to ${position.revision} within era ${position.era}. It may have come back from a copy; check its state.`)
+  }
+
   private _apply (batch: KeyValueWatchBatch): void {
     const { view, clock } = this._options
     this._options.onChange(view.applyStoreChanges(batch, clock.now()))
