Show late and reverted configuration after returns that the store does not state

Cause: positions of a store that states no era are all of era 0, so after a return from a copy what it gives out again counts as older, or is never read.

Change: tests with gateways as processes, and with the task of one gateway without network.

--- a/tests/platform/support/processDeployment.ts
+++ b/tests/platform/support/processDeployment.ts
@@ -24,6 +24,8 @@
   hasLinkProxies?: boolean
   /** Whether gateways can be cut off from the others, by `togglePeers`. */
   hasPeerGates?: boolean
+  /** Whether the responses of the store state its era; they do by default. */
+  storeStatesEra?: boolean
 }
 
 /** A running deployment; `stop` ends it. */
@@ -43,8 +45,9 @@
    * Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. The
    * first gateway has an address of the store of its own, so that it can be cut off.
    */
-  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false, hasPeerGates = false, settings = {} }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
+  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false, hasPeerGates = false, storeStatesEra = true, settings = {} }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
     const deployment = new ProcessDeployment(await StoreStandin.create(), LinkProxies.create(hasLinkProxies ? gatewayCount : 0))
+    if (!storeStatesEra) deployment.store.era = undefined
     deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES }))
     for (const fields of entries) await deployment.addUpstream(fields)
     const firstAddress = await deployment.store.openSecondAddress()
--- a/tests/platform/support/routeOperator.ts
+++ b/tests/platform/support/routeOperator.ts
@@ -68,6 +68,11 @@
     this._writesUntil = 0
   }
 
+  /** Writes the next version at once. */
+  writeNext (): void {
+    this._write(++this._version)
+  }
+
   /** Writes the newest version again, as the operator does after a return of the store. */
   writeAgain (): void {
     this._write(this._version)
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -156,6 +156,11 @@
     this._closeAllConnections()
   }
 
+  /** Cuts all connections, and loses nothing. */
+  cutConnections (): void {
+    this._closeAllConnections()
+  }
+
   /** Opens another address of the same store, for one gateway. */
   async openSecondAddress (): Promise<string> {
     const server = this._createServer()
