Notice that a store which states no era has come back from a copy

What callers saw: routes of confirmed versions got 404 at gateways that had been running, for as long as the store's revision was below the one remembered, or until the next version; a version that was written again replaced a later one.

Cause: a position of a store that states no era says nothing of its history. Positions were compared as if the revisions of one history were compared, so what the store gave out again counted as older; and a watch went on from a revision that the store had passed again, so what was written below it was never read.

Change: each call that follows the store is sent after the answer to the one before, so an answer with a lower revision than was known then shows a return; a slow answer can't be taken for one. After an interruption the watch begins at the newest change that was read, and that change has to be there: this needs no further call, and proves that nothing before it was lost. Configurations of a store without an era are ordered by version, then by revision. No era is made up, so nothing changes between gateways; stated eras work as before.

The event store-revision-fell is replaced by store-return-inferred, which names the evidence.

Why it works: the newest known change is the one that any return which loses something known has lost.

--- a/packages/serving/src/deployment/configurationInForce.ts
+++ b/packages/serving/src/deployment/configurationInForce.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { getLogger } from '@plumstage/common'
+import { UNKNOWN_ERA } from '@plumstage/coordination'
 import type { Configuration } from '@plumstage/records'
 import { supersedes } from './configurationPosition.js'
 import type { ConfigurationPosition } from './configurationPosition.js'
@@ -68,7 +69,7 @@
   offer (entry: StoredEntry): AdoptionOutcome {
     const { era, revision } = entry
     const current = this.position
-    if (current?.era === era && revision <= current.revision) return this._ignoreOlder(entry, { era, revision })
+    if (current?.era === era && revision <= current.revision && this._isOrderedByRevision(entry)) return this._ignoreOlder(entry, { era, revision })
     const decoded = this._decoder.decodeConfiguration(entry.value, revision)
     if (decoded.isErr()) {
       this._log.error(`The configuration at revision ${revision} is ignored: ${decoded.error.message}`)
@@ -81,6 +82,11 @@
     return { kind: 'adopted' }
   }
 
+  /** Whether a configuration can be compared with the one in force without decoding it. */
+  private _isOrderedByRevision ({ era, value }: StoredEntry): boolean {
+    return era !== UNKNOWN_ERA || value === this.entry?.value
+  }
+
   private _ignoreOlder ({ value }: StoredEntry, position: ConfigurationPosition): AdoptionOutcome {
     if (value === this.entry?.value) return { kind: 'known' }
     return { kind: 'ignored', ignored: { reason: 'older', ...position } }
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -8,6 +8,8 @@
 import type { KeyValueChange, KeyValueEntry, KeyValueError, KeyValueService, KeyValueWatchBatch, StorePosition } from '@plumstage/coordination'
 import type { AppliedPosition } from './appliedPosition.js'
 import type { DeploymentView, ViewChange } from './deploymentView.js'
+import { FollowedHistory } from './followedHistory.js'
+import type { InferredReturn } from './followedHistory.js'
 
 const RETRY_MILLISECONDS = 250
 /** Time for the store to respond to a watch when there is a change. */
@@ -64,8 +66,7 @@
   private _failingSince: Timestamp | undefined
   /** All changes up to this position were applied; undefined when a snapshot has to be read first. */
   private _position: StorePosition | undefined
-  /** Position that the store stated last. */
-  private _statedPosition: StorePosition | undefined
+  private readonly _history = FollowedHistory.create()
   private _snapshotReason: SnapshotReason = 'start'
   /** Whether the store's return has just been noticed, and no snapshot was tried since. */
   private _hasJustReturned = false
@@ -109,42 +110,42 @@
   private async _readSnapshot (context: CallContext): Promise<void> {
     const { store, view, clock, instrumentation, applied } = this._options
     const callContext = context.createChild(clock.now() + SNAPSHOT_TIMEOUT_MILLISECONDS)
+    this._history.recordCall(view.upstreamsPosition)
     const snapshot = await store.list(callContext, ALL_KEYS)
     callContext.finish()
     if (snapshot.isErr()) return this._recordFailure(snapshot.error)
     const { era, revision, entries } = snapshot.value
+    const inferred = this._history.recordSnapshot(snapshot.value)
     this._position = { era, revision }
-    this._notePosition({ era, revision })
     this._recordSuccess(era)
-    instrumentation.emit('store-snapshot-read', { reason: this._snapshotReason, era, revision, entries: entries.length })
-    this._options.onChange(view.applyStoreSnapshot(snapshot.value, clock.now()))
+    instrumentation.emit('store-snapshot-read', { reason: inferred ? 'restored' : this._snapshotReason, era, revision, entries: entries.length })
+    if (inferred) this._reportReturn(inferred)
+    this._options.onChange(view.applyStoreSnapshot(snapshot.value, clock.now(), inferred !== undefined))
     this._notify(observer => observer.onSnapshot(entries, { era, revision }))
     applied.advance({ era, revision })
   }
 
   private async _watch (context: CallContext, position: StorePosition): Promise<void> {
-    const { store, clock, applied } = this._options
-    for await (const batch of store.watch(context, ALL_KEYS, { era: position.era, revision: position.revision + 1 })) {
+    const { store, view, clock, applied } = this._options
+    const firstRevision = this._history.recordCall(view.upstreamsPosition)
+    for await (const batch of store.watch(context, ALL_KEYS, { era: position.era, revision: firstRevision })) {
       if (batch.isErr()) return this._handleWatchError(batch.error)
-      const { era, revision, changes } = batch.value
+      const { era, revision } = batch.value
       if (era !== position.era) return this._requireSnapshot('restored')
       this._recordSuccess(era)
+      const news = this._history.recordBatch(batch.value)
+      if (!news) return this._requireSnapshot('restored')
       this._position = { era, revision }
-      this._notePosition({ era, revision })
-      if (changes.length > 0) this._apply(batch.value)
+      if (news.changes.length > 0) this._apply(news)
       applied.advance({ era, revision })
-      if (changes.length === 0) continue
+      if (news.changes.length === 0) continue
       await context.sleepUntil(clock.now() + this._batchDelayMilliseconds)
     }
   }
 
-  /** Each call is sent after the answer to the one before, so a lower revision is no late answer. */
-  private _notePosition (position: StorePosition): void {
-    const last = this._statedPosition
-    this._statedPosition = position
-    if (last?.era !== position.era || position.revision >= last.revision) return
-    this._options.instrumentation.emit('store-revision-fell', { era: position.era, lastRevision: last.revision, revision: position.revision })
-    this._log.warn(`The store's revision has fallen from ${last.revision} to ${position.revision} within era ${position.era}. It may have come back from a copy; check its state.`)
+  private _reportReturn ({ evidence, known, answered }: InferredReturn): void {
+    this._options.instrumentation.emit('store-return-inferred', { evidence, era: answered.era, knownRevision: known.revision, revision: answered.revision })
+    this._log.warn(`The store has come back from a copy without stating it: revision ${known.revision} was known, and it answered with ${answered.revision}. All entries were read again.`)
   }
 
   private _apply (batch: KeyValueWatchBatch): void {
@@ -161,7 +162,12 @@
 
   private _handleWatchError (error: KeyValueError): void {
     if (error.kind === 'compacted' || error.kind === 'restored') this._requireSnapshot(error.kind)
-    else this._recordFailure(error)
+    else this._recordInterruption(error)
+  }
+
+  private _recordInterruption (error: KeyValueError): void {
+    this._history.recordInterruption()
+    this._recordFailure(error)
   }
 
   private _requireSnapshot (reason: SnapshotReason): void {
--- a/packages/serving/src/deployment/deploymentView.ts
+++ b/packages/serving/src/deployment/deploymentView.ts
@@ -82,14 +82,14 @@
     this._upstreams.recordStoreRecovery(now)
   }
 
-  /** Applies all entries of the store. */
-  applyStoreSnapshot (snapshot: KeyValueSnapshot, now: Timestamp): ViewChange {
+  /** Applies all entries of the store; `isReturn` states that it has come back from a copy since the last ones, within the same era. */
+  applyStoreSnapshot (snapshot: KeyValueSnapshot, now: Timestamp, isReturn = false): ViewChange {
     const era = this._eraOf(snapshot)
     const entries = snapshot.entries.map(entry => toStoredEntry(entry, era))
     const change: ViewChange = { configuration: false, upstreams: false }
     for (const entry of entries) if (this._kindOf(entry.key) === 'configuration') this._offerConfiguration(entry, change)
     const upstreams = entries.filter(entry => this._kindOf(entry.key) === 'upstream')
-    change.upstreams = this._upstreams.applySnapshot({ era, revision: snapshot.revision, entries: upstreams }, now)
+    change.upstreams = this._upstreams.applySnapshot({ era, revision: snapshot.revision, entries: upstreams }, now, isReturn)
     return change
   }
 
--- a/packages/serving/src/deployment/upstreamList.ts
+++ b/packages/serving/src/deployment/upstreamList.ts
@@ -76,10 +76,13 @@
     this._caughtUpSinceRecovery = false
   }
 
-  /** Applies all entries of the store at a position; returns whether the list has changed. */
-  applySnapshot (snapshot: UpstreamSnapshot, now: Timestamp): boolean {
+  /**
+   * Applies all entries of the store at a position; returns whether the list has changed. `isReturn` states that the store
+   * has come back from a copy without a new era.
+   */
+  applySnapshot (snapshot: UpstreamSnapshot, now: Timestamp, isReturn = false): boolean {
     if (snapshot.era < this._position.era) return false
-    const changed = this._isReturn(snapshot) ? this._beginEra(snapshot, now) : this._replaceWithin(snapshot, now)
+    const changed = isReturn || this._isReturn(snapshot) ? this._beginEra(snapshot, now) : this._replaceWithin(snapshot, now)
     this._caughtUpSinceRecovery = true
     return changed
   }
@@ -172,7 +175,7 @@
   }
 
   /**
-   * Applies the first snapshot of a new era, which may be older than the list. Entries that are missing are retained
+   * Applies the first snapshot after a return of the store, which may be older than the list. Entries that are missing are retained
    * until their upstreams had time to write them again; what is known of leaving and departed upstreams stays so.
    */
   private _beginEra (snapshot: UpstreamSnapshot, now: Timestamp): boolean {
@@ -180,6 +183,7 @@
     const keys = new Set(snapshot.entries.map(entry => entry.key))
     for (const key of [...this._known.keys()]) if (!keys.has(key)) this._drop(key, now)
     this._position = { era: snapshot.era, revision: 0 }
+    this._peerPosition = START_POSITION
     for (const entry of snapshot.entries) this._setInNewEra(entry, now)
     this._caughtUpSinceRecovery = true
     return true
--- a/tests/platform/unstatedReturns.spec.ts
+++ b/tests/platform/unstatedReturns.spec.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { knownRed } from '../support/knownRed.js'
 import { wait } from '../support/wait.js'
 import { ProcessDeployment } from './support/processDeployment.js'
 import { RouteOperator } from './support/routeOperator.js'
@@ -47,9 +46,8 @@
     assert.deepEqual({ late, reverted }, { late: 0, reverted: 0 }, details.join('\n'))
   }
 
-  const once = 'CONFIG: confirmed versions are in force in time after a store without an era comes back from a copy'
   // Guards against: versions written after the return are ignored because the store's revisions have gone back.
-  it(once, knownRed(once), async () => {
+  it('CONFIG: confirmed versions are in force in time after a store without an era comes back from a copy', async () => {
     const run = operator.run(16_000)
     await wait(1500)
     await returnFromCopy()
@@ -57,9 +55,8 @@
     assertInForce()
   })
 
-  const killed = 'CONFIG: confirmed versions are in force in time after a store without an era comes back while gateways are killed'
   // Guards against: gateways that follow the store's new history are taken back by those that remember higher revisions.
-  it(killed, knownRed(killed), async () => {
+  it('CONFIG: confirmed versions are in force in time after a store without an era comes back while gateways are killed', async () => {
     const run = operator.run(18_000)
     await wait(1500)
     await returnFromCopy(async () => {
@@ -70,9 +67,8 @@
     assertInForce()
   })
 
-  const passed = 'CONFIG: a version is in force in time although a store without an era gave out its revision before'
   // Guards against: a gateway watches on from a revision that the store has passed again, and never reads what it gave out again.
-  it(passed, knownRed(passed), async () => {
+  it('CONFIG: a version is in force in time although a store without an era gave out its revision before', async () => {
     const run = operator.run(14_000)
     await wait(1500)
     operator.pauseWriting()
@@ -88,9 +84,8 @@
     assertInForce()
   })
 
-  const cut = 'CONFIG: cut connections to a store without an era cause neither snapshots nor reverts'
   // Guards against: a harmless interruption is taken for a return, and all gateways read all entries over and over.
-  it(cut, knownRed(cut), async () => {
+  it('CONFIG: cut connections to a store without an era cause neither snapshots nor reverts', async () => {
     const run = operator.run(CUTS * CUT_INTERVAL_MILLISECONDS + 3000)
     for (let count = 0; count < CUTS; count++) {
       await wait(CUT_INTERVAL_MILLISECONDS)
--- a/tests/serving/unstatedReturns.spec.ts
+++ b/tests/serving/unstatedReturns.spec.ts
@@ -8,7 +8,6 @@
 import { Configuration } from '@plumstage/records'
 import { AppliedPosition, DeploymentTask, DeploymentView } from '@plumstage/serving'
 import type { DeploymentDecoder } from '@plumstage/serving'
-import { knownRed } from '../support/knownRed.js'
 
 setLogLevel('silent')
 
@@ -61,7 +60,7 @@
     return ok({ era: ERA, revision: this.revision, entries: [...entries.values()] })
   }
 
-  async * watch (context: CallContext, prefix: string, start: StorePosition): AsyncGenerator<Result<KeyValueWatchBatch, KeyValueError>> {
+  async * watch (context: CallContext, _prefix: string, start: StorePosition): AsyncGenerator<Result<KeyValueWatchBatch, KeyValueError>> {
     const cuts = this._cuts
     let after = start.revision - 1
     while (!context.cancelled) {
@@ -141,9 +140,8 @@
 }
 
 describe('following a store that states no era', () => {
-  const fallen = 'CONFIG: a version written after an unstated return is in force at a lower revision'
   // Guards against: versions and upstreams' states written after the return are ignored because the revisions have gone back.
-  it(fallen, knownRed(fallen), async () => {
+  it('CONFIG: a version written after an unstated return is in force at a lower revision', async () => {
     const { store, view, settle, copied, stop } = await createFollower()
     store.restore(copied)
     await settle()
@@ -156,9 +154,8 @@
     assert.equal(stateOf(view, 'a'), 'leaving')
   })
 
-  const passed = 'CONFIG: what is written under revisions that were given out again is read after an interruption'
   // Guards against: a watch goes on from a revision that the store has passed again, and what was written before it is never read.
-  it(passed, knownRed(passed), async () => {
+  it('CONFIG: what is written under revisions that were given out again is read after an interruption', async () => {
     const { store, view, settle, copied, stop } = await createFollower()
     const known = store.revision
     store.restore(copied)
@@ -171,9 +168,8 @@
     assert.equal(stateOf(view, 'a'), 'leaving')
   })
 
-  const lowered = 'CONFIG: versions that are written again in order after an unstated return do not revert the one in force'
   // Guards against: a lost version that is written again at a higher revision replaces a later one that is in force.
-  it(lowered, knownRed(lowered), async () => {
+  it('CONFIG: versions that are written again in order after an unstated return do not revert the one in force', async () => {
     const { store, view, settle, copied, stop } = await createFollower()
     store.restore(copied)
     await settle()
@@ -184,9 +180,8 @@
     assert.equal(view.configurationPosition?.version, 12)
   })
 
-  const cut = 'CONFIG: interrupted watches are continued without a snapshot while nothing was lost'
   // Guards against: a harmless interruption is taken for a return, and all entries are read over and over.
-  it(cut, knownRed(cut), async () => {
+  it('CONFIG: interrupted watches are continued without a snapshot while nothing was lost', async () => {
     const { store, view, settle, stop } = await createFollower()
     for (let round = 0; round < 6; round++) {
       store.cut()
