Show a gateway that takes the list of a peer with a lost history

Cause: a peer that is cut off while a store without an era comes back remembers higher revisions, and counts as ahead.

--- a/tests/platform/unstatedReturns.spec.ts
+++ b/tests/platform/unstatedReturns.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
+import { knownRed } from '../support/knownRed.js'
 import { wait } from '../support/wait.js'
 import { ProcessDeployment } from './support/processDeployment.js'
 import { RouteOperator } from './support/routeOperator.js'
@@ -84,6 +85,23 @@
     assertInForce()
   })
 
+  const behind = 'DRAIN: leaving upstreams are known although a peer that is cut off remembers higher revisions of a store without an era'
+  // Guards against: a gateway that follows the store's new history takes the list of a peer that remembers the lost one.
+  it(behind, knownRed(behind), async () => {
+    const { store, gateways, upstreams } = deployment
+    const copy = store.copy()
+    putOthers(LOST_CHANGES)
+    await deployment.addUpstream({})
+    await wait(2000)
+    store.cutSecondAddresses(true)
+    store.restore(copy)
+    await wait(3000)
+    deployment.putEntry(upstreams[0], { state: 'draining' })
+    await wait(3000)
+    const leaving = gateways.numbers.slice(1).map(number => gateways.listEvents(number, 'upstreams-applied').at(-1)?.attributes?.leaving)
+    assert.deepEqual(leaving, [1, 1, 1])
+  })
+
   // Guards against: a harmless interruption is taken for a return, and all gateways read all entries over and over.
   it('CONFIG: cut connections to a store without an era cause neither snapshots nor reverts', async () => {
     const run = operator.run(CUTS * CUT_INTERVAL_MILLISECONDS + 3000)
