Don't infer a version of streams from a history that the store has lost

What callers could see: a stream that goes on at a version that did not begin it (ORDER), as in docs/incidents/out-of-step.md.

Cause: a gateway that had applied a higher revision than the store answered with counted as caught up. That also holds before it notices that a store without an era has come back from a copy.

Change: it has not caught up if the store, asked after a position was applied, answers with an earlier one; the request is rejected with a delay, as when the store does not answer.

No test with processes was written for it.

--- a/packages/serving/src/deployment/appliedPosition.ts
+++ b/packages/serving/src/deployment/appliedPosition.ts
@@ -16,6 +16,11 @@
     return new AppliedPosition()
   }
 
+  /** All changes up to this position were applied; undefined before any was. */
+  get position (): StorePosition | undefined {
+    return this._position
+  }
+
   /** Records that all changes up to a position were applied. */
   advance (position: StorePosition): void {
     this._position = position
--- a/packages/serving/src/deployment/storeCatchUp.ts
+++ b/packages/serving/src/deployment/storeCatchUp.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
+import { isLater } from '@plumstage/coordination'
 import type { KeyValueService } from '@plumstage/coordination'
 import type { AppliedPosition } from './appliedPosition.js'
 
@@ -42,7 +43,10 @@
     return new StoreCatchUp(options)
   }
 
-  /** Returns whether all changes that the store had accepted before this call were applied; false if that is not known in time. */
+  /**
+   * Returns whether all changes that the store had accepted before this call were applied; false if that is not known in
+   * time, or if the store has come back from a copy and this gateway has not noticed it yet.
+   */
   async confirm (): Promise<boolean> {
     this._waiting ??= this._checkNext()
     return await this._waiting
@@ -63,8 +67,9 @@
     const { store, key, applied, context, clock, instrumentation } = this._options
     const startedAt = clock.now()
     const checkContext = context.createChild(startedAt + CHECK_TIMEOUT_MILLISECONDS)
+    const known = applied.position
     const listed = await store.list(checkContext, key)
-    const hasCaughtUp = listed.isOk() && await applied.reaches(listed.value, checkContext)
+    const hasCaughtUp = listed.isOk() && !(known && isLater(known, listed.value)) && await applied.reaches(listed.value, checkContext)
     checkContext.finish()
     instrumentation.emit('store-catch-up-checked', { hasCaughtUp, hasAnswered: listed.isOk(), milliseconds: Math.round(clock.now() - startedAt) })
     return hasCaughtUp
--- a/tests/serving/storeCatchUp.spec.ts
+++ b/tests/serving/storeCatchUp.spec.ts
@@ -94,6 +94,27 @@
     assert.equal(await confirmed, false)
   })
 
+  // Guards against: a gateway that has not noticed a return of the store infers a version from what the store has lost.
+  it('is not confirmed when the store answers with a lower revision than was applied before the question', async () => {
+    const { store, applied, catchUp, advance } = create()
+    applied.advance({ era: 1, revision: 9 })
+    const confirmed = catchUp.confirm()
+    await advance(0)
+    store.answer()
+    await advance(10)
+    assert.equal(await confirmed, false)
+  })
+
+  it('is confirmed when later changes were applied while the store answered', async () => {
+    const { store, applied, catchUp, advance } = create()
+    applied.advance({ era: 1, revision: 5 })
+    const confirmed = catchUp.confirm()
+    await advance(0)
+    applied.advance({ era: 1, revision: 9 })
+    store.answer()
+    assert.equal(await confirmed, true)
+  })
+
   it('takes one call for all who ask before it is sent, and a new one for those who ask later', async () => {
     const { store, applied, catchUp, advance } = create()
     applied.advance({ era: 1, revision: 5 })
