End leases that a store without an era may have given out again

What could happen: a gateway renews a lease that another one was granted after the return, and goes on as registered, or as the holder of the cloud duty, beside the other one.

Cause: the id of a lease includes the era, which is the same before and after a return that the store does not state.

Registrations and duties are acquired again with the next renewal.

No run with two holders of a duty was made.

--- a/packages/coordination/src/keyValue/etcdKeyValueService.ts
+++ b/packages/coordination/src/keyValue/etcdKeyValueService.ts
@@ -111,6 +111,9 @@
     })
   }
 
+  /** The ids of etcd's leases are random and not given out again: one that was lost is reported as ended. */
+  invalidateLeases (): void {}
+
   private get _endpoint (): EtcdEndpoint {
     return this._endpoints[this._endpointIndex % this._endpoints.length]
   }
--- a/packages/coordination/src/keyValue/keyValueService.ts
+++ b/packages/coordination/src/keyValue/keyValueService.ts
@@ -103,4 +103,6 @@
   /** Renews a lease; undefined if it has expired. */
   keepLeaseAlive (context: CallContext, lease: bigint): Promise<Result<KeyValueLease | undefined, KeyValueError>>
   revokeLease (context: CallContext, lease: bigint): Promise<Result<void, KeyValueError>>
+  /** Ends all leases that were granted to this gateway, as far as it is concerned: the service has come back from a copy without stating it. */
+  invalidateLeases (): void
 }
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -145,6 +145,7 @@
 
   private _reportReturn ({ evidence, known, answered }: InferredReturn): void {
     this._options.instrumentation.emit('store-return-inferred', { evidence, era: answered.era, knownRevision: known.revision, revision: answered.revision })
+    this._options.store.invalidateLeases()
     this._log.warn(`The store has come back from a copy without stating it: revision ${known.revision} was known, and it answered with ${answered.revision}. All entries were read again.`)
   }
 
--- a/scenarios/simulation/virtualKeyValueService.ts
+++ b/scenarios/simulation/virtualKeyValueService.ts
@@ -150,6 +150,9 @@
     return await this._request(context, 'write', () => { this._server.store.revokeLease(lease) })
   }
 
+  /** The store of the simulation does not come back from copies. */
+  invalidateLeases (): void {}
+
   /** Sends a request. It takes effect after the delay and half the latency, even if it is cancelled in the meantime. */
   private async _request<Value> (context: CallContext, effect: 'read' | 'write', action: () => Value): Promise<Result<Value, KeyValueError>> {
     const server = this._server
--- a/tests/platform/storeAdapter.spec.ts
+++ b/tests/platform/storeAdapter.spec.ts
@@ -137,6 +137,22 @@
     assert.equal(standin.read('a'), undefined)
   })
 
+  // Guards against: after an unstated return, a gateway renews a lease that belongs to another one, and goes on as its holder.
+  it('CONFIG: leases from before a return that the store did not state have ended, also when their numbers were given out again', async () => {
+    standin.era = undefined
+    const copy = standin.copy()
+    const lost = (await store.grantLease(context, 3))._unsafeUnwrap()
+    standin.restore(copy)
+    await StoreAdapter.create(standin.address, clock).grantLease(context, 3)
+    store.invalidateLeases()
+    assert.equal((await store.keepLeaseAlive(context, lost.id))._unsafeUnwrap(), undefined)
+    const written = await store.transact(context, { conditions: [], onSuccess: [{ kind: 'put', key: 'a', value: '1', lease: lost.id }], onFailure: [] })
+    assert.equal(written.isErr(), true)
+    assert.equal(standin.read('a'), undefined)
+    const granted = (await store.grantLease(context, 3))._unsafeUnwrap()
+    assert.ok((await store.keepLeaseAlive(context, granted.id))._unsafeUnwrap())
+  })
+
   it('reads on when the era is missing, can\'t be read or falls', async () => {
     await store.list(context, '')
     for (const era of [undefined, 'old', '-3', '1.5', '99999999999', '0']) {
--- a/tests/serving/unstatedReturns.spec.ts
+++ b/tests/serving/unstatedReturns.spec.ts
@@ -24,6 +24,7 @@
 class HistoryStore {
   revision = 0
   lists = 0
+  leaseInvalidations = 0
   /** Whether a watch from a revision that was not given out yet is refused; it waits otherwise. */
   refusesLaterWatches = true
   private _changes: KeyValueChange[] = []
@@ -45,6 +46,10 @@
     this.cut()
   }
 
+  invalidateLeases (): void {
+    this.leaseInvalidations++
+  }
+
   cut (): void {
     this._cuts++
     this._wake()
@@ -146,6 +151,7 @@
     store.restore(copied)
     await settle()
     assert.equal(view.configurationPosition?.version, 12, 'the copy holds an older version')
+    assert.equal(store.leaseInvalidations, 1)
     store.put('a', 'leaving')
     store.put('configuration', '13')
     await settle()
@@ -194,6 +200,7 @@
     }
     stop()
     assert.equal(store.lists, 1)
+    assert.equal(store.leaseInvalidations, 0)
     assert.equal(view.configurationPosition?.version, 23)
     assert.equal(stateOf(view, 'b'), 'ready')
   })
