--- a/tests/platform/support/processDeployment.ts
+++ b/tests/platform/support/processDeployment.ts
@@ -20,6 +20,8 @@
 export interface ProcessDeploymentOptions {
   /** Fields that replace those of the gateways' settings. */
   settings?: object
+  /** Fields that replace those of the configuration. */
+  configuration?: Parameters<typeof formatConfiguration>[0]
   /** Whether each gateway reaches each upstream through a proxy of its own, whose mode can be set. */
   hasLinkProxies?: boolean
   /** Number of gateways, from the first one on, that have these proxies; all unless it is stated. */
@@ -45,9 +47,9 @@
    * Starts the gateways and one upstream for each of the entries, whose fields replace those of an ordinary entry. The
    * first gateway has an address of the store of its own, so that it can be cut off.
    */
-  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false, proxiedGatewayCount = gatewayCount, hasPeerGates = false, settings = {} }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
+  static async create (gatewayCount: number, entries: ReadonlyArray<Record<string, unknown>>, { hasLinkProxies = false, proxiedGatewayCount = gatewayCount, hasPeerGates = false, settings = {}, configuration = {} }: ProcessDeploymentOptions = {}): Promise<ProcessDeployment> {
     const deployment = new ProcessDeployment(await StoreStandin.create(), LinkProxies.create(hasLinkProxies ? proxiedGatewayCount : 0))
-    deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES }))
+    deployment.store.put('op/config', formatConfiguration({ tenants: WORKSPACES, ...configuration }))
     for (const fields of entries) await deployment.addUpstream(fields)
     const firstAddress = await deployment.store.openSecondAddress()
     deployment.gateways = await GatewayProcesses.create(number => number === 1 ? firstAddress : deployment.store.address, gatewayCount, settings, number => withPeerGate(deployment.links.launchOf(number), hasPeerGates))
