--- a/tests/platform/storeAdapter.spec.ts
+++ b/tests/platform/storeAdapter.spec.ts
@@ -4,9 +4,12 @@
 import type { KeyValueChange } from '@plumstage/coordination'
 import { StoreAdapter } from '@plumstage/platform'
 import { knownRed } from '../support/knownRed.js'
+import { wait } from '../support/wait.js'
 import { StoreStandin } from './support/storeStandin.js'
 
 const CALL_MILLISECONDS = 300
+/** Until a connection that was cut is known to have ended. */
+const CUT_MILLISECONDS = 100
 
 describe('store adapter', () => {
   const clock = MonotonicClock.create()
@@ -112,6 +115,21 @@
     assert.equal(ended.done === true ? undefined : ended.value._unsafeUnwrapErr().kind, 'restored')
   })
 
+  // Guards against: the store comes back from a copy and passes the known revision between two calls, of which none fails.
+  it('CONFIG: ends a watch of a store without an era when connections have ended between two of its calls', async () => {
+    standin.era = undefined
+    const { revision } = (await store.list(context, ''))._unsafeUnwrap()
+    const watch = store.watch(context, '', { era: 0, revision: revision + 1 })[Symbol.asyncIterator]()
+    standin.put('a', '1')
+    assert.equal((await watch.next()).value._unsafeUnwrap().changes.length, 1)
+    standin.put('a', '2')
+    assert.equal((await watch.next()).value._unsafeUnwrap().changes.length, 1, 'nothing was interrupted')
+    standin.cutConnections()
+    await wait(CUT_MILLISECONDS)
+    standin.put('a', '3')
+    assert.equal((await watch.next()).value._unsafeUnwrapErr().kind, 'ambiguous')
+  })
+
   it('does not watch from a position of an earlier era, although its revision exists again', async () => {
     const copy = standin.copy()
     standin.put('a', '1')
--- a/tests/serving/unstatedReturns.spec.ts
+++ b/tests/serving/unstatedReturns.spec.ts
@@ -29,6 +29,7 @@
   refusesLaterWatches = true
   private _changes: KeyValueChange[] = []
   private _cuts = 0
+  private _endedWaits = 0
   private readonly _waiting = new Set<() => void>()
 
   put (key: string, value: string): void {
@@ -39,11 +40,11 @@
     this._append({ kind: 'delete', key, modRevision: this.revision + 1 })
   }
 
-  /** Comes back from a copy as it was at a revision. */
-  restore (revision: number): void {
+  /** Comes back from a copy as it was at a revision; connections are lost unless `keepsConnections` is set. */
+  restore (revision: number, keepsConnections = false): void {
     this._changes = this._changes.slice(0, revision)
     this.revision = revision
-    this.cut()
+    if (!keepsConnections) this.cut()
   }
 
   invalidateLeases (): void {
@@ -67,20 +68,28 @@
 
   async * watch (context: CallContext, _prefix: string, start: StorePosition): AsyncGenerator<Result<KeyValueWatchBatch, KeyValueError>> {
     const cuts = this._cuts
+    let endedWaits = this._endedWaits
     let after = start.revision - 1
     while (!context.cancelled) {
       if (cuts !== this._cuts) return void (yield err(KeyValueError.create('ambiguous', 'The connection was closed.')))
       if (after > this.revision && this.refusesLaterWatches) return void (yield err(KeyValueError.create('compacted', 'The history is gone.')))
       const changes = this._changes.slice(after)
-      if (changes.length === 0) {
+      if (changes.length === 0 && endedWaits === this._endedWaits) {
         await new Promise<void>(resolve => this._waiting.add(resolve))
         continue
       }
+      endedWaits = this._endedWaits
       yield ok({ era: ERA, revision: this.revision, changes })
       after = this.revision
     }
   }
 
+  /** Ends the wait of all watches, as after their time. */
+  endWaits (): void {
+    this._endedWaits++
+    this._wake()
+  }
+
   private _append (change: KeyValueChange): void {
     this.revision++
     this._changes.push(change)
@@ -174,6 +183,19 @@
     assert.equal(stateOf(view, 'a'), 'leaving')
   })
 
+  // Guards against: a watch waits at a revision that the store has lost, on a connection that still works.
+  it('CONFIG: a return is noticed at the end of a wait when neither a call nor a connection fails', async () => {
+    const { store, view, settle, copied, stop } = await createFollower()
+    store.refusesLaterWatches = false
+    store.restore(copied, true)
+    store.put('configuration', '13')
+    await settle()
+    store.endWaits()
+    await settle()
+    stop()
+    assert.equal(view.configurationPosition?.version, 13)
+  })
+
   // Guards against: a lost version that is written again at a higher revision replaces a later one that is in force.
   it('CONFIG: versions that are written again in order after an unstated return do not revert the one in force', async () => {
     const { store, view, settle, copied, stop } = await createFollower()
