Log the start, the end and the signals of an entry process

Cause: an incarnation wrote nothing before `started` and nothing when it ended, unless by a planned stop. An end by a signal, by an error, for its memory and by a kill looked alike.

Change: standard error has a line when a process starts and one with its status when it ends by itself; `signal-received` names SIGHUP, SIGTERM and SIGINT as they arrive.

Result: a start without an end in the log is an end from outside; no behaviour is changed.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -38,7 +38,8 @@
   })
   keepRunningAfterErrors(gateway)
   SettingsWatcher.create(path, clock, instrumentation, changed => gateway.applySettings(changed)).start()
-  const stop = (): void => {
+  const stop = (signal: NodeJS.Signals): void => {
+    instrumentation.emit('signal-received', { signal })
     gateway.stop().catch((error: unknown) => gateway.tasks.report('stop', error)).finally(() => {
       events?.close()
       process.exit(0)
@@ -60,12 +61,19 @@
   const options = readEntryOptions(process.argv.slice(2), process.env)
   if (options.isErr()) return exitWithError(EXIT_INVALID_SETTINGS, options.error)
   setLogLevel(options.value.logLevel)
+  logStartAndEnd()
   const path = settingsPath(process.env)
   const settings = readSettingsFile(path)
   if (settings.isErr()) return exitWithError(EXIT_INVALID_SETTINGS, settings.error)
   startGateway(options.value, path, settings.value).catch((error: unknown) => exitWithError(EXIT_FAILURE, error))
 }
 
+/** Without the second line, a process was ended from outside: by a signal that it does not handle, or for its memory. */
+function logStartAndEnd (): void {
+  log.info(`Process ${process.pid} starts.`)
+  process.once('exit', status => log.info(`Process ${process.pid} ends with status ${status}.`))
+}
+
 function exitWithError (status: number, error: unknown): void {
   log.error(describeError(error))
   process.exit(status)
--- a/packages/entry/src/settingsWatcher.ts
+++ b/packages/entry/src/settingsWatcher.ts
@@ -32,7 +32,10 @@
 
   start (): void {
     this._currentJson = JSON.stringify(readSettingsFile(this._path).unwrapOr(undefined))
-    process.on('SIGHUP', () => this._reload())
+    process.on('SIGHUP', signal => {
+      this._instrumentation.emit('signal-received', { signal })
+      this._reload()
+    })
     this._poll()
   }
 
