--- a/packages/entry/bundle.mjs
+++ b/packages/entry/bundle.mjs
@@ -1,12 +1,13 @@
 // Bundles plumstage-entry into one file and stores V8's code cache next to it, to shorten the start of a process after
-// it was killed. The cache is valid only for the version of Node and the V8 flags that it was built with.
+// it was killed. The cache is valid only for the version of Node and the V8 flags that it was built with. An argument names
+// another folder than target.
 import { copyFileSync, readFileSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import path from 'node:path'
 import vm from 'node:vm'
 import { build } from 'esbuild'
 
-const TARGET = 'target'
+const TARGET = process.argv[2] ?? 'target'
 const BUNDLE = path.join(TARGET, 'plumstage-entry.bundle.cjs')
 const CACHE = path.join(TARGET, 'plumstage-entry.cache')
 
