Wait at the start for ports that another process holds

Callers saw: a gateway that was not back, because each of its starts ended while the process before still finished its requests; or one that never opened its listener for peers' tunnels or metrics.

Cause: a failure to listen was taken as final, whatever the reason. Ports for callers, readiness checks and datagrams ended the process with status 1; the listeners for tunnels and metrics were tried once, and the second not at all if the first failed. Class: a condition that passes is taken as final.

Change: a ListenError says whether it may pass (port held, address not there yet, no room for a socket). There is no last try: to end would not free the port, and a process that waits is not ready, warns every 10 s and can be stopped. Other failures, such as a port that the process may not open, still end it with status 1. The listener for callers opens last, so that no caller is accepted by a gateway that can't open the others, and a gateway that fails leaves nothing open.

Result: restarts may overlap on one instance.

--- a/packages/common/src/listener.ts
+++ b/packages/common/src/listener.ts
@@ -8,8 +8,22 @@
 import { PlumstageError } from './errors.js'
 import { splitAddress } from './networkAddress.js'
 
-/** Listening on an address failed. */
-export const ListenError = PlumstageError.subclass('ListenError', { props: { code: 'listen_failed' } })
+/** Listening on an address failed. `isTemporary` says whether it may succeed later without a change of the address. */
+export const ListenError = PlumstageError.subclass('ListenError', { props: { code: 'listen_failed', isTemporary: false } })
+
+/** Another process holds the port, the instance does not have the address yet, or the system has no room for a socket. */
+const TEMPORARY_CODES: ReadonlySet<string | undefined> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM'])
+
+/** Returns the error to raise when the system refuses to listen on an address. */
+export function createListenError (address: string, cause: NodeJS.ErrnoException): Error {
+  const props = { isTemporary: TEMPORARY_CODES.has(cause.code) }
+  return new ListenError(`Can't listen on the address ${address}. Choose an address of this instance and a free port.`, { cause, props })
+}
+
+/** Whether it is worth trying again to listen. */
+export function isTemporaryListenError (error: unknown): boolean {
+  return error instanceof ListenError && error.isTemporary
+}
 
 /** A listening server and its open sockets. */
 export class Listener {
@@ -25,18 +39,18 @@
     this._sockets = sockets
   }
 
-  /** Listens on an IP address and port; port 0 selects a free one. */
+  /** Listens on an IP address and port; port 0 selects a free one. Rejects with a `ListenError`, after which it may be called again. */
   static async create (server: Server, address: string): Promise<Listener> {
     const sockets = new Set<Socket>()
-    server.on('connection', (socket: Socket) => {
-      sockets.add(socket)
-      socket.once('close', () => sockets.delete(socket))
-    })
     const { host, port } = splitAddress(address)
     await new Promise<void>((resolve, reject) => {
-      server.once('error', cause => reject(new ListenError(`Can't listen on the address ${address}. Choose an address of this instance and a free port.`, { cause })))
+      server.once('error', cause => reject(createListenError(address, cause)))
       server.listen(port, host, resolve)
     })
+    server.on('connection', (socket: Socket) => {
+      sockets.add(socket)
+      socket.once('close', () => sockets.delete(socket))
+    })
     return new Listener(server, sockets)
   }
 
--- a/packages/entry/src/entryRun.ts
+++ b/packages/entry/src/entryRun.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { setImmediate } from 'node:timers/promises'
-import { BoundedEventLog, Instrumentation, LeaseClock, MonotonicClock, SeededRandom, SystemClock, createProcessIncarnation, splitAddress } from '@plumstage/common'
+import { setImmediate, setTimeout } from 'node:timers/promises'
+import { BoundedEventLog, Instrumentation, LeaseClock, MonotonicClock, SeededRandom, SystemClock, createProcessIncarnation, describeError, getLogger, isTemporaryListenError, splitAddress } from '@plumstage/common'
 import type { Clock } from '@plumstage/common'
-import { CallerAdapter, CloudAdapter, DeploymentAdapter, StoreAdapter, UpstreamAdapter } from '@plumstage/platform'
+import { CallerAdapter, CloudAdapter, DeploymentAdapter, StoreAdapter, UpstreamAdapter, readSettingsFile } from '@plumstage/platform'
 import { ServingGateway } from '@plumstage/serving'
 import type { ServingSettings } from '@plumstage/serving'
 import type { EntryOptions } from './entryOptions.js'
@@ -14,10 +14,14 @@
 import { SettingsWatcher } from './settingsWatcher.js'
 
 const RANDOM_SEED_LIMIT = 2 ** 31
+/** Ports that could not be opened are tried again after this time. */
+const RETRY_MILLISECONDS = 250
+/** A start that waits is logged at most this often. */
+const LOG_INTERVAL_MILLISECONDS = 10_000
 
 /** Options of a run. */
 export interface EntryRunOptions extends EntryOptions {
-  /** Path of the settings file, and the settings that were read from it. */
+  /** Path of the settings file, and the settings that were first read from it. */
   path: string
   settings: ServingSettings
 }
@@ -28,6 +32,8 @@
   private readonly _clock: Clock = MonotonicClock.create()
   private readonly _events: BoundedEventLog | undefined
   private readonly _instrumentation: Instrumentation
+  private readonly _log = getLogger('entry')
+  private _settings: ServingSettings
   /** Undefined until the gateway serves. */
   private _gateway: ServingGateway | undefined
   private _watcher: SettingsWatcher | undefined
@@ -35,6 +41,7 @@
 
   private constructor (options: EntryRunOptions) {
     this._options = options
+    this._settings = options.settings
     this._events = options.events === 'none' ? undefined : BoundedEventLog.create(options.events)
     this._instrumentation = Instrumentation.create(options.settings.name, createProcessIncarnation(), SystemClock.create())
     if (this._events) this._instrumentation.addListener(event => this._events?.append(event))
@@ -44,14 +51,13 @@
     return new EntryRun(options)
   }
 
-  /** Creates the gateway; rejects if it can't be created. */
+  /** Creates the gateway as soon as its ports are free; rejects if it can't be created for another reason. */
   async start (): Promise<void> {
-    const { path, settings } = this._options
     // Signals that arrived while the program was loaded come first.
     await setImmediate()
-    const gateway = await this._createGateway(settings)
+    const gateway = await this._createWhenPossible()
     this._gateway = gateway
-    this._watcher = SettingsWatcher.create(path, settings, this._clock, this._instrumentation, changed => gateway.applySettings(changed))
+    this._watcher = SettingsWatcher.create(this._options.path, this._settings, this._clock, this._instrumentation, changed => gateway.applySettings(changed))
     this._watcher.start()
   }
 
@@ -81,10 +87,33 @@
     process.exit(0)
   }
 
-  private async _createGateway (settings: ServingSettings): Promise<ServingGateway> {
+  /** Tries until all ports are free. The process that holds them may be the one before, which finishes its requests; to end here would not free them. */
+  private async _createWhenPossible (): Promise<ServingGateway> {
+    let logsAt = this._clock.now()
+    for (;;) {
+      try {
+        return await this._createGateway()
+      } catch (error) {
+        if (!isTemporaryListenError(error)) throw error
+        if (this._clock.now() >= logsAt) {
+          logsAt = this._clock.now() + LOG_INTERVAL_MILLISECONDS
+          this._logWait(error)
+        }
+      }
+      await setTimeout(RETRY_MILLISECONDS)
+      this._settings = readSettingsFile(this._options.path).unwrapOr(this._settings)
+    }
+  }
+
+  private _logWait (error: unknown): void {
+    this._instrumentation.emit('start-waiting', { error: describeError(error) })
+    this._log.warn(`The gateway starts when it can: ${describeError(error)} If this lasts, end the process that holds the port, or change the settings file.`)
+  }
+
+  private async _createGateway (): Promise<ServingGateway> {
     const { metricsPort } = this._options
-    const { addresses: { store, cloud }, peerAddress } = settings
-    return await ServingGateway.create(settings, {
+    const { addresses: { store, cloud }, peerAddress } = this._settings
+    return await ServingGateway.create(this._settings, {
       clock: this._clock,
       leaseClock: LeaseClock.create(this._clock),
       timeOfDay: () => Date.now(),
--- a/packages/serving/src/peers/peerSocket.ts
+++ b/packages/serving/src/peers/peerSocket.ts
@@ -6,7 +6,7 @@
  */
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
-import { getLogger, splitAddress } from '@plumstage/common'
+import { createListenError, getLogger, splitAddress } from '@plumstage/common'
 import type { BackgroundTasks } from '@plumstage/common'
 
 const STREAM_MARK = 0
@@ -22,20 +22,20 @@
   private _onReport: DatagramHandler = () => {}
   private _onStreamMessage: DatagramHandler = () => {}
 
-  private constructor (address: string, tasks: BackgroundTasks) {
+  private constructor (tasks: BackgroundTasks) {
     this._socket = createSocket('udp4')
-    this._socket.on('error', error => this._log.warn(`The datagram socket at ${address} failed: ${error.message}. Messages to peers resume when it works again.`))
     this._socket.on('message', (bytes, sender) => { tasks.guard('peer-messages', () => this._receive(bytes, `${sender.address}:${sender.port}`)) })
   }
 
-  /** Binds the socket to `address`. `tasks` reports the errors of the handlers. */
+  /** Binds the socket to `address`; rejects with a `ListenError`. `tasks` reports the errors of the handlers. */
   static async create (address: string, tasks: BackgroundTasks): Promise<PeerSocket> {
-    const created = new PeerSocket(address, tasks)
-    const { host, port } = splitAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      created._socket.once('error', reject)
-      created._socket.bind(port, host, () => { created._socket.off('error', reject); resolve() })
-    })
+    const created = new PeerSocket(tasks)
+    try {
+      await created._bind(address)
+    } catch (error) {
+      created.close()
+      throw error
+    }
     return created
   }
 
@@ -62,6 +62,16 @@
     this._socket.close()
   }
 
+  private async _bind (address: string): Promise<void> {
+    const { host, port } = splitAddress(address)
+    await new Promise<void>((resolve, reject) => {
+      const fail = (cause: Error): void => reject(createListenError(address, cause))
+      this._socket.once('error', fail)
+      this._socket.bind(port, host, () => { this._socket.off('error', fail); resolve() })
+    })
+    this._socket.on('error', error => this._log.warn(`The datagram socket at ${address} failed: ${error.message}. Messages to peers resume when it works again.`))
+  }
+
   private _send (bytes: Uint8Array, address: string): void {
     if (this._closed) return
     const { host, port } = splitAddress(address)
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -118,19 +118,22 @@
     this._internalListeners = this._createInternalListeners()
   }
 
-  /** Opens the listeners and starts the tasks. */
+  /** Opens the listeners and starts the tasks. Rejects with a `ListenError`, without anything left open, if one can't be opened. */
   static async create (settings: ServingSettings, environment: ServingEnvironment): Promise<ServingGateway> {
     const tasks = BackgroundTasks.create(environment.clock, environment.instrumentation)
     const guarded = { ...environment, clock: GuardedClock.create(environment.clock, tasks) }
     const gateway = new ServingGateway(settings, guarded, tasks, await PeerSocket.create(settings.peerAddress, tasks))
-    await gateway._listen()
+    await gateway._listen().catch(async (error: unknown) => {
+      await gateway.destroy()
+      throw error
+    })
     gateway._startTasks()
     return gateway
   }
 
   /** Address for callers. */
   get callerAddress (): string {
-    return this._listeners[0].address
+    return this._listeners.at(-1)!.address
   }
 
   /** Whether the gateway accepts new connections, as reported to readiness checks. */
@@ -178,10 +181,11 @@
     await Promise.all([this._internalListeners.destroy(), ...this._listeners.map(async listener => await listener.destroy()), this._access.close()])
   }
 
+  /** The listener for callers comes last: a gateway that can't open the others accepts no caller. */
   private async _listen (): Promise<void> {
     const { callerProtocol } = this._environment
-    this._listeners.push(await Listener.create(this._callerServer.server, this._settings.callerAddress))
     this._listeners.push(await Listener.create(createReadinessServer(callerProtocol.readinessPath, () => this.isReady), this._settings.readinessAddress))
+    this._listeners.push(await Listener.create(this._callerServer.server, this._settings.callerAddress))
   }
 
   private _createStreams (): StreamTracking {
--- a/tests/entry/earlySignals.spec.ts
+++ b/tests/entry/earlySignals.spec.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict'
 import { after, afterEach, before, beforeEach, describe, it } from 'node:test'
-import { knownRed } from '../support/knownRed.js'
 import { EntryBundle, EntrySite, holdsWithin } from './support/entryProcess.js'
 import type { EntryProcess } from './support/entryProcess.js'
 
@@ -51,7 +50,7 @@
   })
 
   // Guards against: a process ends because its predecessor still runs, while both are told of changed settings.
-  it('FAULT: takes over from the process before, with signals in series to both', knownRed('FAULT: takes over from the process before, with signals in series to both'), async () => {
+  it('FAULT: takes over from the process before, with signals in series to both', async () => {
     let current = site.start()
     assert.ok(await holdsWithin(START_MILLISECONDS, () => current.hasStarted))
     for (let restart = 1; restart <= RESTARTS; restart++) {
--- a/tests/entry/heldPorts.spec.ts
+++ b/tests/entry/heldPorts.spec.ts
@@ -2,7 +2,6 @@
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:net'
 import { after, afterEach, before, beforeEach, describe, it } from 'node:test'
-import { knownRed } from '../support/knownRed.js'
 import { CALLER_PORT, EntryBundle, EntrySite, METRICS_PORT, PEER_PORT, READINESS_PORT, holdsWithin } from './support/entryProcess.js'
 
 /** How long the process before still holds a port. */
@@ -56,9 +55,8 @@
   }
 
   for (const { name, port, hold } of HELD) {
-    const title = `FAULT: waits for the port for ${name} and then opens all of its ports`
     // Guards against: a start while the process before still holds a port ends, or leaves a port closed for good.
-    it(title, knownRed(title), async () => {
+    it(`FAULT: waits for the port for ${name} and then opens all of its ports`, async () => {
       const release = await hold(site.host, port)
       releases.push(release)
       const process = site.start()
@@ -72,7 +70,7 @@
   }
 
   // Guards against: of two processes that start at once, one ends instead of waiting for the other.
-  it('FAULT: starts when the other one of two that began at once has ended', knownRed('FAULT: starts when the other one of two that began at once has ended'), async () => {
+  it('FAULT: starts when the other one of two that began at once has ended', async () => {
     const processes = [site.start(), site.start()]
     assert.ok(await holdsWithin(START_MILLISECONDS, () => processes.some(process => process.hasStarted)))
     await sleep(HELD_MILLISECONDS)
@@ -83,7 +81,7 @@
   })
 
   // Guards against: a process that waits for a port can't be stopped, or ends with an error.
-  it('FAULT: can be stopped while it waits', knownRed('FAULT: can be stopped while it waits'), async () => {
+  it('FAULT: can be stopped while it waits', async () => {
     releases.push(await holdPort(site.host, CALLER_PORT))
     const process = site.start()
     assert.ok(await holdsWithin(START_MILLISECONDS, () => process.isLoading))
@@ -95,7 +93,7 @@
   })
 
   // Guards against: a process waits for a port that its settings no longer name.
-  it('FAULT: uses the settings that are written while it waits', knownRed('FAULT: uses the settings that are written while it waits'), async () => {
+  it('FAULT: uses the settings that are written while it waits', async () => {
     releases.push(await holdPort(site.host, CALLER_PORT))
     const process = site.start()
     assert.ok(await holdsWithin(START_MILLISECONDS, () => process.isLoading))
