Say in the log which requests a planned stop cuts

Cause: A request that the end of a planned stop cut was logged as one whose caller had left, and nothing said how many requests were accepted after the signal, so the hypotheses on the incident could not be told apart. What callers get is the same.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -130,6 +130,13 @@
     this.onEnded({ kind: 'failed', failure: 'links-lost', detail: 'the path to the upstream is lost', connectionLost: false })
   }
 
+  /** Ends the request because the process ends. */
+  endForStop (): void {
+    if (this._done) return
+    this._abandonAttempt()
+    this._cut('cut-at-stop')
+  }
+
   receiveHead (status: number, headers: ResponseHeaders): ReceiveDecision {
     this._path?.recordBytes()
     const head = this._services.protocol.readHead(status, headers)
@@ -337,7 +344,7 @@
   }
 
   /** Closes the connection, so that a started response does not look complete. */
-  private _cut (outcome: 'cut-after-failure' | 'cut-without-upstream' | 'cut-at-deadline'): void {
+  private _cut (outcome: 'cut-after-failure' | 'cut-without-upstream' | 'cut-at-deadline' | 'cut-at-stop'): void {
     this._end(outcome)
     this._exchange.cut()
   }
--- a/packages/serving/src/attempts/runningRequests.ts
+++ b/packages/serving/src/attempts/runningRequests.ts
@@ -12,6 +12,7 @@
   /** Requests that have not ended, also those that wait for their next attempt. */
   private readonly _open = new Set<RequestTask>()
   private _count = 0
+  private _acceptedCount = 0
 
   static create (): RunningRequests {
     return new RunningRequests()
@@ -26,7 +27,13 @@
     return this._open.size
   }
 
+  /** Number of requests that were accepted since the start. */
+  get acceptedCount (): number {
+    return this._acceptedCount
+  }
+
   open (task: RequestTask): void {
+    this._acceptedCount++
     this._open.add(task)
   }
 
@@ -52,6 +59,11 @@
     return [...this._tasks.values()].flatMap(tasks => [...tasks])
   }
 
+  /** Requests that have not ended, also those that wait for their next attempt. */
+  listOpen (): RequestTask[] {
+    return [...this._open]
+  }
+
   listOf (upstream: Upstream): RequestTask[] {
     return [...this._tasks.get(upstream) ?? []]
   }
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -33,19 +33,12 @@
 import { formatPart } from './recovery/promptPart.js'
 import type { ServingSettings } from './servingSettings.js'
 import { ServingState } from './servingState.js'
+import { GatewayStop } from './stopping/gatewayStop.js'
 import { StoreKeys } from './storeKeys.js'
 import { StreamTracking } from './streams/streamTracking.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
 
 const EXPIRY_CHECK_MILLISECONDS = 500
-/**
- * Time after the stop signal during which requests are still accepted. The load balancer keeps sending connections for
- * two more readiness checks; requests accepted after this time might not finish within the grace period.
- */
-const STOP_ACCEPTING_MILLISECONDS = 2600
-/** The process exits this long before it would be killed. */
-const STOP_MARGIN_MILLISECONDS = 700
-const STOP_POLL_MILLISECONDS = 50
 
 /** External dependencies of a serving gateway. */
 export interface ServingEnvironment {
@@ -92,7 +85,7 @@
   private readonly _duties: CloudDuties | undefined
   private readonly _internalListeners: InternalListeners
   private readonly _registry: GatewayRegistry
-  private _stopping = false
+  private readonly _stop: GatewayStop
 
   private constructor (settings: ServingSettings, environment: ServingEnvironment, tasks: BackgroundTasks, socket: PeerSocket) {
     this.tasks = tasks
@@ -102,13 +95,14 @@
     this._environment = environment
     this._context = CallContext.create(clock)
     this._migration = StreamMigration.create(this._running, clock)
+    this._stop = this._createStop()
     this.state = ServingState.create(settings, environment.decoder, environment.random)
     this.state.limits.onChange((upstream, source) => this._logLimit(upstream, source))
     this.state.partQuarantine.onChange((part, change, crashes) => instrumentation.emit(`prompt-part-${change}`, { part: formatPart(part), crashes }))
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._pauses = PauseMonitor.create(leaseClock)
-    this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stopping, clock, instrumentation, tasks, reconsiderPaths: () => this._reconsiderPaths() })
+    this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stop.isStopping, clock, instrumentation, tasks, reconsiderPaths: () => this._reconsiderPaths() })
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings.dutyLeaseMilliseconds))
     this._streams = this._createStreams()
     this._duties = this._createDuties()
@@ -135,7 +129,7 @@
 
   /** Whether the gateway accepts new connections, as reported to readiness checks. */
   get isReady (): boolean {
-    return !this._stopping && this.state.view.configuration !== undefined
+    return !this._stop.isStopping && this.state.view.configuration !== undefined
   }
 
   /**
@@ -152,21 +146,8 @@
 
   /** Shuts down gracefully: readiness checks fail, then no new connections are accepted, and running requests may finish. */
   async stop (): Promise<void> {
-    if (this._stopping) return
-    const { clock, instrumentation } = this._environment
-    const startedAt = clock.now()
-    this._stopping = true
-    instrumentation.emit('stopping', { running: this._running.count })
-    this._peerExchange.announceStop(this._access.tunnels.openTunnels > 0)
-    await this._context.sleepUntil(startedAt + STOP_ACCEPTING_MILLISECONDS)
-    this._callerServer.server.close()
-    this._callerServer.server.closeIdleConnections()
-    const drainDeadline = startedAt + this._settings.graceMilliseconds - STOP_MARGIN_MILLISECONDS
-    while ((this._running.openCount > 0 || this._access.tunnels.openTunnels > 0) && clock.now() < drainDeadline) {
-      await this._context.sleepUntil(clock.now() + STOP_POLL_MILLISECONDS)
-      this._callerServer.server.closeIdleConnections()
-    }
-    instrumentation.emit('stopped', { running: this._running.count, milliseconds: Math.round(clock.now() - startedAt) })
+    if (this._stop.isStopping) return
+    await this._stop.run()
     await this.destroy()
   }
 
@@ -184,6 +165,20 @@
     this._listeners.push(await Listener.create(createReadinessServer(callerProtocol.readinessPath, () => this.isReady), this._settings.readinessAddress))
   }
 
+  private _createStop (): GatewayStop {
+    const { clock, instrumentation } = this._environment
+    return GatewayStop.create({
+      running: this._running,
+      callerServer: () => this._callerServer,
+      tunnels: () => this._access.tunnels,
+      graceMilliseconds: () => this._settings.graceMilliseconds,
+      announce: () => this._peerExchange.announceStop(this._access.tunnels.openTunnels > 0),
+      context: this._context,
+      clock,
+      instrumentation
+    })
+  }
+
   private _createStreams (): StreamTracking {
     const { store, decoder, clock, instrumentation } = this._environment
     return StreamTracking.create({
@@ -237,7 +232,7 @@
       admission: RequestAdmission.create(this.state),
       protocol: callerProtocol,
       pauses: this._pauses,
-      closesConnection: () => this._stopping
+      closesConnection: () => this._stop.isStopping
     })
   }
 
@@ -262,7 +257,7 @@
       links: () => this._access.linkState,
       dutyHolder: () => this._registry.dutyHolder,
       watchMilliseconds: () => this._deploymentTask.watchMilliseconds,
-      isStopping: () => this._stopping,
+      isStopping: () => this._stop.isStopping,
       onPeerLeaving: address => this._access.retirePeer(address),
       onChange: change => this._applyChange(change)
     })
@@ -331,6 +326,6 @@
 
   /** Whether to try to acquire the cloud duty now. */
   private _seeksDuty (): boolean {
-    return !this._stopping && this._registry.isDutyOpenTo(this._peerExchange.hasSenior ? 'junior' : 'senior')
+    return !this._stop.isStopping && this._registry.isDutyOpenTo(this._peerExchange.hasSenior ? 'junior' : 'senior')
   }
 }
