End requests at the end of a planned stop with what is true of them

Cause: The end of the process closed all connections, whatever was known of their requests. Callers of requests that no upstream had got (they waited for a connection or another attempt), or whose bodies had not arrived, saw a closed connection and could not know that sending again is safe; callers of requests that may have run got no answer either. Change: At the end, a request that no upstream has got is refused (503, not executed), one that may have run is answered with 502, and only a response that has begun is cut. A request whose body is on its way is waited for, and refused at the end. The process waits up to 0.3 s until these responses are written.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -5,7 +5,7 @@
  */
 import type { BackgroundTasks, Timer, Timestamp } from '@plumstage/common'
 import type { CallerExchange } from '../callers/callerExchange.js'
-import { createRejection } from '../callers/rejection.js'
+import { createRejection, createStopRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
 import type { UpstreamAccess } from '../links/upstreamAccess.js'
 import type { UpstreamPath } from '../links/upstreamPath.js'
@@ -130,11 +130,17 @@
     this.onEnded({ kind: 'failed', failure: 'links-lost', detail: 'the path to the upstream is lost', connectionLost: false })
   }
 
-  /** Ends the request because the process ends. */
-  endForStop (): void {
-    if (this._done) return
-    this._abandonAttempt()
-    this._cut('cut-at-stop')
+  /** Ends the request because the process ends: with what is true of it, unless its response has begun. Returns whether it was cut. */
+  endForStop (): boolean {
+    if (this._done) return false
+    this._progress.mayHaveRun ||= this._abandonAttempt()
+    if (this._relay.started) {
+      this._cut('cut-at-stop')
+      return true
+    }
+    if (this._progress.mayHaveRun) this._reject(createRejection('interrupted', 'The gateway shut down before the upstream had responded, and the request may have been executed. Check its effect before sending it again.'))
+    else this._reject(createStopRejection())
+    return false
   }
 
   receiveHead (status: number, headers: ResponseHeaders): ReceiveDecision {
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -10,6 +10,7 @@
 import type { RequestServices } from '../attempts/requestTask.js'
 import { afterNextPoll } from './afterNextPoll.js'
 import { readBody } from './bodyReader.js'
+import { CallerConnections } from './callerConnections.js'
 import { HttpCallerExchange } from './callerExchange.js'
 import type { CallerExchange } from './callerExchange.js'
 import type { CallerHead, CallerProtocol } from './callerProtocol.js'
@@ -47,10 +48,14 @@
 export class CallerServer {
   readonly server: Server
   private readonly _options: CallerServerOptions
+  private readonly _connections: CallerConnections
+  /** Refuse the requests that are not completely read. */
+  private readonly _refusals = new Set<() => void>()
 
   private constructor (options: CallerServerOptions) {
     this._options = options
     this.server = createServer({ maxHeaderSize: MAXIMUM_HEAD_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS, requestTimeout: 0 }, (incoming, response) => this._serve(incoming, response))
+    this._connections = CallerConnections.create(this.server)
     this.applyLimits()
   }
 
@@ -65,9 +70,20 @@
     this.server.keepAliveTimeout = limits?.idleTimeoutMilliseconds ?? DEFAULT_IDLE_TIMEOUT_MILLISECONDS
   }
 
+  /** Number of requests that are read, at least in part, and whose responses are not completely written. */
+  get openResponses (): number {
+    return this._connections.openResponses
+  }
+
+  /** Refuses the requests whose bodies have not arrived, because the gateway shuts down. */
+  refuseUnread (): void {
+    for (const refuse of this._refusals) refuse()
+  }
+
   private _serve (incoming: IncomingMessage, response: ServerResponse): void {
     const { protocol, stop } = this._options
     const exchange = HttpCallerExchange.create(response, protocol, () => stop.isStopping)
+    this._connections.open(response)
     this._guard(exchange, () => this._receive(incoming, response, exchange))
   }
 
@@ -85,10 +101,16 @@
     const admitted = admission.admit(head.value, acceptedAt)
     if (admitted.isErr()) return this._reject(exchange, admitted.error, incoming, head.value)
     const bodyTimer = services.clock.schedule(admitted.value.deadline, () => this._reject(exchange, createRejection('body-too-slow', 'The body did not arrive before the deadline, and the request was not executed. Send it again.'), incoming, head.value))
-    response.once('close', () => bodyTimer.cancel())
+    const refuse = (): void => this._reject(exchange, createStopRejection(), incoming, head.value)
+    const endReading = (): void => {
+      bodyTimer.cancel()
+      this._refusals.delete(refuse)
+    }
+    this._refusals.add(refuse)
+    response.once('close', endReading)
     const maximumBytes = services.state.view.configuration?.callerLimits?.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES
     readBody(incoming, maximumBytes, body => {
-      bodyTimer.cancel()
+      endReading()
       if (exchange.started) return
       if (body.isErr()) return this._reject(exchange, body.error, incoming, head.value)
       const { value } = body
--- a/packages/serving/src/callers/rejection.ts
+++ b/packages/serving/src/callers/rejection.ts
@@ -28,6 +28,8 @@
   | 'stopping'
   | 'timeout'
   | 'upstream-failed'
+  /** This gateway shuts down before the upstream has responded; the request may have been executed. */
+  | 'interrupted'
   /** This gateway has a fault. */
   | 'internal-error'
 
@@ -51,6 +53,7 @@
   stopping: 503,
   timeout: 504,
   'upstream-failed': 502,
+  interrupted: 502,
   'internal-error': 500
 }
 
--- a/packages/serving/src/stopping/gatewayStop.ts
+++ b/packages/serving/src/stopping/gatewayStop.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { CallContext, Clock, Instrumentation } from '@plumstage/common'
+import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import type { RunningRequests } from '../attempts/runningRequests.js'
 import type { CallerServer, StopState } from '../callers/callerServer.js'
 import type { RelayServer } from '../relay/relayServer.js'
@@ -50,7 +50,7 @@
     return this._schedule !== undefined && this._schedule.decide(this._options.clock.now()) === 'too-late'
   }
 
-  /** Resolves when the requests have ended, or shortly before the end of the grace period; what still runs is cut then. */
+  /** Resolves when the requests have ended, or shortly before the end of the grace period, when those that still run are ended. */
   async run (): Promise<void> {
     const { clock, instrumentation, announce, running, graceMilliseconds } = this._options
     const startedAt = clock.now()
@@ -63,17 +63,22 @@
     const acceptedInTime = running.acceptedCount - acceptedBefore
     this._options.callerServer().server.close()
     await this._drain(schedule)
-    const cut = running.listOpen()
-    for (const task of cut) task.endForStop()
-    instrumentation.emit('stopped', { acceptedInTime, acceptedLate: running.acceptedCount - acceptedBefore - acceptedInTime, cut: cut.length, milliseconds: Math.round(clock.now() - startedAt) })
+    const cut = running.listOpen().filter(task => task.endForStop())
+    this._options.callerServer().refuseUnread()
+    await this._waitWhile(() => this._options.callerServer().openResponses > 0, schedule.writesUntil)
+    instrumentation.emit('stopped', { acceptedInTime, acceptedLate: running.acceptedCount - acceptedBefore - acceptedInTime, cut: cut.length, unwritten: this._options.callerServer().openResponses, milliseconds: Math.round(clock.now() - startedAt) })
   }
 
   private async _drain ({ drainsUntil }: StopSchedule): Promise<void> {
-    const { clock, context, running, callerServer, tunnels } = this._options
-    callerServer().server.closeIdleConnections()
-    while ((running.openCount > 0 || tunnels().openTunnels > 0) && clock.now() < drainsUntil) {
-      await context.sleepUntil(clock.now() + STOP_POLL_MILLISECONDS)
+    const { running, callerServer, tunnels } = this._options
+    await this._waitWhile(() => {
       callerServer().server.closeIdleConnections()
-    }
+      return running.openCount > 0 || callerServer().openResponses > 0 || tunnels().openTunnels > 0
+    }, drainsUntil)
+  }
+
+  private async _waitWhile (holds: () => boolean, until: Timestamp): Promise<void> {
+    const { clock, context } = this._options
+    while (holds() && clock.now() < until) await context.sleepUntil(clock.now() + STOP_POLL_MILLISECONDS)
   }
 }
--- a/packages/serving/src/stopping/stopSchedule.ts
+++ b/packages/serving/src/stopping/stopSchedule.ts
@@ -10,8 +10,10 @@
  * two more readiness checks; requests accepted after this time might not finish within the grace period.
  */
 const ACCEPTING_MILLISECONDS = 2600
-/** The process exits this long before it would be killed. */
+/** What still runs is ended this long before the process would be killed. */
 const MARGIN_MILLISECONDS = 700
+/** Time for writing the last responses. */
+const WRITING_MILLISECONDS = 300
 
 /** What becomes of a request that is complete now. */
 export type StopDecision = 'accepted' | 'too-late'
@@ -23,7 +25,11 @@
   /** Requests that have not ended by then are ended by the gateway. */
   readonly drainsUntil: Timestamp
 
+  /** The process ends by then, although responses are not completely written. */
+  readonly writesUntil: Timestamp
+
   private constructor (acceptsUntil: Timestamp, drainsUntil: Timestamp) {
+    this.writesUntil = drainsUntil + WRITING_MILLISECONDS
     this.acceptsUntil = acceptsUntil
     this.drainsUntil = drainsUntil
   }
--- a/tests/platform/stopDecisions.spec.ts
+++ b/tests/platform/stopDecisions.spec.ts
@@ -83,4 +83,36 @@
     assert.deepEqual([declared.statuses, chunked.statuses, running.statuses], [[503], [503], [200]])
     assert.equal(countRuns('declared') + countRuns('chunked'), 0)
   })
+
+  // Guards against: the end of the process cuts a request whose body is not complete, without saying that it has not run.
+  it('REFUSED: refuses a request that is half read when the process ends', async () => {
+    const half = open()
+    half.socket.write(`${formatHead('half', '/page/x', 'content-length: 4\r\n')}ab`)
+    await wait(50)
+    await deployment.gateways[0].stop()
+    await half.untilClosed()
+    assert.deepEqual([half.statuses, half.announcesClose, countRuns('half')], [[503], true, 0])
+  })
+
+  // Guards against: the end of the process cuts a request that no upstream has got, although it could be refused.
+  it('REFUSED: refuses a request that waits for an upstream when the process ends', async () => {
+    await deployment.upstreams[0].stop()
+    const waiting = open()
+    const stopped = deployment.gateways[0].stop()
+    waiting.socket.write(formatHead('waiting', '/page/x', 'content-length: 0\r\n'))
+    await Promise.all([waiting.untilClosed(), stopped])
+    assert.deepEqual([waiting.statuses, countRuns('waiting')], [[503], 0])
+  })
+
+  // Guards against: the end of the process closes the connection of a request that an upstream works on, so that its caller can't tell whether it was read.
+  it('LOST: answers that a request may have run when the process ends before its upstream has answered', async () => {
+    deployment.upstreams[0].script = () => {}
+    const [once, repeatable] = [open(), open()]
+    once.socket.write(formatHead('once', '/page/x', 'content-length: 0\r\n'))
+    repeatable.socket.write(formatHead('repeatable', '/search/x', 'content-length: 0\r\n'))
+    await deployment.upstreams[0].waitForRequests(2)
+    await Promise.all([deployment.gateways[0].stop(), once.untilClosed(), repeatable.untilClosed()])
+    assert.deepEqual([once.statuses, repeatable.statuses], [[502], [502]])
+    assert.deepEqual([countRuns('once'), countRuns('repeatable')], [1, 1])
+  })
 })
--- a/tests/serving/stopSchedule.spec.ts
+++ b/tests/serving/stopSchedule.spec.ts
@@ -17,10 +17,10 @@
 
   // Guards against: the process is killed before it has ended its requests itself.
   it('ends before the process is killed, also with a short grace period', () => {
-    assert.ok(StopSchedule.create(STARTED_AT, GRACE_MILLISECONDS).drainsUntil < STARTED_AT + GRACE_MILLISECONDS)
+    assert.ok(StopSchedule.create(STARTED_AT, GRACE_MILLISECONDS).writesUntil < STARTED_AT + GRACE_MILLISECONDS)
     const short = StopSchedule.create(STARTED_AT, 2000)
     assert.ok(short.acceptsUntil <= short.drainsUntil)
-    assert.ok(short.drainsUntil < STARTED_AT + 2000)
+    assert.ok(short.drainsUntil < short.writesUntil && short.writesUntil < STARTED_AT + 2000)
     assert.equal(StopSchedule.create(STARTED_AT, 100).drainsUntil, STARTED_AT)
   })
 })
