Write responses completely before a planned stop closes their connections

Cause: A request counted as ended when its response was handed over for writing. A caller that reads slowly had not received it then. The stop closes idle connections, and Node's closeIdleConnections, which also runs when the server closes, takes a connection with such a response for idle; and the process ended as soon as no request ran. Callers got a part of a response that was complete at the gateway. Change: CallerConnections counts a response as open until all of it is written. Only connections without one, and on which no part of a request was read, are idle; the stop waits for open responses up to the end of its grace period.

--- a/packages/serving/src/callers/callerConnections.ts
+++ b/packages/serving/src/callers/callerConnections.ts
@@ -8,10 +8,17 @@
 
 /** One connection of a caller. */
 export class CallerConnection {
+  private readonly _socket: Socket
   private _openResponses = 0
+  /** Bytes that were read when the last response was written; what is read later begins a request. */
+  private _bytesReadBefore = 0
 
-  static create (): CallerConnection {
-    return new CallerConnection()
+  private constructor (socket: Socket) {
+    this._socket = socket
+  }
+
+  static create (socket: Socket): CallerConnection {
+    return new CallerConnection(socket)
   }
 
   /** Number of requests that were read and whose responses are not completely written. */
@@ -22,7 +29,15 @@
   /** Counts a response as open until it is written or its connection is closed. */
   open (response: ServerResponse): void {
     this._openResponses++
-    response.once('close', () => { this._openResponses-- })
+    response.once('close', () => {
+      this._openResponses--
+      this._bytesReadBefore = this._socket.bytesRead
+    })
+  }
+
+  /** Closes the connection if all its responses are written and no part of another request was read. */
+  closeIfIdle (): void {
+    if (this._openResponses === 0 && this._socket.bytesRead === this._bytesReadBefore) this._socket.destroy()
   }
 }
 
@@ -32,7 +47,7 @@
 
   private constructor (server: Server) {
     server.on('connection', (socket: Socket) => {
-      this._connections.set(socket, CallerConnection.create())
+      this._connections.set(socket, CallerConnection.create(socket))
       socket.once('close', () => this._connections.delete(socket))
     })
   }
@@ -49,8 +64,13 @@
   /** Begins a response; returns its connection. */
   open (response: ServerResponse): CallerConnection {
     const { socket } = response.req
-    const connection = this._connections.get(socket) ?? CallerConnection.create()
+    const connection = this._connections.get(socket) ?? CallerConnection.create(socket)
     connection.open(response)
     return connection
   }
+
+  /** Closes the connections whose responses are all written and that bring no request. */
+  closeIdle (): void {
+    for (const connection of this._connections.values()) connection.closeIfIdle()
+  }
 }
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -56,6 +56,8 @@
     this._options = options
     this.server = createServer({ maxHeaderSize: MAXIMUM_HEAD_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS, requestTimeout: 0 }, (incoming, response) => this._serve(incoming, response))
     this._connections = CallerConnections.create(this.server)
+    // Node's own method also closes connections whose last response is not completely written; `close` calls this one, too.
+    this.server.closeIdleConnections = () => this._connections.closeIdle()
     this.applyLimits()
   }
 
--- a/tests/platform/stopDecisions.spec.ts
+++ b/tests/platform/stopDecisions.spec.ts
@@ -5,9 +5,13 @@
 import { wait } from '../support/wait.js'
 import { HOST, PlatformDeployment, TOKEN, formatConfiguration } from './support/platformDeployment.js'
 import { formatResponseHead } from './support/upstreamStandin.js'
+import type { ReceivedRequest } from './support/upstreamStandin.js'
 
 /** Time after the beginning of a stop in which requests are accepted, with a margin for the test. */
 const ACCEPTING_MILLISECONDS = 2700
+/** Together more than the buffers of a connection hold. */
+const LONG_BODY_BYTES = 250_000
+const LONG_BODIES = 60
 const ROUTES = [
   { host: HOST, name: 'page', prefix: '/page/', route_type: 'non_idempotent', timeout_ms: 15_000, objective_ms: 1000, priority: 2, service: 'front', max_attempts: 2 },
   { host: HOST, name: 'summary', prefix: '/summary/', route_type: 'streaming', timeout_ms: 15_000, objective_ms: 1000, priority: 2, service: 'front', max_attempts: 2, resumable: false, gap_objective_ms: 300 },
@@ -115,4 +119,19 @@
     assert.deepEqual([once.statuses, repeatable.statuses], [[502], [502]])
     assert.deepEqual([countRuns('once'), countRuns('repeatable')], [1, 1])
   })
+
+  // Guards against: a response that is complete at the gateway is cut because its caller reads slowly and nothing else runs.
+  it('LOST: lets a caller that reads slowly receive the rest of its responses', async () => {
+    deployment.upstreams[0].script = (request: ReceivedRequest, upstream) => request.socket.write(`${formatResponseHead(request, upstream)}Content-Length: ${LONG_BODY_BYTES}\r\n\r\n${'x'.repeat(LONG_BODY_BYTES)}`)
+    const slow = open()
+    slow.socket.pause()
+    slow.socket.write(Array.from({ length: LONG_BODIES }, (_, index) => formatHead(`slow-${index}`, '/page/x', 'content-length: 0\r\n')).join(''))
+    while (deployment.events.filter(({ kind }) => kind === 'request-ended').length < LONG_BODIES) await wait(5)
+    const stopped = deployment.gateways[0].stop()
+    await wait(ACCEPTING_MILLISECONDS)
+    slow.socket.resume()
+    await Promise.all([stopped, slow.untilClosed()])
+    assert.equal(slow.statuses.length, LONG_BODIES)
+    assert.equal(slow.received.split('x').length - 1, LONG_BODIES * LONG_BODY_BYTES)
+  })
 })
