Close a connection in a planned stop only behind its last request

Cause: A response whose head was written after the stop signal announced that its connection closes, also while another request of the connection was already read and passed on; the connection was closed before its answer. And a request that came behind such an announcement, while the response still ran, was passed on and never answered. Callers that send requests together saw the connection close; an upstream had run the request. Change: Only the response to the last request that was read announces the close. What comes behind the announcement is not processed, as HTTP says.

--- a/packages/serving/src/callers/callerConnections.ts
+++ b/packages/serving/src/callers/callerConnections.ts
@@ -10,6 +10,8 @@
 export class CallerConnection {
   private readonly _socket: Socket
   private _openResponses = 0
+  private _last: ServerResponse | undefined
+  private _isClosing = false
   /** Bytes that were read when the last response was written; what is read later begins a request. */
   private _bytesReadBefore = 0
 
@@ -26,11 +28,28 @@
     return this._openResponses
   }
 
+  /** Whether a response has announced that the connection closes after it; requests behind it are not processed. */
+  get isClosing (): boolean {
+    return this._isClosing
+  }
+
+  /** Whether `response` is that of the last request that was read, so that the connection can close after it. */
+  isLast (response: ServerResponse): boolean {
+    return response === this._last
+  }
+
+  /** Records that a response announces that the connection closes after it. */
+  recordClosing (): void {
+    this._isClosing = true
+  }
+
   /** Counts a response as open until it is written or its connection is closed. */
   open (response: ServerResponse): void {
     this._openResponses++
+    this._last = response
     response.once('close', () => {
       this._openResponses--
+      if (this._last === response) this._last = undefined
       this._bytesReadBefore = this._socket.bytesRead
     })
   }
@@ -61,12 +80,9 @@
     return [...this._connections.values()].reduce((sum, { openResponses }) => sum + openResponses, 0)
   }
 
-  /** Begins a response; returns its connection. */
-  open (response: ServerResponse): CallerConnection {
-    const { socket } = response.req
-    const connection = this._connections.get(socket) ?? CallerConnection.create(socket)
-    connection.open(response)
-    return connection
+  /** Returns the connection of a response. */
+  connectionOf ({ req: { socket } }: ServerResponse): CallerConnection {
+    return this._connections.get(socket) ?? CallerConnection.create(socket)
   }
 
   /** Closes the connections whose responses are all written and that bring no request. */
--- a/packages/serving/src/callers/callerExchange.ts
+++ b/packages/serving/src/callers/callerExchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServerResponse } from 'node:http'
+import type { CallerConnection } from './callerConnections.js'
 import type { CallerProtocol } from './callerProtocol.js'
 import type { Rejection } from './rejection.js'
 
@@ -34,17 +35,19 @@
 export class HttpCallerExchange implements CallerExchange {
   private readonly _response: ServerResponse
   private readonly _protocol: CallerProtocol
+  private readonly _connection: CallerConnection
   private readonly _closesConnection: () => boolean
 
-  private constructor (response: ServerResponse, protocol: CallerProtocol, closesConnection: () => boolean) {
+  private constructor (response: ServerResponse, protocol: CallerProtocol, connection: CallerConnection, closesConnection: () => boolean) {
     this._response = response
     this._protocol = protocol
+    this._connection = connection
     this._closesConnection = closesConnection
   }
 
   /** `closesConnection` returns whether to close the connection after the response, because the gateway is stopping. */
-  static create (response: ServerResponse, protocol: CallerProtocol, closesConnection: () => boolean): HttpCallerExchange {
-    return new HttpCallerExchange(response, protocol, closesConnection)
+  static create (response: ServerResponse, protocol: CallerProtocol, connection: CallerConnection, closesConnection: () => boolean): HttpCallerExchange {
+    return new HttpCallerExchange(response, protocol, connection, closesConnection)
   }
 
   get started (): boolean {
@@ -94,7 +97,8 @@
   }
 
   private _writeHead (status: number, headers: readonly string[]): void {
-    if (this._closesConnection()) this._response.shouldKeepAlive = false
+    if (this._closesConnection() && this._connection.isLast(this._response)) this._response.shouldKeepAlive = false
+    if (!this._response.shouldKeepAlive) this._connection.recordClosing()
     this._response.writeHead(status, [...headers])
   }
 }
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -84,8 +84,10 @@
 
   private _serve (incoming: IncomingMessage, response: ServerResponse): void {
     const { protocol, stop } = this._options
-    const exchange = HttpCallerExchange.create(response, protocol, () => stop.isStopping)
-    this._connections.open(response)
+    const connection = this._connections.connectionOf(response)
+    if (connection.isClosing) return
+    connection.open(response)
+    const exchange = HttpCallerExchange.create(response, protocol, connection, () => stop.isStopping)
     this._guard(exchange, () => this._receive(incoming, response, exchange))
   }
 
--- a/tests/platform/stopDecisions.spec.ts
+++ b/tests/platform/stopDecisions.spec.ts
@@ -134,4 +134,29 @@
     assert.equal(slow.statuses.length, LONG_BODIES)
     assert.equal(slow.received.split('x').length - 1, LONG_BODIES * LONG_BODY_BYTES)
   })
+
+  // Guards against: a response announces that its connection closes while a request behind it is passed on, whose answer is then cut.
+  it('LOST: answers all requests of a connection that it has passed on, also those that were sent together', async () => {
+    deployment.upstreams[0].script = (request: ReceivedRequest, upstream) => void setTimeout(() => request.socket.write(`${formatResponseHead(request, upstream)}Content-Length: 2\r\n\r\nok`), request.requestId === 'first' ? 300 : 600)
+    const pipelined = open()
+    pipelined.socket.write(formatHead('first', '/page/x', 'content-length: 0\r\n') + formatHead('second', '/page/x', 'content-length: 0\r\n'))
+    await deployment.upstreams[0].waitForRequests(1)
+    await Promise.all([deployment.gateways[0].stop(), pipelined.untilClosed()])
+    assert.equal(pipelined.statuses.length, countRuns('first') + countRuns('second'), pipelined.received)
+  })
+
+  // Guards against: a request that is sent behind one whose response has announced the end of the connection is passed on and never answered.
+  it('LOST: passes on nothing behind a response that has announced that its connection closes', async () => {
+    deployment.upstreams[0].script = (request: ReceivedRequest, upstream) => {
+      request.socket.write(`${formatResponseHead(request, upstream)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n`)
+      setTimeout(() => request.socket.write('0\r\n\r\n'), 600)
+    }
+    const late = open()
+    const stopped = deployment.gateways[0].stop()
+    late.socket.write(formatHead('announced', '/summary/x', 'content-length: 0\r\n'))
+    while (late.statuses.length === 0) await wait(5)
+    late.socket.write(formatHead('behind', '/page/x', 'content-length: 0\r\n'))
+    await Promise.all([stopped, late.untilClosed()])
+    assert.deepEqual([late.statuses, late.announcesClose, countRuns('behind')], [[200], true, 0])
+  })
 })
