Let a second call to stop wait for the shutdown that runs

Cause: A second call to stop returned at once, and the process ends when stop returns: SIGINT behind SIGTERM ended it while requests ran. Their callers saw a closed connection. Change: All calls wait for the same shutdown.

--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -86,6 +86,8 @@
   private readonly _internalListeners: InternalListeners
   private readonly _registry: GatewayRegistry
   private readonly _stop: GatewayStop
+  /** Resolves when the graceful shutdown has ended; undefined until it begins. */
+  private _stopped: Promise<void> | undefined
 
   private constructor (settings: ServingSettings, environment: ServingEnvironment, tasks: BackgroundTasks, socket: PeerSocket) {
     this.tasks = tasks
@@ -144,11 +146,10 @@
     for (const seed of settings.peerSeeds) this.state.peers.addKnownAddress(seed, this._environment.clock.now())
   }
 
-  /** Shuts down gracefully: readiness checks fail, then no new connections are accepted, and running requests may finish. */
+  /** Shuts down gracefully: readiness checks fail, then no new connections are accepted, and running requests may finish. Another call waits for the same shutdown. */
   async stop (): Promise<void> {
-    if (this._stop.isStopping) return
-    await this._stop.run()
-    await this.destroy()
+    this._stopped ??= this._stop.run().then(async () => await this.destroy())
+    await this._stopped
   }
 
   /** Cancels all tasks and closes the listeners and connections immediately. */
--- a/tests/platform/stopDecisions.spec.ts
+++ b/tests/platform/stopDecisions.spec.ts
@@ -4,7 +4,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { wait } from '../support/wait.js'
 import { HOST, PlatformDeployment, TOKEN, formatConfiguration } from './support/platformDeployment.js'
-import { formatResponseHead } from './support/upstreamStandin.js'
+import { formatResponseHead, streamEvents } from './support/upstreamStandin.js'
 import type { ReceivedRequest } from './support/upstreamStandin.js'
 
 /** Time after the beginning of a stop in which requests are accepted, with a margin for the test. */
@@ -159,4 +159,16 @@
     await Promise.all([stopped, late.untilClosed()])
     assert.deepEqual([late.statuses, late.announcesClose, countRuns('behind')], [[200], true, 0])
   })
+
+  // Guards against: a second stop, as a second signal asks for, ends at once and the process with it while requests still run.
+  it('LOST: a second call to stop does not shorten the stop', async () => {
+    deployment.upstreams[0].script = (request: ReceivedRequest, upstream) => void setTimeout(() => streamEvents(1, 2, 'end')(request, upstream), 500)
+    const running = open()
+    running.socket.write(formatHead('running', '/page/x', 'content-length: 0\r\n'))
+    await deployment.upstreams[0].waitForRequests(1)
+    const first = deployment.gateways[0].stop()
+    await deployment.gateways[0].stop()
+    assert.deepEqual(running.statuses, [200])
+    await first
+  })
 })
