Refuse requests that are known to outlast a planned stop

Cause: In the first 2.6 s after the stop signal every request was accepted, also a stream of which it was known that it would not end within the grace period. Its callers got a part of it and a closed connection, and an upstream worked in vain. Change: RequestDurations learns how long the requests of each route take, generations for each token of output that they ask for. A request that would end after the grace period by this is refused at once, as not executed, and another gateway serves it. One that ends at its own deadline before, one of which too little is known, and a stream that is resumed, are accepted.

--- a/packages/serving/src/attempts/acceptedRequest.ts
+++ b/packages/serving/src/attempts/acceptedRequest.ts
@@ -25,3 +25,8 @@
   acceptedAt: Timestamp
   deadline: Timestamp
 }
+
+/** Whether the caller has received a part of the response before, from an earlier request. */
+export function isResumed ({ lastEventId, resumedRequestId }: CallerHead): boolean {
+  return lastEventId !== undefined || resumedRequestId !== undefined
+}
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -9,8 +9,10 @@
 import type { Rejection } from '../callers/rejection.js'
 import type { UpstreamAccess } from '../links/upstreamAccess.js'
 import type { UpstreamPath } from '../links/upstreamPath.js'
+import type { RequestDurations } from '../stopping/requestDurations.js'
 import type { StreamOriginTask } from '../streams/streamOriginTask.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
+import { isResumed } from './acceptedRequest.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
 import { AttemptEffects } from './attemptEffects.js'
 import { AttemptLog } from './attemptLog.js'
@@ -49,6 +51,7 @@
   protocol: UpstreamProtocol
   access: UpstreamAccess
   running: RunningRequests
+  durations: RequestDurations
   streamOrigins: StreamOriginTask
 }
 
@@ -296,6 +299,7 @@
     this._effects.recordComplete(upstream, failed)
     if (this._relay.attemptHasBegun) this._crashes.recordBegin()
     this._crashes.recordFinished()
+    if (!failed) this._services.durations.record({ ...this._request, isResumed: isResumed(this._request.head) }, this._elapsedMilliseconds())
     this._end('complete')
     this._relay.finish()
   }
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -6,8 +6,11 @@
 import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Timestamp } from '@plumstage/common'
+import { isResumed } from '../attempts/acceptedRequest.js'
 import { RequestTask } from '../attempts/requestTask.js'
 import type { RequestServices } from '../attempts/requestTask.js'
+import type { RequestKind } from '../stopping/requestDurations.js'
 import { afterNextPoll } from './afterNextPoll.js'
 import { readBody } from './bodyReader.js'
 import { CallerConnections } from './callerConnections.js'
@@ -31,8 +34,8 @@
 export interface StopState {
   /** Whether to close connections after their next response. */
   readonly isStopping: boolean
-  /** Whether requests that are complete now are too late to be served before the process ends. */
-  readonly isTooLate: boolean
+  /** Whether a request that is complete now is refused, since it can't be served before the process ends. */
+  refuses: (kind: RequestKind, deadline: Timestamp) => boolean
 }
 
 /** Dependencies of the server. */
@@ -128,7 +131,7 @@
     const { services, admission } = this._options
     const now = services.clock.now()
     if (exchange.isDisconnected) return services.instrumentation.emit('request-abandoned', { target: head.target, route: admitted.route.name, workspace: admitted.workspace }, head.requestId)
-    if (this._options.stop.isTooLate) return this._reject(exchange, createStopRejection(), incoming, head, admitted)
+    if (this._options.stop.refuses({ ...admitted, isResumed: isResumed(head) }, admitted.deadline)) return this._reject(exchange, createStopRejection(), incoming, head, admitted)
     const digest = digestRequest(head, body)
     const allowed = admission.checkQuarantine(digest, now)
     if (allowed.isErr()) return this._reject(exchange, allowed.error, incoming, head, admitted)
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -34,6 +34,7 @@
 import type { ServingSettings } from './servingSettings.js'
 import { ServingState } from './servingState.js'
 import { GatewayStop } from './stopping/gatewayStop.js'
+import { RequestDurations } from './stopping/requestDurations.js'
 import { StoreKeys } from './storeKeys.js'
 import { StreamTracking } from './streams/streamTracking.js'
 import type { Upstream } from './upstreams/upstreamTable.js'
@@ -69,6 +70,7 @@
   private readonly _environment: ServingEnvironment
   private readonly _context: CallContext
   private readonly _running = RunningRequests.create()
+  private readonly _durations = RequestDurations.create()
   private readonly _pauses: PauseMonitor
   private readonly _access: UpstreamAccess
   private readonly _keys: StoreKeys
@@ -170,6 +172,7 @@
     const { clock, instrumentation } = this._environment
     return GatewayStop.create({
       running: this._running,
+      durations: this._durations,
       callerServer: () => this._callerServer,
       tunnels: () => this._access.tunnels,
       graceMilliseconds: () => this._settings.graceMilliseconds,
@@ -229,7 +232,7 @@
   private _createCallerServer (): CallerServer {
     const { clock, timeOfDay, instrumentation, upstreamProtocol, callerProtocol } = this._environment
     return CallerServer.create({
-      services: { clock, timeOfDay, instrumentation, tasks: this.tasks, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, streamOrigins: this._streams.origins, crashProbe: this._access },
+      services: { clock, timeOfDay, instrumentation, tasks: this.tasks, state: this.state, protocol: upstreamProtocol, access: this._access, running: this._running, durations: this._durations, streamOrigins: this._streams.origins, crashProbe: this._access },
       admission: RequestAdmission.create(this.state),
       protocol: callerProtocol,
       pauses: this._pauses,
--- a/packages/serving/src/stopping/gatewayStop.ts
+++ b/packages/serving/src/stopping/gatewayStop.ts
@@ -7,6 +7,7 @@
 import type { RunningRequests } from '../attempts/runningRequests.js'
 import type { CallerServer, StopState } from '../callers/callerServer.js'
 import type { RelayServer } from '../relay/relayServer.js'
+import type { RequestDurations, RequestKind } from './requestDurations.js'
 import { StopSchedule } from './stopSchedule.js'
 
 const STOP_POLL_MILLISECONDS = 50
@@ -14,6 +15,7 @@
 /** Dependencies and callbacks. */
 export interface GatewayStopOptions {
   running: RunningRequests
+  durations: RequestDurations
   callerServer: () => CallerServer
   tunnels: () => RelayServer
   /** Time between the stop signal and the end of the process by force. */
@@ -45,9 +47,14 @@
     return this._schedule !== undefined
   }
 
-  /** Whether requests that are complete now are too late to be served. */
-  get isTooLate (): boolean {
-    return this._schedule !== undefined && this._schedule.decide(this._options.clock.now()) === 'too-late'
+  /** Whether a request that is complete now is refused, since it can't be served before the process ends. */
+  refuses (kind: RequestKind, deadline: Timestamp): boolean {
+    if (this._schedule === undefined) return false
+    const { clock, durations } = this._options
+    const now = clock.now()
+    const expectedMilliseconds = durations.expect(kind)
+    const endsAt = expectedMilliseconds === undefined ? undefined : Math.min(deadline, now + expectedMilliseconds)
+    return this._schedule.decide(now, endsAt) !== 'accepted'
   }
 
   /** Resolves when the requests have ended, or shortly before the end of the grace period, when those that still run are ended. */
--- a/packages/serving/src/stopping/stopSchedule.ts
+++ b/packages/serving/src/stopping/stopSchedule.ts
@@ -16,7 +16,7 @@
 const WRITING_MILLISECONDS = 300
 
 /** What becomes of a request that is complete now. */
-export type StopDecision = 'accepted' | 'too-late'
+export type StopDecision = 'accepted' | 'too-late' | 'too-long'
 
 /** The schedule of one stop. */
 export class StopSchedule {
@@ -40,8 +40,12 @@
     return new StopSchedule(Math.min(startedAt + ACCEPTING_MILLISECONDS, drainsUntil), drainsUntil)
   }
 
-  /** Decides on a request that was read completely, however long ago its first byte came. */
-  decide (now: Timestamp): StopDecision {
-    return now < this.acceptsUntil ? 'accepted' : 'too-late'
+  /**
+   * Decides on a request that was read completely, however long ago its first byte came. `endsAt` is when it will probably end,
+   * undefined if that is not known; it is accepted then.
+   */
+  decide (now: Timestamp, endsAt: Timestamp | undefined): StopDecision {
+    if (now >= this.acceptsUntil) return 'too-late'
+    return endsAt === undefined || endsAt <= this.drainsUntil ? 'accepted' : 'too-long'
   }
 }
