--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -5,12 +5,14 @@
  */
 import type { BackgroundTasks, Timer, Timestamp } from '@plumstage/common'
 import type { CallerExchange } from '../callers/callerExchange.js'
-import { createRejection } from '../callers/rejection.js'
+import { createRejection, createStopRejection } from '../callers/rejection.js'
 import type { Rejection } from '../callers/rejection.js'
 import type { UpstreamAccess } from '../links/upstreamAccess.js'
 import type { UpstreamPath } from '../links/upstreamPath.js'
+import type { RequestDurations } from '../stopping/requestDurations.js'
 import type { StreamOriginTask } from '../streams/streamOriginTask.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
+import { isResumed } from './acceptedRequest.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
 import { AttemptEffects } from './attemptEffects.js'
 import { AttemptLog } from './attemptLog.js'
@@ -49,6 +51,7 @@
   protocol: UpstreamProtocol
   access: UpstreamAccess
   running: RunningRequests
+  durations: RequestDurations
   streamOrigins: StreamOriginTask
 }
 
@@ -130,6 +133,19 @@
     this.onEnded({ kind: 'failed', failure: 'links-lost', detail: 'the path to the upstream is lost', connectionLost: false })
   }
 
+  /** Ends the request because the process ends: with what is true of it, unless its response has begun. Returns whether it was cut. */
+  endForStop (): boolean {
+    if (this._done) return false
+    this._progress.mayHaveRun ||= this._abandonAttempt()
+    if (this._relay.started) {
+      this._cut('cut-at-stop')
+      return true
+    }
+    if (this._progress.mayHaveRun) this._reject(createRejection('interrupted', 'The gateway shut down before the upstream had responded, and the request may have been executed. Check its effect before sending it again.'))
+    else this._reject(createStopRejection())
+    return false
+  }
+
   receiveHead (status: number, headers: ResponseHeaders): ReceiveDecision {
     this._path?.recordBytes()
     const head = this._services.protocol.readHead(status, headers)
@@ -284,6 +300,7 @@
     this._effects.recordComplete(upstream, failed)
     if (this._relay.attemptHasBegun) this._crashes.recordBegin()
     this._crashes.recordFinished()
+    if (!failed) this._services.durations.record({ ...this._request, isResumed: isResumed(this._request.head) }, this._elapsedMilliseconds())
     this._end('complete')
     this._relay.finish()
   }
@@ -338,7 +355,7 @@
   }
 
   /** Closes the connection, so that a started response does not look complete. */
-  private _cut (outcome: 'cut-after-failure' | 'cut-without-upstream' | 'cut-at-deadline'): void {
+  private _cut (outcome: 'cut-after-failure' | 'cut-without-upstream' | 'cut-at-deadline' | 'cut-at-stop'): void {
     this._end(outcome)
     this._exchange.cut()
   }
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -6,14 +6,18 @@
 import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Timestamp } from '@plumstage/common'
+import { isResumed } from '../attempts/acceptedRequest.js'
 import { RequestTask } from '../attempts/requestTask.js'
 import type { RequestServices } from '../attempts/requestTask.js'
+import type { RequestKind } from '../stopping/requestDurations.js'
 import { afterNextPoll } from './afterNextPoll.js'
 import { readBody } from './bodyReader.js'
+import { CallerConnections } from './callerConnections.js'
 import { HttpCallerExchange } from './callerExchange.js'
 import type { CallerExchange } from './callerExchange.js'
 import type { CallerHead, CallerProtocol } from './callerProtocol.js'
-import { createRejection } from './rejection.js'
+import { createRejection, createStopRejection } from './rejection.js'
 import type { PauseMonitor } from './pauseMonitor.js'
 import type { Rejection } from './rejection.js'
 import type { Admission, RequestAdmission } from './requestAdmission.js'
@@ -26,24 +30,37 @@
 const TIMEOUT_CHECK_MILLISECONDS = 500
 const DIGEST_LENGTH = 24
 
+/** What the server asks about a shutdown of the gateway. */
+export interface StopState {
+  /** Whether to close connections after their next response. */
+  readonly isStopping: boolean
+  /** Whether a request that is complete now is refused, since it can't be served before the process ends. */
+  refuses: (kind: RequestKind, deadline: Timestamp) => boolean
+}
+
 /** Dependencies of the server. */
 export interface CallerServerOptions {
   services: RequestServices
   admission: RequestAdmission
   protocol: CallerProtocol
   pauses: PauseMonitor
-  /** Returns whether to close connections after their next response, because the gateway is stopping. */
-  closesConnection: () => boolean
+  stop: StopState
 }
 
 /** The HTTP server for callers. */
 export class CallerServer {
   readonly server: Server
   private readonly _options: CallerServerOptions
+  private readonly _connections: CallerConnections
+  /** Refuse the requests that are not completely read. */
+  private readonly _refusals = new Set<() => void>()
 
   private constructor (options: CallerServerOptions) {
     this._options = options
     this.server = createServer({ maxHeaderSize: MAXIMUM_HEAD_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS, requestTimeout: 0 }, (incoming, response) => this._serve(incoming, response))
+    this._connections = CallerConnections.create(this.server)
+    // Node's own method also closes connections whose last response is not completely written; `close` calls this one, too.
+    this.server.closeIdleConnections = () => this._connections.closeIdle()
     this.applyLimits()
   }
 
@@ -58,9 +75,22 @@
     this.server.keepAliveTimeout = limits?.idleTimeoutMilliseconds ?? DEFAULT_IDLE_TIMEOUT_MILLISECONDS
   }
 
+  /** Number of requests that are read, at least in part, and whose responses are not completely written. */
+  get openResponses (): number {
+    return this._connections.openResponses
+  }
+
+  /** Refuses the requests whose bodies have not arrived, because the gateway shuts down. */
+  refuseUnread (): void {
+    for (const refuse of this._refusals) refuse()
+  }
+
   private _serve (incoming: IncomingMessage, response: ServerResponse): void {
-    const { protocol, closesConnection } = this._options
-    const exchange = HttpCallerExchange.create(response, protocol, closesConnection)
+    const { protocol, stop } = this._options
+    const connection = this._connections.connectionOf(response)
+    if (connection.isClosing) return
+    connection.open(response)
+    const exchange = HttpCallerExchange.create(response, protocol, connection, () => stop.isStopping)
     this._guard(exchange, () => this._receive(incoming, response, exchange))
   }
 
@@ -78,10 +108,16 @@
     const admitted = admission.admit(head.value, acceptedAt)
     if (admitted.isErr()) return this._reject(exchange, admitted.error, incoming, head.value)
     const bodyTimer = services.clock.schedule(admitted.value.deadline, () => this._reject(exchange, createRejection('body-too-slow', 'The body did not arrive before the deadline, and the request was not executed. Send it again.'), incoming, head.value))
-    response.once('close', () => bodyTimer.cancel())
+    const refuse = (): void => this._reject(exchange, createStopRejection(), incoming, head.value)
+    const endReading = (): void => {
+      bodyTimer.cancel()
+      this._refusals.delete(refuse)
+    }
+    this._refusals.add(refuse)
+    response.once('close', endReading)
     const maximumBytes = services.state.view.configuration?.callerLimits?.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES
     readBody(incoming, maximumBytes, body => {
-      bodyTimer.cancel()
+      endReading()
       if (exchange.started) return
       if (body.isErr()) return this._reject(exchange, body.error, incoming, head.value)
       const { value } = body
@@ -95,6 +131,7 @@
     const { services, admission } = this._options
     const now = services.clock.now()
     if (exchange.isDisconnected) return services.instrumentation.emit('request-abandoned', { target: head.target, route: admitted.route.name, workspace: admitted.workspace }, head.requestId)
+    if (this._options.stop.refuses({ ...admitted, isResumed: isResumed(head) }, admitted.deadline)) return this._reject(exchange, createStopRejection(), incoming, head, admitted)
     const digest = digestRequest(head, body)
     const allowed = admission.checkQuarantine(digest, now)
     if (allowed.isErr()) return this._reject(exchange, allowed.error, incoming, head, admitted)
--- a/tests/platform/support/platformDeployment.ts
+++ b/tests/platform/support/platformDeployment.ts
@@ -61,7 +61,7 @@
 }
 
 /** Returns the configuration as the operators write it, with some fields replaced. */
-export function formatConfiguration (fields: Partial<typeof CONFIGURATION>): string {
+export function formatConfiguration (fields: { [Field in keyof typeof CONFIGURATION]?: unknown }): string {
   return JSON.stringify({ ...CONFIGURATION, ...fields })
 }
 
