--- a/tests/platform/unstatedReturns.spec.ts
+++ b/tests/platform/unstatedReturns.spec.ts
@@ -55,6 +55,16 @@
     assertInForce()
   })
 
+  // Guards against: a second return, to revisions that were given out twice already.
+  it('CONFIG: confirmed versions are in force in time after a store without an era comes back from a copy twice', async () => {
+    const run = operator.run(20_000)
+    await wait(500)
+    await returnFromCopy()
+    await returnFromCopy()
+    await run
+    assertInForce()
+  })
+
   // Guards against: gateways that follow the store's new history are taken back by those that remember higher revisions.
   it('CONFIG: confirmed versions are in force in time after a store without an era comes back while gateways are killed', async () => {
     const run = operator.run(18_000)
