Test what begins a stream after a first answer that is none

Cause: the tests of first answers covered only the head of an error.

Change: a test with six first answers; each time the stream has to begin at another upstream.

--- a/tests/platform/oddContinuations.spec.ts
+++ b/tests/platform/oddContinuations.spec.ts
@@ -92,6 +92,16 @@
     }
   })
 
+  // Guards against: a stream that has not begun is given up, or begins with what is no event of it.
+  it('ORDER, MIXED: a stream begins at another upstream after a first answer that is none', async () => {
+    const first = [...WITHOUT_NEW_EVENT, ...OTHER_SUCCESSES, ...WITHOUT_ID].filter(({ name }) => /^(no bytes until|204|the text of an error as|the text of an error alone|the head of an error$)/.test(name))
+    for (const { name, script } of first) {
+      const response = await send('/manual/x', [script, answer(formatEvents(1, 6))])
+      assert.deepEqual([attempts, response.status, response.complete, response.body], [2, 200, true, formatEvents(1, 6)], name)
+    }
+    assert.equal(first.length, 6)
+  })
+
   // Guards against: after a break, another upstream writes the stream from its beginning after what the caller has.
   it('ORDER: a stream without ids does not begin anew within one response', async () => {
     const response = await send('/manual/x', [breakOffWith('data: a\n\ndata: b\n\n'), answer('data: a\n\ndata: b\n\ndata: c\n\n')])
