Start and stop also when nobody reads the log any more

Callers saw: a gateway that was not there, since each start ended at its first log line.

Cause: errors of standard output and standard error, and errors that reach no handler, were handled only after the gateway had been created. Class: as with signals, a handler for a part of the life of the process only. Behind it, a second one: the library that writes the events tries a last synchronous write for ever when its reader has gone, so a planned stop did not end the process.

The event log writes what is left asynchronously when it is closed, for a quarter of a second at most. The preloaded marker of the tests ignores an output that is closed.

Result: a lost reader costs the log and nothing else.

--- a/packages/common/src/boundedEventLog.ts
+++ b/packages/common/src/boundedEventLog.ts
@@ -14,6 +14,8 @@
 const FLUSH_BYTES = 8 * 1024
 const MAXIMUM_PENDING_BYTES = 1024 * 1024
 const FLUSH_MILLISECONDS = 250
+/** What is left when the log is closed is written within this time or lost. */
+const CLOSE_MILLISECONDS = 250
 
 /** Appends events to standard output or a file. Lines that exceed the buffer because the reader is slow are dropped and counted. */
 export class BoundedEventLog {
@@ -44,8 +46,14 @@
     this._output.write(formatEvent(event) + '\n')
   }
 
-  close (): void {
+  /** Writes what is left, if that takes no longer than a moment: a reader that has gone or stands still must not keep a process. */
+  async close (): Promise<void> {
     clearInterval(this._timer)
-    this._output.flushSync()
+    await new Promise<void>(resolve => {
+      setTimeout(resolve, CLOSE_MILLISECONDS)
+      this._output.once('error', () => resolve())
+      this._output.once('close', resolve)
+      this._output.end()
+    })
   }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -16,6 +16,7 @@
 
 /** Runs `plumstage-entry` until it receives SIGTERM or SIGINT, also one that arrived before this call. */
 export function runEntry (signals: ProcessSignals): void {
+  ignoreOutputErrors()
   const options = readEntryOptions(process.argv.slice(2), process.env)
   if (options.isErr()) return exitWithError(EXIT_INVALID_SETTINGS, options.error)
   setLogLevel(options.value.logLevel)
@@ -25,13 +26,12 @@
   if (settings.isErr()) return exitWithError(EXIT_INVALID_SETTINGS, settings.error)
   const run = EntryRun.create({ ...options.value, path, settings: settings.value })
   signals.handle(signal => run.receive(signal))
-  run.start().then(() => keepRunningAfterErrors(run)).catch((error: unknown) => exitWithError(EXIT_FAILURE, error))
+  process.on('uncaughtException', error => run.reportError(error))
+  run.start().catch((error: unknown) => exitWithError(EXIT_FAILURE, error))
 }
 
-/** The requests of all callers depend on the process, so an error that reaches no handler is reported and does not end it. */
-function keepRunningAfterErrors (run: EntryRun): void {
-  process.on('uncaughtException', error => run.reportError(error))
-  // A reader of the log that goes away.
+/** A reader of the log that goes away ends no process. */
+function ignoreOutputErrors (): void {
   for (const output of [process.stdout, process.stderr]) output.on('error', () => {})
 }
 
--- a/packages/entry/src/entryRun.ts
+++ b/packages/entry/src/entryRun.ts
@@ -68,22 +68,22 @@
     else this._stop()
   }
 
-  /** Reports an error that reaches no handler. */
+  /** Reports an error that reaches no handler and does not end the process: the requests of all callers depend on it. */
   reportError (error: unknown): void {
-    this._gateway?.tasks.report('process', error)
+    if (this._gateway) this._gateway.tasks.report('process', error)
+    else this._log.error(`An error during the start reached no handler: ${describeError(error)}. Report this to the developers.`)
   }
 
   /** Finishes the running requests once, however often the process is asked to stop. */
   private _stop (): void {
     if (this._isStopping) return
     this._isStopping = true
-    if (!this._gateway) return this._end()
-    const { tasks } = this._gateway
-    this._gateway.stop().catch((error: unknown) => tasks.report('stop', error)).finally(() => this._end())
+    void this._end()
   }
 
-  private _end (): void {
-    this._events?.close()
+  private async _end (): Promise<void> {
+    await this._gateway?.stop().catch((error: unknown) => this._gateway?.tasks.report('stop', error))
+    await this._events?.close()
     process.exit(0)
   }
 
--- a/tests/common/boundedEventLog.spec.ts
+++ b/tests/common/boundedEventLog.spec.ts
@@ -13,13 +13,13 @@
 }
 
 describe('bounded event log', () => {
-  it('writes only complete lines, and drops and counts those that exceed the buffer', () => {
+  it('writes only complete lines, and drops and counts those that exceed the buffer', async () => {
     const folder = mkdtempSync(path.join(tmpdir(), 'events-'))
     const file = path.join(folder, 'events.jsonl')
     const log = BoundedEventLog.create(file)
     // All appends happen in one turn of the event loop, so that nothing is written out in between.
     for (let sequence = 1; sequence <= LINES; sequence++) log.append(createEvent(sequence))
-    log.close()
+    await log.close()
     const lines = readFileSync(file, 'utf8').trimEnd().split('\n').map(line => JSON.parse(line) as ActionEvent)
     assert.ok(log.droppedLines > 0)
     assert.equal(lines.length + log.droppedLines, LINES)
--- a/tests/entry/support/announceLoading.cjs
+++ b/tests/entry/support/announceLoading.cjs
@@ -2,7 +2,16 @@
 const fs = require('node:fs')
 
 const { readFileSync } = fs
+
+function announce () {
+  try {
+    fs.writeSync(1, 'loading\n')
+  } catch {
+    // A test that has closed the output does not read this.
+  }
+}
+
 fs.readFileSync = (file, ...options) => {
-  if (String(file).endsWith('.bundle.cjs')) fs.writeSync(1, 'loading\n')
+  if (String(file).endsWith('.bundle.cjs')) announce()
   return readFileSync(file, ...options)
 }
