Let the end of a gateway overtake its planned stop

Cause: When a gateway is destroyed while its planned stop waits, each wait of the stop ended at once, and the stop asked again without letting anything else run, for up to the rest of its grace period. No operator has reported it; it was found while reading the stop. Change: The stop does not wait once the gateway is destroyed.

--- a/packages/serving/src/stopping/gatewayStop.ts
+++ b/packages/serving/src/stopping/gatewayStop.ts
@@ -86,6 +86,6 @@
 
   private async _waitWhile (holds: () => boolean, until: Timestamp): Promise<void> {
     const { clock, context } = this._options
-    while (holds() && clock.now() < until) await context.sleepUntil(clock.now() + STOP_POLL_MILLISECONDS)
+    while (!context.cancelled && holds() && clock.now() < until) await context.sleepUntil(clock.now() + STOP_POLL_MILLISECONDS)
   }
 }
--- a/tests/platform/stopDecisions.spec.ts
+++ b/tests/platform/stopDecisions.spec.ts
@@ -9,6 +9,8 @@
 
 /** Time after the beginning of a stop in which requests are accepted, with a margin for the test. */
 const ACCEPTING_MILLISECONDS = 2700
+/** Half of what is left of the grace period then. */
+const DESTROY_MILLISECONDS = 1300
 /** Together more than the buffers of a connection hold. */
 const LONG_BODY_BYTES = 250_000
 const LONG_BODIES = 60
@@ -171,4 +173,17 @@
     assert.deepEqual(running.statuses, [200])
     await first
   })
+
+  // Guards against: a stop that is overtaken by the immediate end of the gateway waits without letting anything else run.
+  it('ends at once when the gateway is destroyed meanwhile', async () => {
+    deployment.upstreams[0].script = () => {}
+    const running = open()
+    running.socket.write(formatHead('running', '/page/x', 'content-length: 0\r\n'))
+    await deployment.upstreams[0].waitForRequests(1)
+    const stopped = deployment.gateways[0].stop()
+    await wait(ACCEPTING_MILLISECONDS)
+    const destroyedAt = performance.now()
+    await Promise.all([deployment.gateways[0].destroy(), stopped])
+    assert.ok(performance.now() - destroyedAt < DESTROY_MILLISECONDS, `${performance.now() - destroyedAt} ms`)
+  })
 })
