Accept a byte order mark before the first line of a stream

Cause: since lines that belong to no event fail an attempt, so did a sound stream that begins with a byte order mark, which the standard allows.

Change: the mark is skipped before the first event of a stream. In an answer that goes on with a stream it stays foreign, because it would stand in the middle of the caller's stream.

--- a/packages/serving/src/attempts/eventReader.ts
+++ b/packages/serving/src/attempts/eventReader.ts
@@ -15,6 +15,8 @@
 const DIGIT_ZERO = 0x30
 const DIGIT_NINE = 0x39
 const RADIX = 10
+/** May begin a stream, before the first line. */
+const BYTE_ORDER_MARK = Buffer.from('\ufeff')
 const ID_FIELD = Buffer.from('id')
 /** Sets a delay of the caller, and is part of no event. */
 const RETRY_FIELD = Buffer.from('retry')
@@ -24,9 +26,16 @@
   private _id: number | undefined
   private _hasFields = false
   private _hasForeignLine = false
+  /** Whether no event of the stream was read completely yet. */
+  private _isAtBeginning: boolean
 
-  static create (): EventReader {
-    return new EventReader()
+  private constructor (isAtBeginning: boolean) {
+    this._isAtBeginning = isAtBeginning
+  }
+
+  /** `isAtBeginning` is whether the first event is that of the whole stream; a byte order mark may stand before it. */
+  static create (isAtBeginning: boolean): EventReader {
+    return new EventReader(isAtBeginning)
   }
 
   /** Value of the first `id` field; undefined when there is none or it is not a number. */
@@ -49,10 +58,13 @@
     this._id = undefined
     this._hasFields = false
     this._hasForeignLine = false
-    let lineStart = start
+    let lineStart = this._isAtBeginning ? skipByteOrderMark(bytes, start) : start
     for (let lineEnd = bytes.indexOf(LINE_FEED, start); lineEnd >= 0; lineEnd = bytes.indexOf(LINE_FEED, lineStart)) {
       const textEnd = lineEnd > lineStart && bytes[lineEnd - 1] === CARRIAGE_RETURN ? lineEnd - 1 : lineEnd
-      if (textEnd === lineStart) return lineEnd + 1
+      if (textEnd === lineStart) {
+        this._isAtBeginning = false
+        return lineEnd + 1
+      }
       this._readLine(bytes, lineStart, textEnd)
       lineStart = lineEnd + 1
     }
@@ -67,6 +79,11 @@
   }
 }
 
+function skipByteOrderMark (bytes: Buffer, start: number): number {
+  const end = start + BYTE_ORDER_MARK.length
+  return BYTE_ORDER_MARK.equals(bytes.subarray(start, end)) ? end : start
+}
+
 /** Whether a line begins with the name of a field in lower case. Fields with other names than those of the standard are sound. */
 function hasFieldName (bytes: Buffer, start: number, end: number): boolean {
   for (let index = start; index < end; index++) {
--- a/packages/serving/src/attempts/eventSplitter.ts
+++ b/packages/serving/src/attempts/eventSplitter.ts
@@ -25,12 +25,13 @@
 
 /** Splits the event stream of one attempt. */
 export class EventSplitter {
-  private readonly _reader = EventReader.create()
+  private readonly _reader: EventReader
   private readonly _requiresId: boolean
   private _incompleteEvent: Buffer = EMPTY
   private _lastId: number | undefined
 
   private constructor (lastId: number | undefined, requiresId: boolean) {
+    this._reader = EventReader.create(lastId === undefined)
     this._lastId = lastId
     this._requiresId = requiresId
   }
--- a/tests/serving/eventSplitter.spec.ts
+++ b/tests/serving/eventSplitter.spec.ts
@@ -89,6 +89,25 @@
     }
   })
 
+  // Guards against: a sound stream is given up at its first bytes, which the standard allows before the first line.
+  it('accepts a byte order mark before the first line, also in pieces, and nowhere else', () => {
+    const text = `\ufeff${event(1)}${event(2)}`
+    for (const length of [1, 2, 4, text.length]) {
+      const splitter = EventSplitter.create(undefined, true)
+      const bytes = Buffer.from(text)
+      let forwarded = ''
+      for (let start = 0; start < bytes.length; start += length) {
+        const { bytes: complete, problem } = splitter.split(bytes.subarray(start, start + length))
+        assert.equal(problem, undefined)
+        forwarded += complete.toString()
+      }
+      assert.equal(forwarded, text)
+      assert.equal(splitter.lastId, 2)
+    }
+    assert.match(EventSplitter.create().split(Buffer.from(`${event(1)}\ufeff${event(2)}`)).problem ?? '', /belongs to no event/)
+    assert.match(EventSplitter.create(1, true).split(Buffer.from(`\ufeff${event(2)}`)).problem ?? '', /belongs to no event/)
+  })
+
   // Guards against: an event that has no place in a stream gets into one that may be continued by another attempt.
   it('returns nothing from an event without an id on where each needs one', () => {
     for (const text of ['data: no room\n\n', 'event: error\ndata: no room\n\n', 'error: no room\n\n', 'id: none\ndata: x\n\n', 'id\ndata: x\n\n']) {
