Read a settings file again that is being written at the start

Callers saw: a gateway that was not back, because its start coincided with a change of its settings.

Cause: a settings file that was empty, half written or missing at the first look ended the process with status 2. Class: a condition that passes is taken as final, as with held ports.

Change: the start reads the file again until it can be used, for 2 s, which is the time within which changed settings have to be in force. A file that stays invalid still ends the process with status 2 and the list of its fields; a stop meanwhile ends it with status 0.

That test prolongs the loading by a second now, so that the signal arrives within it on a busy machine, too.

Result: changes of the settings may coincide with starts.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
-import { describeError, getLogger, setLogLevel } from '@plumstage/common'
-import { readSettingsFile, settingsPath } from '@plumstage/platform'
+import { MonotonicClock, describeError, getLogger, setLogLevel } from '@plumstage/common'
+import { settingsPath } from '@plumstage/platform'
 import { readEntryOptions } from './entryOptions.js'
+import type { EntryOptions } from './entryOptions.js'
 import { EntryRun } from './entryRun.js'
-import type { ProcessSignals } from './processSignals.js'
+import type { HandledSignal, ProcessSignals } from './processSignals.js'
+import { readSettingsWhenWritten } from './settingsReader.js'
 
 const EXIT_INVALID_SETTINGS = 2
 const EXIT_FAILURE = 1
@@ -21,13 +23,24 @@
   if (options.isErr()) return exitWithError(EXIT_INVALID_SETTINGS, options.error)
   setLogLevel(options.value.logLevel)
   logStartAndEnd()
+  startRun(options.value, signals).catch((error: unknown) => exitWithError(EXIT_FAILURE, error))
+}
+
+async function startRun (options: EntryOptions, signals: ProcessSignals): Promise<void> {
+  signals.handle(endUnlessReload)
   const path = settingsPath(process.env)
-  const settings = readSettingsFile(path)
+  const clock = MonotonicClock.create()
+  const settings = await readSettingsWhenWritten(path, clock)
   if (settings.isErr()) return exitWithError(EXIT_INVALID_SETTINGS, settings.error)
-  const run = EntryRun.create({ ...options.value, path, settings: settings.value })
+  const run = EntryRun.create({ ...options, path, settings: settings.value, clock })
   signals.handle(signal => run.receive(signal))
   process.on('uncaughtException', error => run.reportError(error))
-  run.start().catch((error: unknown) => exitWithError(EXIT_FAILURE, error))
+  await run.start()
+}
+
+/** Reacts to a signal while the settings are read: nothing has to be finished, and changed settings are about to be read. */
+function endUnlessReload (signal: HandledSignal): void {
+  if (signal !== 'SIGHUP') process.exit(0)
 }
 
 /** A reader of the log that goes away ends no process. */
--- a/packages/entry/src/entryRun.ts
+++ b/packages/entry/src/entryRun.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { setImmediate, setTimeout } from 'node:timers/promises'
-import { BoundedEventLog, Instrumentation, LeaseClock, MonotonicClock, SeededRandom, SystemClock, createProcessIncarnation, describeError, getLogger, isTemporaryListenError, splitAddress } from '@plumstage/common'
+import { BoundedEventLog, Instrumentation, LeaseClock, SeededRandom, SystemClock, createProcessIncarnation, describeError, getLogger, isTemporaryListenError, splitAddress } from '@plumstage/common'
 import type { Clock } from '@plumstage/common'
 import { CallerAdapter, CloudAdapter, DeploymentAdapter, StoreAdapter, UpstreamAdapter, readSettingsFile } from '@plumstage/platform'
 import { ServingGateway } from '@plumstage/serving'
@@ -24,12 +24,13 @@
   /** Path of the settings file, and the settings that were first read from it. */
   path: string
   settings: ServingSettings
+  clock: Clock
 }
 
 /** Runs one gateway until the process is asked to stop. */
 export class EntryRun {
   private readonly _options: EntryRunOptions
-  private readonly _clock: Clock = MonotonicClock.create()
+  private readonly _clock: Clock
   private readonly _events: BoundedEventLog | undefined
   private readonly _instrumentation: Instrumentation
   private readonly _log = getLogger('entry')
@@ -41,6 +42,7 @@
 
   private constructor (options: EntryRunOptions) {
     this._options = options
+    this._clock = options.clock
     this._settings = options.settings
     this._events = options.events === 'none' ? undefined : BoundedEventLog.create(options.events)
     this._instrumentation = Instrumentation.create(options.settings.name, createProcessIncarnation(), SystemClock.create())
@@ -78,11 +80,13 @@
   private _stop (): void {
     if (this._isStopping) return
     this._isStopping = true
-    void this._end()
+    // At once: the start that is under way must open no port any more.
+    if (!this._gateway) process.exit(0)
+    void this._end(this._gateway)
   }
 
-  private async _end (): Promise<void> {
-    await this._gateway?.stop().catch((error: unknown) => this._gateway?.tasks.report('stop', error))
+  private async _end (gateway: ServingGateway): Promise<void> {
+    await gateway.stop().catch((error: unknown) => gateway.tasks.report('stop', error))
     await this._events?.close()
     process.exit(0)
   }
--- a/packages/entry/src/processSignals.ts
+++ b/packages/entry/src/processSignals.ts
@@ -28,7 +28,7 @@
     return signals
   }
 
-  /** Passes each signal to `handler`: at once those that have arrived, each kind once, then all others as they arrive. */
+  /** Passes each signal to `handler`: at once those that have arrived, each kind once, then all others as they arrive. A later handler replaces an earlier one. */
   handle (handler: (signal: HandledSignal) => void): void {
     this._handler = handler
     const pending = [...this._pending]
--- a/tests/entry/earlySignals.spec.ts
+++ b/tests/entry/earlySignals.spec.ts
@@ -7,6 +7,8 @@
 const SERIES_MILLISECONDS = 10
 const LATER_SIGNALS = 40
 const RESTARTS = 3
+/** Long enough for a signal to arrive while a process loads, also on a busy machine. */
+const LOADING_MILLISECONDS = 1000
 /** The longest grace period of a process, and the time that a busy machine takes to notice its end. */
 const STOP_MILLISECONDS = 12_000
 
@@ -41,7 +43,7 @@
 
   // Guards against: a process that is stopped while it loads is left running, or ends with an error.
   it('ends without an error when it is stopped while it loads', async () => {
-    const process = site.start()
+    const process = site.start(LOADING_MILLISECONDS)
     assert.ok(await holdsWithin(START_MILLISECONDS, () => process.isLoading))
     process.signal('SIGTERM')
     assert.ok(await holdsWithin(STOP_MILLISECONDS, () => process.end !== undefined))
--- a/tests/entry/support/announceLoading.cjs
+++ b/tests/entry/support/announceLoading.cjs
@@ -1,4 +1,5 @@
 // Preloaded into a bundled process: says so on standard output when the process begins to load its program.
+// LOADING_MILLISECONDS prolongs the loading, during which the process handles no event.
 const fs = require('node:fs')
 
 const { readFileSync } = fs
@@ -9,6 +10,7 @@
   } catch {
     // A test that has closed the output does not read this.
   }
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, Number(process.env.LOADING_MILLISECONDS))
 }
 
 fs.readFileSync = (file, ...options) => {
--- a/tests/entry/support/entryProcess.ts
+++ b/tests/entry/support/entryProcess.ts
@@ -74,8 +74,9 @@
     writeFileSync(this.settingsPath, this.formatSettings(fields))
   }
 
-  start (): EntryProcess {
-    const child = spawn(process.execPath, ['--require', ANNOUNCE_LOADING, join(this._bundle.folder, 'plumstage-entry.cjs'), '--metrics-port', String(METRICS_PORT)], { env: { ...process.env, PLUMSTAGE_SETTINGS: this.settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
+  /** Starts a process whose loading takes so much longer. */
+  start (loadingMilliseconds = 0): EntryProcess {
+    const child = spawn(process.execPath, ['--require', ANNOUNCE_LOADING, join(this._bundle.folder, 'plumstage-entry.cjs'), '--metrics-port', String(METRICS_PORT)], { env: { ...process.env, PLUMSTAGE_SETTINGS: this.settingsPath, LOADING_MILLISECONDS: String(loadingMilliseconds) }, stdio: ['ignore', 'pipe', 'pipe'] })
     const started = EntryProcess.create(child)
     this._processes.push(started)
     return started
