--- a/packages/entry/src/entryRun.ts
+++ b/packages/entry/src/entryRun.ts
@@ -80,11 +80,13 @@
   private _stop (): void {
     if (this._isStopping) return
     this._isStopping = true
-    void this._end()
+    // At once: the start that is under way must open no port any more.
+    if (!this._gateway) process.exit(0)
+    void this._end(this._gateway)
   }
 
-  private async _end (): Promise<void> {
-    await this._gateway?.stop().catch((error: unknown) => this._gateway?.tasks.report('stop', error))
+  private async _end (gateway: ServingGateway): Promise<void> {
+    await gateway.stop().catch((error: unknown) => gateway.tasks.report('stop', error))
     await this._events?.close()
     process.exit(0)
   }
