Finish a planned stop of plumstage-gateway although it is asked to stop again

Cause: the product's own program handled each stop signal once, and after it had told that it serves.

Change: the handlers stay, are set before the program tells that it serves, and the stop runs once.

--- a/packages/gateway/src/bin/gatewayMain.ts
+++ b/packages/gateway/src/bin/gatewayMain.ts
@@ -29,15 +29,19 @@
     instanceList: settings.instanceList === undefined ? undefined : HttpInstanceList.create(settings.instanceList)
   })
   process.on('uncaughtException', error => gateway.reportError(error))
-  if (embedded) printWelcome(gateway.address, embedded.workspaceToken)
+  let isStopping = false
   const stop = (): void => {
+    if (isStopping) return
+    isStopping = true
     gateway.stop().then(async () => await embedded?.stop()).catch((error: unknown) => gateway.reportError(error)).finally(() => {
       events?.close()
       process.exit(0)
     })
   }
-  process.once('SIGTERM', stop)
-  process.once('SIGINT', stop)
+  // A signal without a handler ends the process at once, also while it stops.
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
+  if (embedded) printWelcome(gateway.address, embedded.workspaceToken)
 }
 
 function printWelcome (address: string, token: string): void {
