--- a/packages/coordination/src/keyValue/keyValueService.ts
+++ b/packages/coordination/src/keyValue/keyValueService.ts
@@ -14,6 +14,8 @@
   | 'refused'
   /** No response was received; a write may or may not have taken effect. */
   | 'ambiguous'
+  /** No call has failed, but what is known may have been lost since the last one; a watch has to begin again. */
+  | 'interrupted'
   /** The requested revision has been compacted; a new snapshot has to be read. */
   | 'compacted'
   /** The service has come back from a copy, so that positions before are no longer valid; a new snapshot has to be read. */
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -70,6 +70,8 @@
   private _snapshotReason: SnapshotReason = 'start'
   /** Whether the store's return has just been noticed, and no snapshot was tried since. */
   private _hasJustReturned = false
+  /** Whether the watch was interrupted although no call has failed, so that it begins again without a pause. */
+  private _resumesAtOnce = false
 
   private constructor (options: DeploymentTaskOptions) {
     this._options = options
@@ -162,13 +164,10 @@
   }
 
   private _handleWatchError (error: KeyValueError): void {
-    if (error.kind === 'compacted' || error.kind === 'restored') this._requireSnapshot(error.kind)
-    else this._recordInterruption(error)
-  }
-
-  private _recordInterruption (error: KeyValueError): void {
+    if (error.kind === 'compacted' || error.kind === 'restored') return this._requireSnapshot(error.kind)
     this._history.recordInterruption()
-    this._recordFailure(error)
+    if (error.kind === 'interrupted') this._resumesAtOnce = true
+    else this._recordFailure(error)
   }
 
   private _requireSnapshot (reason: SnapshotReason): void {
@@ -179,6 +178,10 @@
 
   /** Returns the time until the next call: after the store's return, every gateway needs a snapshot at the same time. */
   private _takePauseMilliseconds (): number {
+    if (this._resumesAtOnce) {
+      this._resumesAtOnce = false
+      return 0
+    }
     if (!this._hasJustReturned) return RETRY_MILLISECONDS
     this._hasJustReturned = false
     const { random, countGateways } = this._options
--- a/tests/serving/deploymentTask.spec.ts
+++ b/tests/serving/deploymentTask.spec.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { BackgroundTasks, CallContext, Instrumentation, SeededRandom, VirtualClock } from '@plumstage/common'
-import type { KeyValueError, KeyValueService, KeyValueWatchBatch } from '@plumstage/coordination'
+import { KeyValueError } from '@plumstage/coordination'
+import type { KeyValueService, KeyValueWatchBatch } from '@plumstage/coordination'
 import { DeploymentAdapter } from '@plumstage/platform'
 import { AppliedPosition, DeploymentTask, DeploymentView } from '@plumstage/serving'
 
@@ -83,6 +84,42 @@
     assert.equal(task.isFollowingStore, true)
   })
 
+  // Guards against: a gateway counts as cut off from the store, and pauses, although no call has failed.
+  it('goes on at once after a watch that was interrupted without a failed call', async () => {
+    const clock = VirtualClock.create()
+    const { service } = createBusyStore(clock)
+    const context = CallContext.create(clock)
+    const instrumentation = Instrumentation.create('edge-1', 'run', clock)
+    const kinds: string[] = []
+    instrumentation.addListener(({ kind }) => kinds.push(kind))
+    let watches = 0
+    const interrupted = async function * (...parameters: Parameters<KeyValueService['watch']>): AsyncGenerator<Result<KeyValueWatchBatch, KeyValueError>> {
+      watches++
+      if (watches <= 3) yield err(KeyValueError.create('interrupted', 'A connection has ended.'))
+      else yield * service.watch(...parameters)
+    }
+    const task = DeploymentTask.create({
+      store: { ...service, watch: interrupted },
+      view: DeploymentView.create(DeploymentAdapter.create()),
+      clock,
+      random: SeededRandom.create(1),
+      instrumentation,
+      tasks: BackgroundTasks.create(clock, instrumentation),
+      applied: AppliedPosition.create(),
+      observers: [],
+      countGateways: () => 1,
+      onChange: () => {}
+    })
+    void task.run(context)
+    for (let turn = 0; turn < 10; turn++) {
+      await new Promise(resolve => setImmediate(resolve))
+      clock.advanceTo(clock.now())
+    }
+    context.cancel('shutdown')
+    assert.ok(watches > 3, `${watches} watches`)
+    assert.deepEqual(kinds.filter(kind => kind === 'store-lost'), [])
+  })
+
   it('batches changes for longer the more gateways there are, so that the total number of calls stays bounded', async () => {
     assert.ok(await measureCallRate(9) <= 11)
     assert.ok(await measureCallRate(72) <= 2)
