--- a/tests/serving/requestDurations.spec.ts
+++ b/tests/serving/requestDurations.spec.ts
@@ -31,6 +31,13 @@
     assert.equal(durations.expect(kindOf('summary')), undefined)
   })
 
+  // Guards against: a stopping gateway refuses long streams that fit, since short ones take long for each of their tokens.
+  it('have a part that is the same for short and long outputs', () => {
+    const durations = RequestDurations.create()
+    for (let count = 0; count < ENOUGH; count++) durations.record(kindOf('summary', count % 2 === 0 ? 5 : 300), count % 2 === 0 ? 1050 : 4000)
+    for (const [tokens, milliseconds] of [[5, 1050], [100, 2000], [300, 4000]]) assert.ok(Math.abs(durations.expect(kindOf('summary', tokens))! - milliseconds) < 1, `${tokens} tokens`)
+  })
+
   // Guards against: the rest of a stream counts as a whole one, and is refused although it fits.
   it('say nothing of streams that were begun elsewhere, nor follow from them', () => {
     const durations = RequestDurations.create()
