Abandon the running attempt also when an earlier one may have run

Cause: 'mayHaveRun ||= abandon()' does not abandon once it is known that the request may have run. The request ended, and its attempt went on until its connection was closed.

Change: the attempt is abandoned first, at the end of a stop and after an error.

No test of its own.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -136,7 +136,7 @@
   /** Ends the request because the process ends: with what is true of it, unless its response has begun. Returns whether it was cut. */
   endForStop (): boolean {
     if (this._done) return false
-    this._progress.mayHaveRun ||= this._abandonAttempt()
+    this._abandonForGood()
     if (this._relay.started) {
       this._cut('cut-at-stop')
       return true
@@ -310,7 +310,7 @@
     work.catch((error: unknown) => {
       this._services.tasks.report('request', error)
       if (this._done) return
-      this._progress.mayHaveRun ||= this._abandonAttempt()
+      this._abandonForGood()
       if (this._relay.started) return this._cut('cut-after-failure')
       this._reject(createRejection('internal-error', 'The gateway failed while it processed the request, which may have been executed. Check its effect before sending it again, and report this to the operator.'))
     })
@@ -338,6 +338,12 @@
     this._end('caller-gone')
   }
 
+  /** Abandons the current attempt, and records whether any may have executed the request. */
+  private _abandonForGood (): void {
+    const dispatched = this._abandonAttempt()
+    this._progress.mayHaveRun ||= dispatched
+  }
+
   /** Abandons the current attempt; returns whether it was dispatched. */
   private _abandonAttempt (): boolean {
     if (!this._attempt) return false
