Leave no listener behind a failed listen, and ignore events after the log is closed

Cause: each failed try to listen on the same server left a listener, which Node warns of after eleven; an event behind the end of the log threw, also where errors are reported.

Change: the listener is removed on failure; the log ignores events once it is being closed.

--- a/packages/common/src/boundedEventLog.ts
+++ b/packages/common/src/boundedEventLog.ts
@@ -22,6 +22,7 @@
   private readonly _output: InstanceType<typeof SonicBoom>
   private readonly _timer: NodeJS.Timeout
   private _droppedLines = 0
+  private _isClosing = false
 
   private constructor (output: InstanceType<typeof SonicBoom>) {
     this._output = output
@@ -42,12 +43,14 @@
     return this._droppedLines
   }
 
+  /** Appends an event; ignores it once the log is being closed. */
   append (event: ActionEvent): void {
-    this._output.write(formatEvent(event) + '\n')
+    if (!this._isClosing) this._output.write(formatEvent(event) + '\n')
   }
 
   /** Writes what is left, if that takes no longer than a moment: a reader that has gone or stands still must not keep a process. */
   async close (): Promise<void> {
+    this._isClosing = true
     clearInterval(this._timer)
     await new Promise<void>(resolve => {
       setTimeout(resolve, CLOSE_MILLISECONDS)
--- a/packages/common/src/listener.ts
+++ b/packages/common/src/listener.ts
@@ -44,7 +44,10 @@
     const sockets = new Set<Socket>()
     const { host, port } = splitAddress(address)
     await new Promise<void>((resolve, reject) => {
-      server.once('error', cause => reject(createListenError(address, cause)))
+      server.once('error', cause => {
+        server.removeListener('listening', resolve)
+        reject(createListenError(address, cause))
+      })
       server.listen(port, host, resolve)
     })
     server.on('connection', (socket: Socket) => {
