Ask the store about a peer's list before it is pulled

What callers saw: nothing. After a return of a store that states no era, all gateways would fetch the whole list of one that has not noticed it, every 5 s.

Cause: the store was asked only once the list was there.

Change: it is asked with the position that the peer reports; the list is not pulled then, unless the peer's configuration is newer.

Result: found by reading. The six process cases of unstatedReturns.spec pass, once, at a load average of 8 to 25.

--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -8,7 +8,9 @@
 import { describeError, getLogger } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import { START_POSITION } from '@plumstage/coordination'
+import type { StorePosition } from '@plumstage/coordination'
 import type { AggregationStep } from '../aggregation/aggregationStep.js'
+import { supersedes } from '../deployment/configurationPosition.js'
 import type { DeploymentSnapshot, DeploymentView, ViewChange } from '../deployment/deploymentView.js'
 import { parseDeploymentSnapshot } from '../deployment/snapshotSchema.js'
 import { decodeReport, encodeReport } from './gatewayReport.js'
@@ -142,12 +144,17 @@
 
   /** A configuration states its own version, and is used whatever history it belongs to. */
   private async _withoutLostHistory (snapshot: DeploymentSnapshot, address: string): Promise<DeploymentSnapshot> {
+    if (!await this._isOfLostHistory(snapshot.upstreams, address)) return snapshot
+    return { configuration: snapshot.configuration, upstreams: { ...START_POSITION, entries: [] } }
+  }
+
+  /** Whether a peer's list belongs to a history that the store has lost; it is then not awaited for a while. */
+  private async _isOfLostHistory ({ era, revision }: StorePosition, address: string): Promise<boolean> {
     const { clock, context, instrumentation, lostHistory } = this._options
-    const { configuration, upstreams } = snapshot
-    if (!await lostHistory.isLost(upstreams, context)) return snapshot
-    this._snapshotPull.disregard(upstreams, clock.now())
-    instrumentation.emit('peer-list-disregarded', { from: address, era: upstreams.era, revision: upstreams.revision })
-    return { configuration, upstreams: { ...START_POSITION, entries: [] } }
+    if (!await lostHistory.isLost({ era, revision }, context)) return false
+    this._snapshotPull.disregard({ era, revision }, clock.now())
+    instrumentation.emit('peer-list-disregarded', { from: address, era, revision })
+    return true
   }
 
   private _receive (bytes: Buffer, sender: string): void {
@@ -174,6 +181,13 @@
     const own = { configuration: view.configurationPosition, upstreams: view.upstreamsPosition }
     if (!this._snapshotPull.decide(report, own, watchMilliseconds(), clock.now())) return
     this._pulling = true
-    void this.pull(address).finally(() => { this._pulling = false })
+    void this._pullUnlessLost(address, report).finally(() => { this._pulling = false })
+  }
+
+  /** Asks the store about the list of the peer before pulling it: all gateways are behind one that has not noticed a return. */
+  private async _pullUnlessLost (address: string, { configuration, upstreams }: GatewayReport): Promise<void> {
+    const isLost = await this._isOfLostHistory(upstreams, address)
+    const hasNewerConfiguration = configuration !== undefined && supersedes(configuration, this._options.view.configurationPosition)
+    if (!isLost || hasNewerConfiguration) await this.pull(address)
   }
 }
