Review: the changes missed while a store turned a gateway away exceed its heap

Cause: a watch of all keys reads and decodes all missed changes at once, also the entries of other writers. Change: a case, without a change of the product.

--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -5,11 +5,14 @@
 import { createServer } from 'node:http'
 
 const PAGE_SIZE = 500
+const PAGE_BYTES = 1024 * 1024
+const HISTORY_MILLISECONDS = 20_000
 
 export class Store {
   constructor () {
     this.items = new Map()
     this.history = []
+    this.recordedAt = []
     this.revision = 100
     this.leases = new Map()
     this.nextLease = 1
@@ -56,7 +59,11 @@
 
   record (change) {
     this.history.push(change)
-    if (this.history.length > 5000) this.history.shift()
+    this.recordedAt.push(performance.now())
+    while (this.recordedAt[0] < performance.now() - HISTORY_MILLISECONDS && this.history.length > 1) {
+      this.history.shift()
+      this.recordedAt.shift()
+    }
     for (const wake of [...this.watches]) wake()
   }
 
@@ -113,7 +120,9 @@
 
   answerRange (prefix, after, response) {
     const items = [...this.items.values()].filter(({ key }) => key.startsWith(prefix) && key > after).sort((left, right) => left.key < right.key ? -1 : 1)
-    this.answer(response, 200, { items: items.slice(0, PAGE_SIZE), more_pages: items.length > PAGE_SIZE, current_rev: this.revision })
+    let bytes = 0
+    const page = items.slice(0, PAGE_SIZE).filter((item, index) => (bytes += item.value.length) <= PAGE_BYTES || index === 0)
+    this.answer(response, 200, { items: page, more_pages: items.length > page.length, current_rev: this.revision })
   }
 
   answerWatch (prefix, after, waitMilliseconds, response) {
