--- a/review/stand-ins-2/caller.mjs
+++ b/review/stand-ins-2/caller.mjs
@@ -23,14 +23,17 @@
     this.socket?.destroy()
   }
 
-  /** Sends a request; resolves to `{ status, headers, body, complete, end }`, where `end` is 'answered', 'closed' or 'left'. */
-  async send ({ id, method = 'GET', path, headers = {}, body, deadline = 5000, patience = deadline }) {
+  /**
+   * Sends a request; `payload` is written as it is, for bodies whose framing is in `headers`. Resolves to `{ status, headers, body, complete, end }`, where
+   * `end` is 'answered', 'closed' or 'left'.
+   */
+  async send ({ id, method = 'GET', path, headers = {}, body, payload = body, deadline = 5000, patience = deadline }) {
     const fields = { Host: HOST, Authorization: `Bearer ${KEY}`, 'Plumstage-Attempt-Id': id, 'Plumstage-Deadline-Ms': String(deadline), ...(body === undefined ? {} : { 'Content-Length': String(body.length) }), ...headers }
     this.received = Buffer.alloc(0)
     const timer = setTimeout(() => { this.hasLeft = true; this.wake() }, patience)
     this.hasLeft = false
     this.socket.write(`${method} ${path} HTTP/1.1\r\n${Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`)
-    if (body !== undefined) this.socket.write(body)
+    if (payload !== undefined) this.socket.write(payload)
     for (;;) {
       const answer = parseAnswer(this.received)
       if (answer?.complete) {
