--- a/review/stand-ins-3/worker.mjs
+++ b/review/stand-ins-3/worker.mjs
@@ -6,15 +6,20 @@
 
 export class Worker {
   active = 0
-  runs = []
+  sockets = new Set()
+  isDown = false
   sequence = 0
 
   /** `kind` is 'stream' or 'plain'; a stream has `events` events, one each `eventMilliseconds`; prompts are read one after the other. */
-  static async create (store, { service, zone, capacity, kind = 'stream', events = 20, eventMilliseconds = 200, prefillMilliseconds = 0, isSpot = false, onRun = () => {} }) {
-    const worker = Object.assign(new Worker(), { store, service, zone, capacity, kind, events, eventMilliseconds, prefillMilliseconds, isSpot, onRun })
+  static async create (store, { service, zone, capacity, kind = 'stream', events = 20, eventMilliseconds = 200, prefillMilliseconds = 0, isSpot = false, poison, onRun = () => {}, onCrash = () => {} }) {
+    const worker = Object.assign(new Worker(), { store, service, zone, capacity, kind, events, eventMilliseconds, prefillMilliseconds, isSpot, poison, onRun, onCrash })
     worker.id = `i-${randomBytes(5).toString('hex')}`
     worker.server = createServer((request, response) => worker.serve(request, response))
     worker.server.keepAliveTimeout = 30_000
+    worker.server.on('connection', socket => {
+      worker.sockets.add(socket)
+      socket.once('close', () => worker.sockets.delete(socket))
+    })
     await new Promise(resolve => worker.server.listen(0, '127.0.0.1', resolve))
     worker.beat()
     worker.timer = setInterval(() => worker.beat(), HEARTBEAT_MILLISECONDS)
@@ -34,7 +39,19 @@
     await sleep(this.prefilledAt - now)
   }
 
+  /** Crashes: connections are reset, its port refuses others, and nothing more is said to the store, which removes the entry after three heartbeats. */
+  crash () {
+    if (this.isDown) return
+    this.isDown = true
+    clearInterval(this.timer)
+    for (const socket of this.sockets) socket.resetAndDestroy()
+    this.server.close()
+    setTimeout(() => this.store.remove(`servers/${this.id}`), 3 * HEARTBEAT_MILLISECONDS)
+    this.onCrash()
+  }
+
   stop () {
+    this.isDown = true
     clearInterval(this.timer)
     this.server.closeAllConnections()
     this.server.close()
@@ -50,6 +67,7 @@
     if (id === undefined) return response.writeHead(400, { 'plumstage-not-executed': '1' }).end()
     const expected = request.headers['plumstage-expect-instance']
     if (expected !== undefined && expected !== this.id) return response.writeHead(421, { 'plumstage-instance-id': this.id }).end()
+    if (this.poison !== undefined && request.url.startsWith(this.poison)) return this.crash()
     if (this.active >= this.capacity) return response.writeHead(503, { 'plumstage-attempt-id': id, 'plumstage-not-executed': '1' }).end()
     this.active++
     const run = { isOpen: true }
