Review: a script that is interrupted ends its gateways

Cause: a script of a case that was ended by a signal, or by a fault of its own, left its gateways running, and a fault of its own exited with 1, as a broken rule does. Change: the stand-ins end all gateways whenever the process of the case ends, and exit with 2 in both cases.

--- a/review/stand-ins-3/gateways.mjs
+++ b/review/stand-ins-3/gateways.mjs
@@ -21,9 +21,20 @@
     gateways.addressOf = number => `127.${100 + process.pid % 100}.${network}.${number}`
     gateways.folder = mkdtempSync(join(tmpdir(), 'review-'))
     gateways.ports = { front: await freePort(), readiness: await freePort(), control: await freePort(), metrics: await freePort(), peers: await freePort() }
+    gateways.endWithThisProcess()
     return gateways
   }
 
+  /** However the case ends, its gateways end too; a fault of the case itself is not a broken rule. */
+  endWithThisProcess () {
+    process.on('exit', () => { for (const child of this.running.values()) child.kill('SIGKILL') })
+    process.on('uncaughtException', error => {
+      console.error(error)
+      process.exit(2)
+    })
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2))
+  }
+
   nameOf (number) { return `edge-${this.zoneOf(number)}-${number}` }
 
   zoneOf (number) { return this.zones[(number - 1) % this.zones.length] }
