BUDGET: reports fit into a datagram, whatever has happened

After many crashes of upstreams under popular requests, gateways did not hear each other any more, so each found out for itself which request crashes upstreams: 12 crashes, 8 of them late.

Cause: a report had no bound in bytes. With some 30 crashes of 40 requests it was longer than a datagram, the system refused it, and only a debugging line told so. The crashes of a request were kept in the order of their names, so those it was cleared of could hide new ones; the report held the requests that were suspected last, not those that had changed.

Change: reports and sums of aggregation rounds are bounded in bytes; lists share them, what is needed most goes first and the rest takes turns. What is left out or not sent is counted and, bounded, logged.

--- a/packages/serving/src/observability/servingMetricSources.ts
+++ b/packages/serving/src/observability/servingMetricSources.ts
@@ -7,6 +7,8 @@
 import type { RunningRequests } from '../attempts/runningRequests.js'
 import type { DeploymentTask } from '../deployment/deploymentTask.js'
 import type { UpstreamAccess } from '../links/upstreamAccess.js'
+import type { PeerExchange } from '../peers/peerExchange.js'
+import type { PeerSocket } from '../peers/peerSocket.js'
 import type { ServingState } from '../servingState.js'
 import type { StreamTracking } from '../streams/streamTracking.js'
 import type { ServingMetricSources } from './servingMetrics.js'
@@ -18,13 +20,15 @@
   access: UpstreamAccess
   streams: StreamTracking
   deployment: DeploymentTask
+  socket: PeerSocket
+  peerExchange: PeerExchange
   connectionResets: ConnectionResets
   droppedLogLines: () => number
   clock: Clock
 }
 
 /** Returns functions that read the values when metrics are fetched. */
-export function createMetricSources ({ state, running, access, streams, deployment, connectionResets, droppedLogLines, clock }: MetricOrigins): ServingMetricSources {
+export function createMetricSources ({ state, running, access, streams, deployment, socket, peerExchange, connectionResets, droppedLogLines, clock }: MetricOrigins): ServingMetricSources {
   const { view, peers, upstreams, partQuarantine } = state
   return {
     running: () => running.count,
@@ -38,6 +42,8 @@
     quarantinedParts: () => partQuarantine.countQuarantined(clock.now()),
     limitedUpstreams: () => upstreams.list().filter(upstream => upstream.limit.requestsPerSecond !== undefined).length,
     droppedLogLines,
+    unsentMessages: () => socket.unsentMessages,
+    leftOutReportItems: () => peerExchange.leftOutReportItems,
     connectionResets: () => connectionResets.counts,
     streamRecords: () => streams.origins.recordCount,
     isFollowingStore: () => deployment.isFollowingStore
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -24,6 +24,8 @@
   areLinksLost: () => boolean
   openTunnels: () => number
   droppedLogLines: () => number
+  unsentMessages: () => number
+  leftOutReportItems: () => number
   /** Connections that this gateway has reset while a call on them was unanswered, by target. */
   connectionResets: () => ReadonlyMap<string, number>
   streamRecords: () => number
@@ -85,6 +87,8 @@
     this._registry.addGauge('plumstage_upstream_links_lost', 'Whether this gateway reaches no upstream itself.', () => Number(sources.areLinksLost()))
     this._registry.addGauge('plumstage_open_tunnels', 'Tunnels to upstreams that this gateway carries for others.', sources.openTunnels)
     this._registry.addGauge('plumstage_dropped_log_lines', 'Log lines that the reader did not take in time.', sources.droppedLogLines)
+    this._registry.addGauge('plumstage_unsent_messages', 'Messages to peers that the system did not send.', sources.unsentMessages)
+    this._registry.addGauge('plumstage_left_out_report_items', 'Items that did not fit into reports to peers; most follow with later reports.', sources.leftOutReportItems)
     this._registry.addLabeledGauge('plumstage_reset_connections', 'Connections that this gateway has reset because a call on them was given up before its answer, by target.', 'target', sources.connectionResets)
     this._registry.addGauge('plumstage_stream_records', 'Streams of which this gateway keeps the software that began them.', sources.streamRecords)
     this._registry.addGauge('plumstage_store_followed', 'Whether the store answers.', () => Number(sources.isFollowingStore()))
--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -13,11 +13,12 @@
 import { supersedes } from '../deployment/configurationPosition.js'
 import type { DeploymentSnapshot, DeploymentView, ViewChange } from '../deployment/deploymentView.js'
 import { parseDeploymentSnapshot } from '../deployment/snapshotSchema.js'
-import { decodeReport, encodeReport } from './gatewayReport.js'
+import { decodeReport } from './gatewayReport.js'
 import type { GatewayReport, RelayedReports } from './gatewayReport.js'
 import type { LostHistoryCheck } from './lostHistoryCheck.js'
 import type { PeerSocket } from './peerSocket.js'
 import type { Peer, PeerTable } from './peerTable.js'
+import type { ReportSender } from './reportSender.js'
 import { ReportTopology } from './reportTopology.js'
 import { SnapshotPull } from './snapshotPull.js'
 
@@ -34,8 +35,9 @@
 
 /** Dependencies and callbacks of the task. */
 export interface GossipTaskOptions {
-  /** Receives and sends the datagrams of this gateway. */
+  /** Receives the datagrams of this gateway. */
   socket: PeerSocket
+  sender: ReportSender
   /** Cancelled when the gateway shuts down. */
   context: CallContext
   clock: Clock
@@ -102,7 +104,7 @@
 
   /** Sends a report immediately to all recipients that the topology chooses. */
   sendReport (): void {
-    const { socket, clock, dutyHolder, createReport, createAggregate } = this._options
+    const { sender, clock, dutyHolder, createReport, createAggregate } = this._options
     const now = clock.now()
     const interval = this._topology.intervalMilliseconds(now)
     const isRelay = this._topology.isRelay(now)
@@ -113,15 +115,15 @@
     const report = createReport()
     for (const { address, requestsReports } of recipients) {
       const relayed = isRelay ? createAggregate(address) : undefined
-      socket.sendReport(encodeReport({ ...report, requestsReports, relayed }), address)
+      sender.send({ ...report, requestsReports, relayed }, address)
     }
   }
 
   /** Sends a report to all known gateways, which may have something open at this one. */
   sendReportToAll (): void {
-    const { socket, peers, createReport } = this._options
-    const bytes = encodeReport({ ...createReport(), requestsReports: false })
-    for (const address of peers.listAddresses()) socket.sendReport(bytes, address)
+    const { sender, peers, createReport } = this._options
+    const report = { ...createReport(), requestsReports: false }
+    for (const address of peers.listAddresses()) sender.send(report, address)
   }
 
   /** Applies the snapshot of a peer; returns whether that succeeded. Used when this gateway is behind or the store is unavailable. */
--- a/packages/serving/src/peers/peerExchange.ts
+++ b/packages/serving/src/peers/peerExchange.ts
@@ -10,13 +10,13 @@
 import type { AggregationStep } from '../aggregation/aggregationStep.js'
 import type { ViewChange } from '../deployment/deploymentView.js'
 import type { ServingState } from '../servingState.js'
-import { encodeReport } from './gatewayReport.js'
 import type { ReportedLinks } from './gatewayReport.js'
 import { GossipTask } from './gossipTask.js'
 import type { LostHistoryCheck } from './lostHistoryCheck.js'
 import type { PeerSocket } from './peerSocket.js'
 import type { Peer } from './peerTable.js'
 import { ReportExchange } from './reportExchange.js'
+import { ReportSender } from './reportSender.js'
 
 /** A gateway that has no configuration this long after its start pulls the deployment from peers. */
 const INITIAL_PULL_DELAY_MILLISECONDS = 400
@@ -52,6 +52,7 @@
 export class PeerExchange {
   private readonly _options: PeerExchangeOptions
   private readonly _reports: ReportExchange
+  private readonly _sender: ReportSender
   private readonly _gossip: GossipTask
   private readonly _aggregation: AggregationTask
   private readonly _log = getLogger('peers')
@@ -60,6 +61,7 @@
     const { name, failureDomain, state, links, instrumentation: { incarnation } } = options
     this._options = options
     this._reports = ReportExchange.create({ name, incarnation, failureDomain }, state, links)
+    this._sender = ReportSender.create(options.socket, options.clock)
     this._gossip = this._createGossip()
     this._aggregation = this._createAggregation()
   }
@@ -74,6 +76,11 @@
     return state.peers.listPresent(clock.now()).some(peer => peer.report.sequence > this._reports.sequence)
   }
 
+  /** Number of items that were left out of reports because they did not fit. */
+  get leftOutReportItems (): number {
+    return this._sender.leftOutItems
+  }
+
   /** Starts the exchange; it ends with the context. */
   start (): void {
     const { context, tasks } = this._options
@@ -92,6 +99,7 @@
     const { socket, context, clock, timeOfDay, instrumentation, state, dutyHolder, watchMilliseconds, lostHistory, isStopping, onChange } = this._options
     return GossipTask.create({
       socket,
+      sender: this._sender,
       context,
       clock,
       instrumentation,
@@ -126,8 +134,8 @@
   }
 
   private _sendStep (address: string, step: AggregationStep): void {
-    const { socket, clock, isStopping } = this._options
-    socket.sendReport(encodeReport(this._reports.createCarrier(step, isStopping(), clock.now())), address)
+    const { clock, isStopping } = this._options
+    this._sender.send(this._reports.createCarrier(step, isStopping(), clock.now()), address)
   }
 
   private _applyReport (peer: Peer): void {
--- a/packages/serving/src/peers/peerSocket.ts
+++ b/packages/serving/src/peers/peerSocket.ts
@@ -6,8 +6,8 @@
  */
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
-import { createListenError, getLogger, splitAddress } from '@plumstage/common'
-import type { BackgroundTasks } from '@plumstage/common'
+import { PeriodicWarning, createListenError, getLogger, splitAddress } from '@plumstage/common'
+import type { BackgroundTasks, Clock } from '@plumstage/common'
 
 const STREAM_MARK = 0
 
@@ -18,18 +18,21 @@
 export class PeerSocket {
   private readonly _socket: Socket
   private readonly _log = getLogger('peers')
+  private readonly _unsentWarning: PeriodicWarning
+  private _unsentMessages = 0
   private _closed = false
   private _onReport: DatagramHandler = () => {}
   private _onStreamMessage: DatagramHandler = () => {}
 
-  private constructor (tasks: BackgroundTasks) {
+  private constructor (tasks: BackgroundTasks, clock: Clock) {
+    this._unsentWarning = PeriodicWarning.create(this._log, clock)
     this._socket = createSocket('udp4')
     this._socket.on('message', (bytes, sender) => { tasks.guard('peer-messages', () => this._receive(bytes, `${sender.address}:${sender.port}`)) })
   }
 
   /** Binds the socket to `address`; rejects with a `ListenError`. `tasks` reports the errors of the handlers. */
-  static async create (address: string, tasks: BackgroundTasks): Promise<PeerSocket> {
-    const created = new PeerSocket(tasks)
+  static async create (address: string, tasks: BackgroundTasks, clock: Clock): Promise<PeerSocket> {
+    const created = new PeerSocket(tasks, clock)
     try {
       await created._bind(address)
     } catch (error) {
@@ -39,6 +42,11 @@
     return created
   }
 
+  /** Number of messages that the system did not send. */
+  get unsentMessages (): number {
+    return this._unsentMessages
+  }
+
   onReport (handler: DatagramHandler): void {
     this._onReport = handler
   }
@@ -75,7 +83,13 @@
   private _send (bytes: Uint8Array, address: string): void {
     if (this._closed) return
     const { host, port } = splitAddress(address)
-    this._socket.send(bytes, port, host, error => { if (error) this._log.debug(`A message to ${address} was not sent: ${error.message}.`) })
+    this._socket.send(bytes, port, host, error => { if (error) this._noticeUnsent(address, error) })
+  }
+
+  private _noticeUnsent (address: string, error: Error): void {
+    if (this._closed) return
+    this._unsentMessages++
+    this._unsentWarning.warn(`A message to ${address} was not sent: ${error.message}. Its content follows with later ones; if this lasts, check the network.`)
   }
 
   private _receive (bytes: Buffer, sender: string): void {
--- a/packages/serving/src/recovery/quarantineTable.ts
+++ b/packages/serving/src/recovery/quarantineTable.ts
@@ -9,8 +9,10 @@
 const DEFAULT_CRASHES_FOR_QUARANTINE = 2
 const RETENTION_MILLISECONDS = 30 * 60_000
 const MAXIMUM_SUSPICIONS = 1000
-/** Of one request. Far fewer are needed for the quarantine; the same ones are kept at every gateway. */
+/** Of one request. Far fewer are needed for the quarantine; crashes that are cleared make room for others. */
 const MAXIMUM_CRASHES = 64
+/** Crashes of each kind that are reported of one request: more than the quarantine needs. */
+const MAXIMUM_REPORTED_CRASHES = 6
 
 /** Crashes that requests with one digest are suspected of causing. */
 export interface CrashSuspicion {
@@ -55,11 +57,20 @@
     return [...this._suspicions.values()]
   }
 
+  /** Returns what to tell peers, which changed last first: of each request no more crashes than the quarantine needs. */
+  listReported (now: Timestamp): CrashSuspicion[] {
+    return this.list(now).reverse().map(suspicion => ({
+      ...suspicion,
+      crashes: listUncleared(suspicion).slice(0, MAXIMUM_REPORTED_CRASHES),
+      cleared: suspicion.cleared.slice(0, MAXIMUM_REPORTED_CRASHES)
+    }))
+  }
+
   stateOf (digest: string, now: Timestamp): SuspicionState {
     this._removeExpired(now)
     const suspicion = this._suspicions.get(digest)
     if (!suspicion) return 'clear'
-    const uncleared = suspicion.crashes.filter(crash => !suspicion.cleared.includes(crash)).length
+    const uncleared = listUncleared(suspicion).length
     if (uncleared === 0) return 'clear'
     return uncleared >= this._crashesForQuarantine ? 'quarantined' : 'suspect'
   }
@@ -90,7 +101,11 @@
     for (const incoming of suspicions) {
       if (incoming.deadline <= now) continue
       const known = this._suspicions.get(incoming.digest)
-      this._suspicions.set(incoming.digest, mergeSuspicions(known ?? incoming, incoming))
+      const merged = mergeSuspicions(known ?? incoming, incoming)
+      if (known && isSame(known, merged)) continue
+      // The table is in the order of the last changes.
+      this._suspicions.delete(incoming.digest)
+      this._suspicions.set(incoming.digest, merged)
     }
     this._trim()
   }
@@ -107,19 +122,25 @@
   }
 }
 
+/** Crashes that the request may have caused. */
+function listUncleared ({ crashes, cleared }: CrashSuspicion): string[] {
+  return crashes.filter(crash => !cleared.includes(crash))
+}
+
+function isSame (left: CrashSuspicion, right: CrashSuspicion): boolean {
+  return left.deadline === right.deadline && left.crashes.join() === right.crashes.join() && left.cleared.join() === right.cleared.join()
+}
+
+/** Crashes that are not cleared are kept first, so that those which are can't hide that the request goes on crashing upstreams. */
 function mergeSuspicions (left: CrashSuspicion, right: CrashSuspicion): CrashSuspicion {
-  return {
-    digest: left.digest,
-    crashes: sortedUnion(left.crashes, right.crashes),
-    cleared: sortedUnion(left.cleared, right.cleared),
-    deadline: Math.max(left.deadline, right.deadline)
-  }
+  const crashes = sortedUnion(left.crashes, right.crashes)
+  const cleared = sortedUnion(left.cleared, right.cleared)
+  const uncleared = crashes.filter(crash => !cleared.includes(crash))
+  const kept = [...uncleared, ...crashes.filter(crash => cleared.includes(crash))].slice(0, MAXIMUM_CRASHES)
+  return { digest: left.digest, crashes: kept.sort(), cleared: cleared.slice(0, MAXIMUM_CRASHES), deadline: Math.max(left.deadline, right.deadline) }
 }
 
-/**
- * The result is sorted, so that equal suspicions are represented in the same way on every gateway. Those that are cleared are
- * among the crashes, so that the first ones of both lists fit together.
- */
+/** The result is sorted, so that equal suspicions are represented in the same way on every gateway. */
 function sortedUnion (left: readonly string[], right: readonly string[]): string[] {
-  return [...new Set([...left, ...right])].sort().slice(0, MAXIMUM_CRASHES)
+  return [...new Set([...left, ...right])].sort()
 }
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -122,7 +122,7 @@
   static async create (settings: ServingSettings, environment: ServingEnvironment): Promise<ServingGateway> {
     const tasks = BackgroundTasks.create(environment.clock, environment.instrumentation)
     const guarded = { ...environment, clock: GuardedClock.create(environment.clock, tasks) }
-    const gateway = new ServingGateway(settings, guarded, tasks, await PeerSocket.create(settings.peerAddress, tasks))
+    const gateway = new ServingGateway(settings, guarded, tasks, await PeerSocket.create(settings.peerAddress, tasks, environment.clock))
     await gateway._listen().catch(async (error: unknown) => {
       await gateway.destroy()
       throw error
@@ -209,7 +209,7 @@
 
   private _createInternalListeners (): InternalListeners {
     const { clock, instrumentation, metricsAddress, droppedLogLines, connectionResets } = this._environment
-    const metrics = createMetricSources({ state: this.state, running: this._running, access: this._access, streams: this._streams, deployment: this._deploymentTask, connectionResets, droppedLogLines, clock })
+    const metrics = createMetricSources({ state: this.state, running: this._running, access: this._access, streams: this._streams, deployment: this._deploymentTask, socket: this._socket, peerExchange: this._peerExchange, connectionResets, droppedLogLines, clock })
     return InternalListeners.create({ peerAddress: this._settings.peerAddress, metricsAddress, view: this.state.view, tunnels: this._access.tunnels, metrics, clock, instrumentation })
   }
 
