LOST: bodies are held in few buffers, however many chunks they come in

Callers lost what they had sent: the processes of all gateways ended by themselves when one workspace uploaded lists in chunks of eight bytes.

Cause: a body was kept as the list of its chunks, bounded in bytes but not in number, and each takes some 200 bytes of the heap beside its content.

--- a/packages/common/src/boundedText.ts
+++ b/packages/common/src/boundedText.ts
@@ -3,15 +3,14 @@
  *
  * @module
  */
+import { ByteCollector } from './byteCollector.js'
 
 /** Reads the chunks of a text to their end; undefined if they are longer than `maximumBytes`, of which no more are read then. */
 export async function readBoundedText (chunks: AsyncIterable<Buffer>, maximumBytes: number): Promise<string | undefined> {
-  const kept: Buffer[] = []
-  let length = 0
+  const kept = ByteCollector.create()
   for await (const chunk of chunks) {
-    length += chunk.length
-    if (length > maximumBytes) return undefined
-    kept.push(chunk)
+    if (kept.length + chunk.length > maximumBytes) return undefined
+    kept.append(chunk)
   }
-  return Buffer.concat(kept, length).toString()
+  return kept.concat().toString()
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from './backgroundTasks.js'
 export * from './boundedText.js'
 export * from './boundedEventLog.js'
+export * from './byteCollector.js'
 export * from './callContext.js'
 export * from './clock.js'
 export * from './connectionReset.js'
--- a/packages/gateway/src/attempts/bufferedReceiver.ts
+++ b/packages/gateway/src/attempts/bufferedReceiver.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { ByteCollector } from '@plumstage/common'
 import type { AttemptEnding } from './attemptOutcome.js'
 import { CONTINUE_RECEIVING, PAUSE_RECEIVING } from './upstreamAttempt.js'
 import type { UpstreamResponseHeaders, ResponseReceiver, ReceiveDecision, HeadDecision } from './upstreamAttempt.js'
@@ -47,8 +48,7 @@
   private readonly _options: BufferedReceiverOptions
   private _status = 0
   private _headers: UpstreamResponseHeaders = {}
-  private _buffered: Buffer[] = []
-  private _bufferedBytes = 0
+  private _buffered = ByteCollector.create()
   private _passThroughStarted = false
 
   private constructor (options: BufferedReceiverOptions) {
@@ -73,9 +73,8 @@
   }
 
   receiveBytes (chunk: Buffer, resume: () => void): ReceiveDecision {
-    if (!this._passThroughStarted && this._bufferedBytes + chunk.length <= MAXIMUM_BUFFERED_BYTES) {
-      this._buffered.push(chunk)
-      this._bufferedBytes += chunk.length
+    if (!this._passThroughStarted && this._buffered.length + chunk.length <= MAXIMUM_BUFFERED_BYTES) {
+      this._buffered.append(chunk)
       return CONTINUE_RECEIVING
     }
     if (!this._passThroughStarted) this._startPassThrough()
@@ -86,7 +85,7 @@
 
   receiveEnd (): { ending: AttemptEnding, detail: string } {
     if (this._passThroughStarted) return { ending: 'complete', detail: '' }
-    const response = { status: this._status, headers: this._headers, body: Buffer.concat(this._buffered) }
+    const response = { status: this._status, headers: this._headers, body: this._buffered.concat() }
     const problem = this._options.destination.validate(response)
     if (problem !== undefined) return { ending: 'invalid', detail: problem }
     this._options.destination.deliverBuffered(response)
@@ -96,7 +95,7 @@
   private _startPassThrough (): void {
     this._passThroughStarted = true
     this._options.destination.startPassThrough(this._status, this._headers)
-    for (const bytes of this._buffered) this._options.destination.deliver(bytes)
-    this._buffered = []
+    if (this._buffered.length > 0) this._options.destination.deliver(this._buffered.concat())
+    this._buffered = ByteCollector.create()
   }
 }
--- a/packages/gateway/src/attempts/streamReceiver.ts
+++ b/packages/gateway/src/attempts/streamReceiver.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ByteCollector } from '@plumstage/common'
 import { EventScanner } from './eventScanner.js'
 import type { StreamedResponse } from './streamedResponse.js'
 import { CONTINUE_RECEIVING, PAUSE_RECEIVING } from './upstreamAttempt.js'
@@ -44,7 +45,7 @@
   private readonly _scanner: EventScanner
   private _errorStatus: number | undefined
   private _errorContentType = ''
-  private _errorBody: Buffer[] = []
+  private readonly _errorBody = ByteCollector.create()
 
   private constructor (options: StreamReceiverOptions) {
     this._options = options
@@ -84,7 +85,7 @@
 
   receiveEnd (): { ending: AttemptEnding, detail: string } {
     if (this._errorStatus !== undefined) {
-      this._options.destination.deliverError(this._errorStatus, this._errorContentType, Buffer.concat(this._errorBody))
+      this._options.destination.deliverError(this._errorStatus, this._errorContentType, this._errorBody.concat())
       return { ending: 'complete', detail: `the upstream responded with status ${this._errorStatus}` }
     }
     if (this._scanner.done) return { ending: 'complete', detail: '' }
@@ -111,9 +112,8 @@
   }
 
   private _receiveErrorBytes (chunk: Buffer): ReceiveDecision {
-    this._errorBody.push(chunk)
-    const length = this._errorBody.reduce((sum, bytes) => sum + bytes.length, 0)
-    if (length > MAXIMUM_ERROR_BYTES) return { kind: 'end', ending: 'invalid', detail: `the upstream responded with status ${this._errorStatus} and more than 64 kilobytes` }
+    this._errorBody.append(chunk)
+    if (this._errorBody.length > MAXIMUM_ERROR_BYTES) return { kind: 'end', ending: 'invalid', detail: `the upstream responded with status ${this._errorStatus} and more than 64 kilobytes` }
     return CONTINUE_RECEIVING
   }
 }
--- a/packages/gateway/src/callers/bodyReader.ts
+++ b/packages/gateway/src/callers/bodyReader.ts
@@ -6,20 +6,21 @@
 import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import { ByteCollector } from '@plumstage/common'
 import { CallerError } from './callerError.js'
 
 /** Reads a complete body of at most `maximumBytes`. */
 export async function readBody (incoming: IncomingMessage, maximumBytes: number): Promise<Result<Buffer, CallerError>> {
   if (Number(incoming.headers['content-length'] ?? 0) > maximumBytes) return err(createTooLargeError(maximumBytes))
   return await new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let length = 0
+    const body = ByteCollector.create()
+    let isTooLarge = false
     incoming.on('data', (chunk: Buffer) => {
-      length += chunk.length
-      if (length <= maximumBytes) chunks.push(chunk)
-      else resolve(err(createTooLargeError(maximumBytes)))
+      isTooLarge ||= body.length + chunk.length > maximumBytes
+      if (isTooLarge) resolve(err(createTooLargeError(maximumBytes)))
+      else body.append(chunk)
     })
-    incoming.once('end', () => resolve(ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))))
+    incoming.once('end', () => resolve(ok(body.concat())))
     incoming.once('error', () => resolve(err(CallerError.create('invalid_body', 'The body ended before it was complete. Send the request again.'))))
   })
 }
--- a/packages/serving/src/callers/bodyReader.ts
+++ b/packages/serving/src/callers/bodyReader.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import { ByteCollector } from '@plumstage/common'
 import { createRejection } from './rejection.js'
 import type { Rejection } from './rejection.js'
 
@@ -18,17 +19,15 @@
 export function readBody (incoming: IncomingMessage, maximumBytes: number, listener: BodyListener): void {
   if (Number(incoming.headers['content-length'] ?? 0) > maximumBytes) return listener(err(tooLarge(maximumBytes)))
   if (incoming.headers['content-length'] === undefined && incoming.headers['transfer-encoding'] === undefined) return listener(ok(EMPTY))
-  const chunks: Buffer[] = []
-  let length = 0
+  const body = ByteCollector.create()
   let refused = false
   incoming.on('data', (chunk: Buffer) => {
     if (refused) return
-    length += chunk.length
-    if (length <= maximumBytes) return void chunks.push(chunk)
+    if (body.length + chunk.length <= maximumBytes) return body.append(chunk)
     refused = true
     listener(err(tooLarge(maximumBytes)))
   })
-  incoming.on('end', () => { if (!refused) listener(ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, length))) })
+  incoming.on('end', () => { if (!refused) listener(ok(body.concat())) })
 }
 
 function tooLarge (maximumBytes: number): Rejection {
