Sound requests are accepted again soon after upstreams have crashed

Callers of what many ask in the same words were refused (503, quarantined) for up to half an hour after several upstreams had crashed.

Cause: each crash counted against all requests at the upstream, a request was cleared only by finishing, and once it was refused everywhere none could.

Change: a request that gets further anywhere than where it was at a crash is cleared of it; crashes while it was under way count half; a quarantined one is tried 3 s, 30 s and 10 minutes after its last crash, by one gateway after the other, at the least busy upstream. Reports tell how far requests had got.

A request that does crash upstreams reaches at most three more over four gateways within half an hour.

--- a/packages/serving/src/attempts/crashTracking.ts
+++ b/packages/serving/src/attempts/crashTracking.ts
@@ -14,6 +14,8 @@
 import { serviceSoftwareOf } from '../streams/software.js'
 import type { ServiceSoftware, SoftwareId } from '../streams/software.js'
 import type { CrashProbe } from '../upstreams/crashProbe.js'
+import { RequestSuspicion } from './requestSuspicion.js'
+import type { AttemptProgress } from './requestSuspicion.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
 import type { AttemptOutcome } from './upstreamAttempt.js'
@@ -36,8 +38,11 @@
   /** Parts of the running attempt, at the software of its upstream. */
   private _parts: readonly PartKey[] = []
   private _isTrial = false
+  /** The suspicion against the request as a whole. */
+  readonly request: RequestSuspicion
 
   private constructor (services: CrashTrackingServices, request: AcceptedRequest) {
+    this.request = RequestSuspicion.create(services, request.digest)
     this._services = services
     this._request = request
     this._partIds = sharedPartIdsOf(request.generation)
@@ -49,6 +54,11 @@
 
   /** Upstreams to which the request may be sent now; those where it would be a trial only if there are no others. */
   listUsable (software: SoftwareId | undefined, now: Timestamp): readonly Upstream[] {
+    const usable = this._listAccepted(software, now)
+    return this.request.isTrial ? chooseLeastBusy(usable) : usable
+  }
+
+  private _listAccepted (software: SoftwareId | undefined, now: Timestamp): readonly Upstream[] {
     const { state } = this._services
     const service = this._request.service.name
     if (!this._mayBeRefused) return state.listUsable(service, software, now)
@@ -82,12 +92,6 @@
     this._services.state.partQuarantine.recordBegin(this._parts, this._services.clock.now())
   }
 
-  /** Records that the request has finished: it crashes no upstream. */
-  recordFinished (): void {
-    const { state, clock } = this._services
-    if (!state.quarantine.isEmpty) state.quarantine.recordFinished(this._request.digest, clock.now())
-  }
-
   /** Records that the attempt has ended, whatever its result. */
   endAttempt (): void {
     if (this._isTrial) this._services.state.partQuarantine.endTrial(this._parts)
@@ -98,12 +102,14 @@
    * Finds out whether the upstream of a failed attempt has crashed, and records it. Returns a promise if the next
    * attempt has to wait for that, because the request itself may be the cause.
    */
-  checkForCrash (outcome: AttemptOutcome, upstream: Upstream, hasBegun: boolean): Promise<void> | undefined {
+  checkForCrash (outcome: AttemptOutcome, upstream: Upstream, progress: AttemptProgress): Promise<void> | undefined {
+    const { hasBegun } = progress
     const isPossible = outcome.kind === 'failed' && outcome.failure === 'broken' && (outcome.connectionLost || !hasBegun) && !this._hasLeft(upstream)
     if (!isPossible) return void this.endAttempt()
     const suspects = hasBegun ? [] : this._parts
-    const checked = this._recordIfCrashed(upstream, suspects, this._isTrial)
-    if (suspects.length === 0) return void this.endAttempt()
+    const mayBeCause = suspects.length > 0 || (!hasBegun && (this.request.isTrial || this.request.isSuspected))
+    const checked = this._recordIfCrashed(upstream, suspects, progress)
+    if (!mayBeCause) return void this.endAttempt()
     return checked.then(() => this.endAttempt())
   }
 
@@ -116,13 +122,14 @@
     return upstream.isLeaving || this._services.state.upstreams.get(upstream.listed.id) !== upstream
   }
 
-  private async _recordIfCrashed (upstream: Upstream, parts: readonly PartKey[], isTrial: boolean): Promise<void> {
+  private async _recordIfCrashed (upstream: Upstream, parts: readonly PartKey[], progress: AttemptProgress): Promise<void> {
     const { state, clock, crashProbe, instrumentation } = this._services
+    const isTrial = this._isTrial
     if (!await crashProbe.hasCrashed(upstream)) return
     const { listed } = upstream
     const now = clock.now()
     instrumentation.emit('upstream-crashed', { upstream: listed.id, service: listed.service, softwareVersion: listed.softwareVersion, suspectParts: parts.map(formatPart).join(' '), isTrial }, this._request.head.requestId)
-    state.quarantine.recordCrash(this._request.digest, `${listed.id}/${listed.incarnation}`, now)
+    this.request.recordCrash(listed, progress)
     state.partQuarantine.recordCrash({ parts, crash: crashIdOf(listed), isTrial }, now)
   }
 
@@ -137,3 +144,9 @@
     }
   }
 }
+
+/** A trial may crash its upstream, and take the requests there with it. */
+function chooseLeastBusy (upstreams: readonly Upstream[]): Upstream[] {
+  const fewest = Math.min(...upstreams.map(({ requests }) => requests))
+  return upstreams.filter(({ requests }) => requests === fewest)
+}
--- a/packages/serving/src/attempts/dispatchRefusal.ts
+++ b/packages/serving/src/attempts/dispatchRefusal.ts
@@ -31,7 +31,7 @@
 
   /** Returns the rejection of a request before its first attempt; undefined if it may start. */
   checkStart (): Rejection | undefined {
-    return this._checkQuarantine() ?? this._checkOverload()
+    return this._checkQuarantine() ?? this._checkOverload() ?? this._crashes.request.checkStart()
   }
 
   /** Returns the rejection of a request that no upstream may get now, and that none has executed. */
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -161,7 +161,9 @@
   receiveBytes (chunk: Buffer): ReceiveDecision {
     this._path?.recordBytes()
     const attempt = this._attempt
-    return this._relay.receiveBytes(chunk, () => attempt?.resume())
+    const decision = this._relay.receiveBytes(chunk, () => attempt?.resume())
+    if (this._relay.attemptHasBegun) this._crashes.request.recordProgress(this._relay.lastEventId ?? 0)
+    return decision
   }
 
   receiveEnd (): ReceiveDecision {
@@ -180,19 +182,24 @@
     if (outcome.kind === 'complete') return this._finish(upstream)
     if (outcome.failure === 'server-error' || (outcome.failure === 'broken' && !outcome.connectionLost)) this._recordAnswer(true)
     this._recordFailure(outcome.failure, upstream)
-    const checked = this._crashes.checkForCrash(outcome, upstream, this._relay.attemptHasBegun)
+    const checked = this._crashes.checkForCrash(outcome, upstream, { lastEventId: this._relay.lastEventId ?? 0, hasBegun: this._relay.attemptHasBegun })
     if (checked) this._watch(checked.then(() => this._proceedAfterFailure(outcome.failure, path)))
     else this._proceedAfterFailure(outcome.failure, path)
   }
 
   private _proceedAfterFailure (failure: AttemptFailure, path: UpstreamPath): void {
     if (this._done) return
-    const decision = decideAfterFailure(failure, this._progress, () => this._retries.takeAfterFailure(failure))
+    const decision = decideAfterFailure(failure, this._progress, () => this._mayRepeat(failure) && this._retries.takeAfterFailure(failure))
     if (decision.kind === 'retry') return this._watch(this._services.access.settled().then(() => this._startRetry(failure, path)))
     if (decision.kind === 'reject') return this._reject(decision.rejection)
     this._cut('cut-after-failure')
   }
 
+  /** A request that may itself be what crashes upstreams is not sent to a further one. */
+  private _mayRepeat (failure: AttemptFailure): boolean {
+    return failure !== 'broken' || this._relay.attemptHasBegun || this._crashes.request.mayRepeat
+  }
+
   /** Adds what the path of the attempt tells about a failure. */
   private _interpret (outcome: AttemptOutcome): AttemptOutcome {
     if (outcome.kind === 'complete') return outcome
@@ -298,7 +305,7 @@
     if (failed || !this._request.route.stream) this._recordAnswer(failed)
     this._effects.recordComplete(upstream, failed)
     if (this._relay.attemptHasBegun) this._crashes.recordBegin()
-    this._crashes.recordFinished()
+    this._crashes.request.recordFinished()
     if (!failed) this._services.durations.record({ ...this._request, isResumed: isResumed(this._request.head) }, this._elapsedMilliseconds())
     this._end('complete')
     this._relay.finish()
@@ -372,6 +379,7 @@
     this._services.running.close(this)
     this._relay.release()
     this._crashes.endAttempt()
+    this._crashes.request.end()
     const { attempts } = this._progress
     const { configurationRevision } = this._services.state.view
     const { eventCount: events } = this._relay
--- a/packages/serving/src/callers/rejection.ts
+++ b/packages/serving/src/callers/rejection.ts
@@ -79,6 +79,7 @@
 /** Another gateway can take the request at once. */
 const RETRY_AFTER_STOPPING_MILLISECONDS = 50
 const RETRY_AFTER_EXPIRY_MILLISECONDS = 500
+const MAXIMUM_RETRY_AFTER_QUARANTINE_MILLISECONDS = 30_000
 
 /** Creates a rejection with the status of its kind. */
 export function createRejection (kind: RejectionKind, message: string, retryAfterMilliseconds?: number): Rejection {
@@ -90,6 +91,12 @@
   return createRejection('stopping', 'The gateway is shutting down, and the request was not executed. Send it again on a new connection, which leads to another gateway.', RETRY_AFTER_STOPPING_MILLISECONDS)
 }
 
+/** Creates the rejection of a request during which upstreams crashed, and which may be sent again when it may be tried. */
+export function createQuarantineRejection (trialInMilliseconds: number): Rejection {
+  const retryAfterMilliseconds = Math.min(MAXIMUM_RETRY_AFTER_QUARANTINE_MILLISECONDS, trialInMilliseconds)
+  return createRejection('quarantined', 'Upstreams crashed while they executed this request, and it was not executed again. Change it, or send it again after the indicated delay.', retryAfterMilliseconds)
+}
+
 /** Creates the rejection of a request whose deadline has passed before an upstream accepted it. */
 export function createExpiredRejection (): Rejection {
   return createRejection('not-run', 'The deadline of the request passed before an upstream accepted it, and it was not executed. Send it again after the indicated delay.', RETRY_AFTER_EXPIRY_MILLISECONDS)
--- a/packages/serving/src/callers/requestAdmission.ts
+++ b/packages/serving/src/callers/requestAdmission.ts
@@ -10,12 +10,11 @@
 import { rendezvousWeight } from '../routing/rendezvousHash.js'
 import type { ServingState } from '../servingState.js'
 import type { CallerHead, GenerationDemand } from './callerProtocol.js'
-import { createRejection } from './rejection.js'
+import { createQuarantineRejection, createRejection } from './rejection.js'
 import type { Rejection } from './rejection.js'
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 30_000
 const RETRY_AFTER_NO_CONFIGURATION_MILLISECONDS = 500
-const RETRY_AFTER_QUARANTINE_MILLISECONDS = 30_000
 const MAXIMUM_QUOTA_RETRY_AFTER_MILLISECONDS = 5000
 /** Rank of requests for which neither the workspace nor the priority class states one: the last to be served. */
 const DEFAULT_RANK = 4
@@ -82,10 +81,10 @@
     return err({ ...rejection, quota: { units, unitsPerSecond: quota.unitsPerSecond, burstUnits: quota.burstUnits } })
   }
 
-  /** Rejects a request that has crashed upstreams before. */
+  /** Rejects a request during which upstreams crashed before, unless it may be tried now. */
   checkQuarantine (digest: string, now: Timestamp): Result<void, Rejection> {
-    if (this._state.quarantine.isEmpty || this._state.quarantine.stateOf(digest, now) !== 'quarantined') return ok(undefined)
-    return err(createRejection('quarantined', 'Upstreams crashed while they executed this request, and it is not executed again. Change it before sending it again.', RETRY_AFTER_QUARANTINE_MILLISECONDS))
+    const verdict = this._state.requestQuarantine.decide(digest, now)
+    return verdict.kind === 'refused' ? err(createQuarantineRejection(verdict.retryAt - now)) : ok(undefined)
   }
 }
 
--- a/packages/serving/src/observability/servingMetricSources.ts
+++ b/packages/serving/src/observability/servingMetricSources.ts
@@ -29,7 +29,7 @@
 
 /** Returns functions that read the values when metrics are fetched. */
 export function createMetricSources ({ state, running, access, streams, deployment, socket, peerExchange, connectionResets, droppedLogLines, clock }: MetricOrigins): ServingMetricSources {
-  const { view, peers, upstreams, partQuarantine } = state
+  const { view, peers, upstreams, partQuarantine, requestQuarantine } = state
   return {
     running: () => running.count,
     configurationRevision: () => view.configurationRevision,
@@ -40,6 +40,7 @@
     areLinksLost: () => access.linkState === 'lost',
     openTunnels: () => access.tunnels.openTunnels,
     quarantinedParts: () => partQuarantine.countQuarantined(clock.now()),
+    quarantinedRequests: () => requestQuarantine.countQuarantined(clock.now()),
     limitedUpstreams: () => upstreams.list().filter(upstream => upstream.limit.requestsPerSecond !== undefined).length,
     droppedLogLines,
     unsentMessages: () => socket.unsentMessages,
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -21,6 +21,7 @@
   aggregateAgeMilliseconds: () => number
   limitedUpstreams: () => number
   quarantinedParts: () => number
+  quarantinedRequests: () => number
   areLinksLost: () => boolean
   openTunnels: () => number
   droppedLogLines: () => number
@@ -84,6 +85,7 @@
     this._registry.addGauge('plumstage_aggregate_age_seconds', 'Time since the last sums over all gateways arrived; NaN while none are used.', () => sources.aggregateAgeMilliseconds() / MILLISECONDS_PER_SECOND)
     this._registry.addGauge('plumstage_limited_upstreams', 'Upstreams that state a request limit, as known to this gateway.', sources.limitedUpstreams)
     this._registry.addGauge('plumstage_quarantined_prompt_parts', 'Parts of prompts that are rejected because upstreams crashed when they began to respond to them.', sources.quarantinedParts)
+    this._registry.addGauge('plumstage_quarantined_requests', 'Digests of requests that are rejected, but for trials, because upstreams crashed while they executed them.', sources.quarantinedRequests)
     this._registry.addGauge('plumstage_upstream_links_lost', 'Whether this gateway reaches no upstream itself.', () => Number(sources.areLinksLost()))
     this._registry.addGauge('plumstage_open_tunnels', 'Tunnels to upstreams that this gateway carries for others.', sources.openTunnels)
     this._registry.addGauge('plumstage_dropped_log_lines', 'Log lines that the reader did not take in time.', sources.droppedLogLines)
--- a/packages/serving/src/peers/gatewayReport.ts
+++ b/packages/serving/src/peers/gatewayReport.ts
@@ -38,6 +38,12 @@
   crashes: readonly string[]
   /** Crashes that the request is known not to have caused. */
   cleared: readonly string[]
+  /** For each crash the id of the last event that had arrived; gateways of earlier releases do not state it. */
+  progress?: readonly number[]
+  /** For each crash whether the request had begun there. */
+  begun?: readonly boolean[]
+  /** For each crash whether the request was sent as a trial. */
+  trials?: readonly boolean[]
 }
 
 /** Demand of callers for a service at one gateway. */
@@ -123,7 +129,7 @@
     answers: report.answers?.map(({ name, answers, bad }) => ({ name, answers: toUint32(answers), bad: toUint32(bad) })),
     links: LINK_STATES[report.links],
     aggregation: report.aggregation && encodeStep(report.aggregation),
-    suspicions: report.suspicions.map(({ digest, crashes, cleared }) => ({ digest, crashes: [...crashes], cleared: [...cleared] })),
+    suspicions: report.suspicions.map(encodeSuspicion),
     partSuspicions: report.partSuspicions.map(encodePartSuspicion)
   }))
 }
@@ -191,6 +197,10 @@
   }
 }
 
+function encodeSuspicion ({ digest, crashes, cleared, progress = [], begun = [], trials = [] }: ReportedSuspicion): { digest: string, crashes: string[], cleared: string[], progress: number[], begun: boolean[], trials: boolean[] } {
+  return { digest, crashes: [...crashes], cleared: [...cleared], progress: progress.map(toUint32), begun: [...begun], trials: [...trials] }
+}
+
 function encodePartSuspicion ({ part, crashes, cleared, ageMilliseconds }: PartSuspicion): { part: number, crashes: Array<{ crash: number, companions: number[], isTrial: boolean }>, cleared: number[], ageMilliseconds: number } {
   return { part, ageMilliseconds: toUint32(ageMilliseconds), crashes: crashes.map(({ crash, companions, isTrial }) => ({ crash, companions: [...companions], isTrial })), cleared: [...cleared] }
 }
--- a/packages/serving/src/peers/reportExchange.ts
+++ b/packages/serving/src/peers/reportExchange.ts
@@ -14,7 +14,6 @@
 /** One in this many reports lists known addresses. */
 const REPORTS_PER_ADDRESS_LIST = 8
 const MILLISECONDS_PER_SECOND = 1000
-const MAXIMUM_REPORTED_SUSPICIONS = 40
 /** A gateway sends several steps of each aggregation round, so each of them carries only the latest of what is known. */
 const MAXIMUM_CARRIED_ITEMS = 8
 const MAXIMUM_KNOWN_ADDRESSES = 8
@@ -53,7 +52,7 @@
 
   /** Creates the next report, which is the same for all recipients. */
   createReport (leaving: boolean, now: Timestamp, timeOfDay: Timestamp): GatewayReport {
-    const { view, upstreams, limits, quotas, usage, quarantine, partQuarantine, peers } = this._state
+    const { view, upstreams, limits, quotas, usage, requestQuarantine, partQuarantine, peers } = this._state
     return {
       ...this._sender,
       sequence: ++this._sequence,
@@ -65,7 +64,7 @@
       links: this._links(),
       uses: quotas.createReport(now),
       windows: usage.listLocal(usage.windowAt(timeOfDay) - REPORTED_WINDOWS),
-      suspicions: quarantine.listReported(now).slice(0, MAXIMUM_REPORTED_SUSPICIONS),
+      suspicions: requestQuarantine.createReport(now),
       partSuspicions: partQuarantine.createReport(now),
       demands: this._createDemands(now),
       answers: this._listAnswers(),
@@ -75,7 +74,7 @@
 
   /** Creates the report that carries a step of an aggregation round. Short steps leave out what the others spread. */
   createCarrier (aggregation: AggregationStep, leaving: boolean, now: Timestamp): GatewayReport {
-    const { view, upstreams, limits, quarantine, partQuarantine } = this._state
+    const { view, upstreams, limits, requestQuarantine, partQuarantine } = this._state
     const isShort = aggregation.kind !== 'partial' && aggregation.kind !== 'total'
     return {
       ...this._sender,
@@ -85,7 +84,7 @@
       upstreams: view.upstreamsPosition,
       links: this._links(),
       limits: isShort ? [] : limits.createReport(upstreams.list(), now, MAXIMUM_CARRIED_ITEMS),
-      suspicions: isShort ? [] : quarantine.listReported(now).slice(0, MAXIMUM_CARRIED_ITEMS),
+      suspicions: isShort ? [] : requestQuarantine.createReport(now).slice(0, MAXIMUM_CARRIED_ITEMS),
       partSuspicions: isShort ? [] : partQuarantine.createReport(now).slice(0, MAXIMUM_CARRIED_ITEMS),
       loads: [],
       uses: [],
@@ -124,12 +123,12 @@
 
   /** Applies the report of a peer to the state of this gateway. */
   apply ({ report, isContinuous }: Peer, now: Timestamp): void {
-    const { quotas, usage, quarantine, partQuarantine } = this._state
+    const { quotas, usage, requestQuarantine, partQuarantine } = this._state
     if (!report.aggregation) this._applyLoads(report, isContinuous, now)
     this._applyLimits(report, now)
     quotas.applyReport(incarnationKey(report), report.uses, isContinuous)
     usage.applyReport(incarnationKey(report), report.windows)
-    quarantine.mergeReports(report.suspicions, now)
+    requestQuarantine.applyReport(report.suspicions, now)
     partQuarantine.applyReport(report.partSuspicions, now)
   }
 
--- a/packages/serving/src/recovery/quarantineTable.ts
+++ b/packages/serving/src/recovery/quarantineTable.ts
@@ -11,8 +11,6 @@
 const MAXIMUM_SUSPICIONS = 1000
 /** Of one request. Far fewer are needed for the quarantine; crashes that are cleared make room for others. */
 const MAXIMUM_CRASHES = 64
-/** Crashes of each kind that are reported of one request: more than the quarantine needs. */
-const MAXIMUM_REPORTED_CRASHES = 6
 
 /** Crashes that requests with one digest are suspected of causing. */
 export interface CrashSuspicion {
@@ -57,15 +55,6 @@
     return [...this._suspicions.values()]
   }
 
-  /** Returns what to tell peers, which changed last first: of each request no more crashes than the quarantine needs. */
-  listReported (now: Timestamp): CrashSuspicion[] {
-    return this.list(now).reverse().map(suspicion => ({
-      ...suspicion,
-      crashes: listUncleared(suspicion).slice(0, MAXIMUM_REPORTED_CRASHES),
-      cleared: suspicion.cleared.slice(0, MAXIMUM_REPORTED_CRASHES)
-    }))
-  }
-
   stateOf (digest: string, now: Timestamp): SuspicionState {
     this._removeExpired(now)
     const suspicion = this._suspicions.get(digest)
@@ -89,14 +78,6 @@
     if (suspicion) this.merge([{ ...suspicion, cleared: suspicion.crashes }], now)
   }
 
-  /** Merges suspicions reported without a deadline; they are retained as long as local ones. */
-  mergeReports (suspicions: ReadonlyArray<Omit<CrashSuspicion, 'deadline'>>, now: Timestamp): void {
-    this.merge(suspicions.map(({ digest, crashes, cleared }) => {
-      const deadline = this._suspicions.get(digest)?.deadline ?? now + RETENTION_MILLISECONDS
-      return { digest, crashes, cleared, deadline }
-    }), now)
-  }
-
   merge (suspicions: readonly CrashSuspicion[], now: Timestamp): void {
     for (const incoming of suspicions) {
       if (incoming.deadline <= now) continue
--- /dev/null
+++ b/packages/serving/src/recovery/suspectRequest.ts
@@ -0,0 +1,112 @@
+/**
+ * What is known against one request: the crashes of upstreams at which it ran, and which of them it did not cause. Both only grow,
+ * so gateways can exchange them in any order.
+ *
+ * A request that got further at any upstream than where it was when another one crashed did not cause that crash: at that point it
+ * crashes nothing.
+ *
+ * @module
+ */
+import type { Timestamp } from '@plumstage/common'
+
+/** The crashes recorded first are dropped beyond this number. */
+const MAXIMUM_CRASHES = 12
+/** Weight of a crash before the request had begun. Requests that crash upstreams do so when they begin. */
+const UNBEGUN_WEIGHT = 1
+/** Weight of a crash while the request was under way. */
+const BEGUN_WEIGHT = 0.5
+
+/** A crash of an upstream at which requests of one digest ran. */
+export interface RequestCrash {
+  /** Identity of the upstream's incarnation. */
+  crash: string
+  /** Id of the last event that had arrived; 0 before the first. Of several requests of the digest there, the least. */
+  progress: number
+  /** Whether all requests of the digest there had begun. */
+  hasBegun: boolean
+  /** Whether the request was sent although it was quarantined, to find out whether it still crashes upstreams. */
+  isTrial: boolean
+}
+
+/** Requests with one digest that are or were suspected. */
+export class SuspectRequest {
+  readonly digest: string
+  /** When the last crash became known here that is not cleared. */
+  lastCrashAt: Timestamp
+  /** When anything became known last. */
+  changedAt: Timestamp
+  private readonly _crashes = new Map<string, RequestCrash>()
+  private readonly _cleared = new Set<string>()
+
+  private constructor (digest: string, now: Timestamp) {
+    this.digest = digest
+    this.lastCrashAt = now
+    this.changedAt = now
+  }
+
+  static create (digest: string, now: Timestamp): SuspectRequest {
+    return new SuspectRequest(digest, now)
+  }
+
+  /** Crashes that the request may have caused, the newest first. */
+  listUncleared (): RequestCrash[] {
+    return [...this._crashes.values()].filter(({ crash }) => !this._cleared.has(crash)).reverse()
+  }
+
+  /** Crashes that it did not cause, the newest first. */
+  listCleared (): string[] {
+    return [...this._cleared].reverse()
+  }
+
+  /** How much speaks against the request. */
+  get weight (): number {
+    return this.listUncleared().reduce((sum, { hasBegun }) => sum + (hasBegun ? BEGUN_WEIGHT : UNBEGUN_WEIGHT), 0)
+  }
+
+  /** Number of trials that have crashed an upstream. */
+  get failedTrials (): number {
+    return this.listUncleared().filter(({ isTrial }) => isTrial).length
+  }
+
+  /** Returns whether the crash was not known here. */
+  addCrash (added: RequestCrash, now: Timestamp): boolean {
+    const known = this._crashes.get(added.crash)
+    this._crashes.set(added.crash, known ? mergeCrashes(known, added) : added)
+    // Whoever still reports a crash that is cleared here is told so again.
+    if (!known || this._cleared.has(added.crash)) this.changedAt = now
+    if (known) return false
+    if (!this._cleared.has(added.crash)) this.lastCrashAt = now
+    this._dropOldest()
+    return true
+  }
+
+  /** Clears the request of the crashes at which it had not got beyond `progress`; returns whether there were any. */
+  clearBefore (progress: number, now: Timestamp): boolean {
+    return this.clear(this.listUncleared().filter(crash => crash.progress < progress).map(({ crash }) => crash), now)
+  }
+
+  /** Clears the request of all crashes known so far; returns whether there were any. */
+  clearAll (now: Timestamp): boolean {
+    return this.clear(this.listUncleared().map(({ crash }) => crash), now)
+  }
+
+  clear (crashes: readonly string[], now: Timestamp): boolean {
+    const added = crashes.filter(crash => !this._cleared.has(crash))
+    for (const crash of added) this._cleared.add(crash)
+    if (added.length > 0) this.changedAt = now
+    this._dropOldest()
+    return added.length > 0
+  }
+
+  private _dropOldest (): void {
+    const [oldestCrash] = this._crashes.keys()
+    if (this._crashes.size > MAXIMUM_CRASHES) this._crashes.delete(oldestCrash)
+    const [oldestCleared] = this._cleared
+    if (this._cleared.size > 2 * MAXIMUM_CRASHES) this._cleared.delete(oldestCleared)
+  }
+}
+
+/** Several requests of the digest ran at the upstream; the one that had got least far is the likeliest cause. */
+function mergeCrashes (left: RequestCrash, right: RequestCrash): RequestCrash {
+  return { crash: left.crash, progress: Math.min(left.progress, right.progress), hasBegun: left.hasBegun && right.hasBegun, isTrial: left.isTrial || right.isTrial }
+}
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -104,6 +104,7 @@
     this.state = ServingState.create(settings, environment.decoder, environment.random)
     this.state.limits.onChange(({ listed, limit }, source) => instrumentation.emit('upstream-limit-changed', { upstream: listed.id, service: listed.service, requestsPerSecond: limit.requestsPerSecond, source }))
     this.state.partQuarantine.onChange((part, change, crashes) => instrumentation.emit(`prompt-part-${change}`, { part: formatPart(part), crashes }))
+    this.state.requestQuarantine.onChange((digest, change, crashes) => instrumentation.emit(`request-digest-${change}`, { digest, crashes }))
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._pauses = PauseMonitor.create(leaseClock)
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -21,7 +21,7 @@
 import { PeerTable } from './peers/peerTable.js'
 import { WorkspaceQuotas } from './quotas/workspaceQuotas.js'
 import { PartQuarantine } from './recovery/partQuarantine.js'
-import { QuarantineTable } from './recovery/quarantineTable.js'
+import { RequestQuarantine } from './recovery/requestQuarantine.js'
 import { GenerationRouter } from './routing/generationRouter.js'
 import { PlainRouter } from './routing/plainRouter.js'
 import type { Router } from './routing/router.js'
@@ -36,7 +36,6 @@
 import type { Upstream } from './upstreams/upstreamTable.js'
 import { UsageLedger } from './usage/usageLedger.js'
 
-const CRASHES_FOR_QUARANTINE = 3
 /** Largest random number that identifies a run of the gateway. */
 const MAXIMUM_ORIGIN = 2 ** 31 - 1
 
@@ -53,7 +52,7 @@
   /** Memory of responses that are held until they, or an event of theirs, are complete. */
   readonly responseMemory = ResponseMemory.create()
   /** Requests that crash upstreams. */
-  readonly quarantine = QuarantineTable.create(CRASHES_FOR_QUARANTINE)
+  readonly requestQuarantine: RequestQuarantine
   /** Parts of prompts that crash upstreams. */
   readonly partQuarantine: PartQuarantine
   readonly prefixCache: PrefixCacheIndex
@@ -70,6 +69,7 @@
     this.view = DeploymentView.create(decoder)
     this.peers = PeerTable.create({ address: settings.peerAddress, processorCores: settings.processorCores, aggregates: true })
     const ranking = GatewayRanking.create(this.peers)
+    this.requestQuarantine = RequestQuarantine.create(digest => ranking.rankFor(digest))
     this.partQuarantine = PartQuarantine.create(part => ranking.rankFor(String(part)))
     this.limits = UpstreamLimits.create(this.peers, random.nextInteger(1, MAXIMUM_ORIGIN))
     this.quotas = WorkspaceQuotas.create(settings.quotaTolerance)
@@ -164,7 +164,7 @@
 
   /** Whether peers should receive a report before the regular interval ends. */
   get isReportUrgent (): boolean {
-    return this.quotas.isReportUrgent || this.limits.isReportUrgent || this.partQuarantine.isReportUrgent
+    return this.quotas.isReportUrgent || this.limits.isReportUrgent || this.partQuarantine.isReportUrgent || this.requestQuarantine.isReportUrgent
   }
 
   /** Counts a request in the retry budget of its service. */
