The HTTP request of an attempt is created in a module of its own

Change: the headers and limits of an attempt's request are put together in upstreamRequest.ts; nothing else changes.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -30,13 +30,12 @@
 import type { RunningRequests } from './runningRequests.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import { UpstreamChoice } from './upstreamChoice.js'
+import { createUpstreamRequest } from './upstreamRequest.js'
 import type { AttemptOutcome, AttemptReceiver, ReceiveDecision } from './upstreamAttempt.js'
 import type { ResponseHeaders, UpstreamProtocol } from './upstreamProtocol.js'
 import { UpstreamStatements } from './upstreamStatements.js'
 
 const FIRST_SERVER_ERROR_STATUS = 500
-/** Maximum of a request's urgency; lower values are more urgent. */
-const MAXIMUM_URGENCY = 9
 /** An attempt on a lost path is given up when it has been silent for this long. */
 const SILENT_ATTEMPT_MILLISECONDS = 400
 /** Pause before the next attempt when every upstream could not be reached. */
@@ -247,21 +246,8 @@
     this._attempt = UpstreamAttempt.create(this)
     this._path = this._services.access.choosePath(upstream, this._choice.hasFailedAt(upstream) ? 'separate' : 'shared')
     this._path.begin()
-    const { head, body, workspace, rank, deadline } = this._request
-    const remainingMilliseconds = Math.max(1, Math.floor(deadline - this._services.clock.now()))
-    this._attempt.start(this._path.client, {
-      method: head.method,
-      path: head.target,
-      headers: this._services.protocol.encodeHeaders({
-        head,
-        workspace,
-        upstreamId: upstream.listed.id,
-        remainingMilliseconds,
-        urgency: Math.min(MAXIMUM_URGENCY, rank * 2),
-        resumeAfter: this._relay.lastEventId
-      }),
-      body: body.length > 0 ? body : undefined
-    })
+    const target = { upstreamId: upstream.listed.id, resumeAfter: this._relay.lastEventId }
+    this._attempt.start(this._path.client, createUpstreamRequest(this._request, target, this._services.protocol, this._services.clock.now()))
   }
 
   /** Removes the request from the load of its upstream. */
