Crashes against parts of prompts and against requests are kept by one class

Cause: SuspectPart and SuspectRequest each kept a bounded set of crashes, and of those that are cleared. Change: CrashSet does it for both.

--- a/packages/serving/src/recovery/suspectPart.ts
+++ b/packages/serving/src/recovery/suspectPart.ts
@@ -1,15 +1,13 @@
 /**
  * What is known against one part of prompts: the crashes of upstreams while requests with it waited for their first
- * event, and which of them it did not cause. Both only grow, so gateways can exchange them in any order.
+ * event, and which of them it did not cause.
  *
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
+import { CrashSet } from './crashSet.js'
 import type { CrashId, PartKey } from './promptPart.js'
 
-/** The crashes recorded first are dropped beyond this number. */
-const MAXIMUM_CRASHES = 12
-
 /** A crash of an upstream while requests with the part waited for their first event. */
 export interface PartCrash {
   crash: CrashId
@@ -19,6 +17,11 @@
   isTrial: boolean
 }
 
+interface HeardCrash extends PartCrash {
+  /** When the crash became known here. */
+  heardAt: Timestamp
+}
+
 /** What gateways tell each other about a part. */
 export interface PartSuspicion {
   part: PartKey
@@ -38,10 +41,7 @@
   changedAt: Timestamp
   /** Whether the part was quarantined when its state was last announced. */
   isAnnounced = false
-  private readonly _crashes = new Map<CrashId, PartCrash>()
-  /** When each crash became known here. */
-  private readonly _heardAt = new Map<CrashId, Timestamp>()
-  private readonly _cleared = new Set<CrashId>()
+  private readonly _crashes = CrashSet.create<CrashId, HeardCrash>(mergeCrashes)
 
   private constructor (part: PartKey, now: Timestamp) {
     this.part = part
@@ -55,34 +55,31 @@
 
   /** Crashes that the part may have caused. */
   listUncleared (): PartCrash[] {
-    return [...this._crashes.values()].filter(({ crash }) => !this._cleared.has(crash))
+    return this._crashes.uncleared
   }
 
   /** When the first of the crashes that the part may have caused became known here; infinite when there is none. */
   get firstUnclearedAt (): Timestamp {
-    return Math.min(...this.listUncleared().map(({ crash }) => this._heardAt.get(crash) ?? this.lastCrashAt))
+    return Math.min(...this._crashes.uncleared.map(({ heardAt }) => heardAt))
   }
 
   toSuspicion (now: Timestamp): PartSuspicion {
     const ageMilliseconds = Math.max(0, Math.round(now - this.firstUnclearedAt))
-    return { part: this.part, crashes: [...this._crashes.values()], cleared: [...this._cleared], ageMilliseconds: Number.isFinite(ageMilliseconds) ? ageMilliseconds : 0 }
+    const crashes = this._crashes.crashes.map(({ crash, companions, isTrial }) => ({ crash, companions, isTrial }))
+    return { part: this.part, crashes, cleared: this._crashes.cleared, ageMilliseconds: Number.isFinite(ageMilliseconds) ? ageMilliseconds : 0 }
   }
 
   /** Adds a crash that some gateway has known since `heardAt`; returns whether it was not known here. */
   addCrash (added: PartCrash, now: Timestamp, heardAt = now): boolean {
-    const known = this._crashes.get(added.crash)
-    this._crashes.set(added.crash, known ? mergeCrashes(known, added) : added)
-    if (known) return false
-    this._heardAt.set(added.crash, heardAt)
+    if (!this._crashes.add({ ...added, heardAt })) return false
     this.changedAt = now
-    if (!this._cleared.has(added.crash)) this.lastCrashAt = now
-    this._dropOldest()
+    if (!this._crashes.isCleared(added.crash)) this.lastCrashAt = now
     return true
   }
 
   /** Clears the part of all crashes known so far; returns whether there were any. */
   clear (now: Timestamp): boolean {
-    return this._clearCrashes([...this._crashes.keys()], now)
+    return this._clearCrashes(this._crashes.crashes.map(({ crash }) => crash), now)
   }
 
   /** Merges what a peer knows. */
@@ -92,25 +89,13 @@
   }
 
   private _clearCrashes (crashes: readonly CrashId[], now: Timestamp): boolean {
-    const added = crashes.filter(crash => !this._cleared.has(crash))
-    for (const crash of added) this._cleared.add(crash)
-    if (added.length > 0) this.changedAt = now
-    this._dropOldest()
-    return added.length > 0
-  }
-
-  private _dropOldest (): void {
-    const [oldestCrash] = this._crashes.keys()
-    if (this._crashes.size > MAXIMUM_CRASHES) {
-      this._crashes.delete(oldestCrash)
-      this._heardAt.delete(oldestCrash)
-    }
-    const [oldestCleared] = this._cleared
-    if (this._cleared.size > 2 * MAXIMUM_CRASHES) this._cleared.delete(oldestCleared)
+    const isChanged = this._crashes.clear(crashes)
+    if (isChanged) this.changedAt = now
+    return isChanged
   }
 }
 
 /** Two gateways have seen the same crash. */
-function mergeCrashes (left: PartCrash, right: PartCrash): PartCrash {
-  return { crash: left.crash, companions: left.companions.filter(part => right.companions.includes(part)), isTrial: left.isTrial || right.isTrial }
+function mergeCrashes (left: HeardCrash, right: HeardCrash): HeardCrash {
+  return { crash: left.crash, heardAt: left.heardAt, companions: left.companions.filter(part => right.companions.includes(part)), isTrial: left.isTrial || right.isTrial }
 }
--- a/packages/serving/src/recovery/suspectRequest.ts
+++ b/packages/serving/src/recovery/suspectRequest.ts
@@ -1,6 +1,5 @@
 /**
- * What is known against one request: the crashes of upstreams at which it ran, and which of them it did not cause. Both only grow,
- * so gateways can exchange them in any order.
+ * What is known against one request: the crashes of upstreams at which it ran, and which of them it did not cause.
  *
  * A request that got further at any upstream than where it was when another one crashed did not cause that crash: at that point it
  * crashes nothing.
@@ -8,9 +7,8 @@
  * @module
  */
 import type { Timestamp } from '@plumstage/common'
+import { CrashSet } from './crashSet.js'
 
-/** The crashes recorded first are dropped beyond this number. */
-const MAXIMUM_CRASHES = 12
 /** Weight of a crash before the request had begun. Requests that crash upstreams do so when they begin. */
 const UNBEGUN_WEIGHT = 1
 /** Weight of a crash while the request was under way. */
@@ -35,8 +33,7 @@
   lastCrashAt: Timestamp
   /** When anything became known last. */
   changedAt: Timestamp
-  private readonly _crashes = new Map<string, RequestCrash>()
-  private readonly _cleared = new Set<string>()
+  private readonly _crashes = CrashSet.create<string, RequestCrash>(mergeCrashes)
 
   private constructor (digest: string, now: Timestamp) {
     this.digest = digest
@@ -50,12 +47,12 @@
 
   /** Crashes that the request may have caused, the newest first. */
   listUncleared (): RequestCrash[] {
-    return [...this._crashes.values()].filter(({ crash }) => !this._cleared.has(crash)).reverse()
+    return this._crashes.uncleared.reverse()
   }
 
   /** Crashes that it did not cause, the newest first. */
   listCleared (): string[] {
-    return [...this._cleared].reverse()
+    return this._crashes.cleared.reverse()
   }
 
   /** How much speaks against the request. */
@@ -70,14 +67,12 @@
 
   /** Returns whether the crash was not known here. */
   addCrash (added: RequestCrash, now: Timestamp): boolean {
-    const known = this._crashes.get(added.crash)
-    this._crashes.set(added.crash, known ? mergeCrashes(known, added) : added)
+    const isNew = this._crashes.add(added)
+    const isCleared = this._crashes.isCleared(added.crash)
     // Whoever still reports a crash that is cleared here is told so again.
-    if (!known || this._cleared.has(added.crash)) this.changedAt = now
-    if (known) return false
-    if (!this._cleared.has(added.crash)) this.lastCrashAt = now
-    this._dropOldest()
-    return true
+    if (isNew || isCleared) this.changedAt = now
+    if (isNew && !isCleared) this.lastCrashAt = now
+    return isNew
   }
 
   /** Clears the request of the crashes at which it had not got beyond `progress`; returns whether there were any. */
@@ -91,18 +86,9 @@
   }
 
   clear (crashes: readonly string[], now: Timestamp): boolean {
-    const added = crashes.filter(crash => !this._cleared.has(crash))
-    for (const crash of added) this._cleared.add(crash)
-    if (added.length > 0) this.changedAt = now
-    this._dropOldest()
-    return added.length > 0
-  }
-
-  private _dropOldest (): void {
-    const [oldestCrash] = this._crashes.keys()
-    if (this._crashes.size > MAXIMUM_CRASHES) this._crashes.delete(oldestCrash)
-    const [oldestCleared] = this._cleared
-    if (this._cleared.size > 2 * MAXIMUM_CRASHES) this._cleared.delete(oldestCleared)
+    const isChanged = this._crashes.clear(crashes)
+    if (isChanged) this.changedAt = now
+    return isChanged
   }
 }
 
