What speaks against a request is kept until it changes

Cause: it was computed from up to twelve crashes for each piece of a response of a request that upstreams had crashed under. Change: kept, and asked first. Measured: tests of requestQuarantine, crashTracking and boundedTables pass.

--- a/packages/serving/src/recovery/requestQuarantine.ts
+++ b/packages/serving/src/recovery/requestQuarantine.ts
@@ -121,7 +121,7 @@
   /** Records the id of the last event that a request has brought. */
   recordProgress (digest: string, progress: number, now: Timestamp): void {
     const suspect = this._suspects.get(digest)
-    if (suspect) this._change(suspect, () => suspect.clearBefore(progress, now))
+    if (suspect && suspect.weight > 0) this._change(suspect, () => suspect.clearBefore(progress, now))
   }
 
   /** Records that a request has finished: it crashes no upstream. */
--- a/packages/serving/src/recovery/suspectRequest.ts
+++ b/packages/serving/src/recovery/suspectRequest.ts
@@ -34,6 +34,8 @@
   /** When anything became known last. */
   changedAt: Timestamp
   private readonly _crashes = CrashSet.create<string, RequestCrash>(mergeCrashes)
+  /** Undefined when it has to be computed again. */
+  private _weight: number | undefined
 
   private constructor (digest: string, now: Timestamp) {
     this.digest = digest
@@ -55,9 +57,10 @@
     return this._crashes.cleared.reverse()
   }
 
-  /** How much speaks against the request. */
+  /** How much speaks against the request. Kept, because it is asked for with each piece of a response. */
   get weight (): number {
-    return this.listUncleared().reduce((sum, { hasBegun }) => sum + (hasBegun ? BEGUN_WEIGHT : UNBEGUN_WEIGHT), 0)
+    this._weight ??= this._crashes.uncleared.reduce((sum, { hasBegun }) => sum + (hasBegun ? BEGUN_WEIGHT : UNBEGUN_WEIGHT), 0)
+    return this._weight
   }
 
   /** Number of trials that have crashed an upstream. */
@@ -68,6 +71,7 @@
   /** Returns whether the crash was not known here. */
   addCrash (added: RequestCrash, now: Timestamp): boolean {
     const isNew = this._crashes.add(added)
+    this._weight = undefined
     const isCleared = this._crashes.isCleared(added.crash)
     // Whoever still reports a crash that is cleared here is told so again.
     if (isNew || isCleared) this.changedAt = now
@@ -87,6 +91,7 @@
 
   clear (crashes: readonly string[], now: Timestamp): boolean {
     const isChanged = this._crashes.clear(crashes)
+    this._weight = undefined
     if (isChanged) this.changedAt = now
     return isChanged
   }
