Peers that get the same report get the same part of its lists

Cause: found by reading. The parts of a list that does not fit took turns with each message, so with four peers and four parts each peer always got the same one. A trial whose caller left as its upstream crashed was not counted as one. Measured: the two new tests, of reportFitter and crashTracking, fail on the code before and pass.

--- a/packages/common/src/periodicWarning.ts
+++ b/packages/common/src/periodicLog.ts
@@ -1,5 +1,5 @@
 /**
- * Warnings about what may happen very often: each is logged at most once in a while, with the number of those left out.
+ * Log lines about what may happen very often: each is written at most once in a while, with the number of those left out.
  *
  * @module
  */
@@ -8,8 +8,8 @@
 
 const INTERVAL_MILLISECONDS = 10_000
 
-/** A warning that may be due very often. */
-export class PeriodicWarning {
+/** Writes one line, which may be due very often. */
+export class PeriodicLog {
   private readonly _log: Logger
   private readonly _clock: Clock
   private _nextAt: Timestamp = Number.NEGATIVE_INFINITY
@@ -20,14 +20,22 @@
     this._clock = clock
   }
 
-  static create (log: Logger, clock: Clock): PeriodicWarning {
-    return new PeriodicWarning(log, clock)
+  static create (log: Logger, clock: Clock): PeriodicLog {
+    return new PeriodicLog(log, clock)
   }
 
   warn (text: string): void {
+    this._write('warn', text)
+  }
+
+  info (text: string): void {
+    this._write('info', text)
+  }
+
+  private _write (level: 'warn' | 'info', text: string): void {
     const now = this._clock.now()
     if (now < this._nextAt) return void this._leftOut++
-    this._log.warn(this._leftOut === 0 ? text : `${text} The same happened ${this._leftOut} times since the last line about it.`)
+    this._log[level](this._leftOut === 0 ? text : `${text} The same happened ${this._leftOut} times since the last line about it.`)
     this._nextAt = now + INTERVAL_MILLISECONDS
     this._leftOut = 0
   }
--- a/packages/serving/src/attempts/crashTracking.ts
+++ b/packages/serving/src/attempts/crashTracking.ts
@@ -125,11 +125,12 @@
   private async _recordIfCrashed (upstream: Upstream, parts: readonly PartKey[], progress: AttemptProgress): Promise<void> {
     const { state, clock, crashProbe, instrumentation } = this._services
     const isTrial = this._isTrial
+    const isRequestTrial = this.request.isTrial
     if (!await crashProbe.hasCrashed(upstream)) return
     const { listed } = upstream
     const now = clock.now()
     instrumentation.emit('upstream-crashed', { upstream: listed.id, service: listed.service, softwareVersion: listed.softwareVersion, suspectParts: parts.map(formatPart).join(' '), isTrial }, this._request.head.requestId)
-    this.request.recordCrash(listed, progress)
+    this.request.recordCrash(listed, progress, isRequestTrial)
     state.partQuarantine.recordCrash({ parts, crash: crashIdOf(listed), isTrial }, now)
   }
 
--- a/packages/serving/src/attempts/requestSuspicion.ts
+++ b/packages/serving/src/attempts/requestSuspicion.ts
@@ -76,9 +76,10 @@
     if (!requestQuarantine.isEmpty) requestQuarantine.recordFinished(this._digest, clock.now())
   }
 
-  recordCrash ({ id, incarnation }: ListedUpstream, { lastEventId, hasBegun }: AttemptProgress): void {
+  /** `isTrial` is whether the request was a trial when its attempt failed; it may have ended since. */
+  recordCrash ({ id, incarnation }: ListedUpstream, { lastEventId, hasBegun }: AttemptProgress, isTrial: boolean): void {
     const { clock, state: { requestQuarantine } } = this._services
-    requestQuarantine.recordCrash(this._digest, { crash: `${id}/${incarnation}`, progress: lastEventId, hasBegun, isTrial: this._isTrial }, clock.now())
+    requestQuarantine.recordCrash(this._digest, { crash: `${id}/${incarnation}`, progress: lastEventId, hasBegun, isTrial }, clock.now())
   }
 
   /** Records that the request has ended, whatever its result. */
--- a/packages/serving/src/peers/peerSocket.ts
+++ b/packages/serving/src/peers/peerSocket.ts
@@ -6,7 +6,7 @@
  */
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
-import { PeriodicWarning, createListenError, getLogger, splitAddress } from '@plumstage/common'
+import { PeriodicLog, createListenError, getLogger, splitAddress } from '@plumstage/common'
 import type { BackgroundTasks, Clock } from '@plumstage/common'
 
 const STREAM_MARK = 0
@@ -18,14 +18,14 @@
 export class PeerSocket {
   private readonly _socket: Socket
   private readonly _log = getLogger('peers')
-  private readonly _unsentWarning: PeriodicWarning
+  private readonly _unsentWarning: PeriodicLog
   private _unsentMessages = 0
   private _closed = false
   private _onReport: DatagramHandler = () => {}
   private _onStreamMessage: DatagramHandler = () => {}
 
   private constructor (tasks: BackgroundTasks, clock: Clock) {
-    this._unsentWarning = PeriodicWarning.create(this._log, clock)
+    this._unsentWarning = PeriodicLog.create(this._log, clock)
     this._socket = createSocket('udp4')
     this._socket.on('message', (bytes, sender) => { tasks.guard('peer-messages', () => this._receive(bytes, `${sender.address}:${sender.port}`)) })
   }
--- a/packages/serving/src/peers/reportFitter.ts
+++ b/packages/serving/src/peers/reportFitter.ts
@@ -55,7 +55,7 @@
     for (const name of [...MERGED_LISTS, ...REPLACED_LISTS, 'relayed'] as const) sizes.set(name, estimateEncodedBytes(report[name]))
     const shares = shareBytes(sizes, MAXIMUM_REPORT_BYTES - emptyBytes)
     const fitted: GatewayReport = { ...empty }
-    for (const name of MERGED_LISTS) Object.assign(fitted, { [name]: this._selectionOf(name).select(report[name], shares.get(name)!) })
+    for (const name of MERGED_LISTS) Object.assign(fitted, { [name]: this._selectionOf(name).select(report[name], shares.get(name)!, report.sequence) })
     for (const name of REPLACED_LISTS) Object.assign(fitted, { [name]: takeFirst(sortByNeed(name, report[name] ?? []), estimateEncodedBytes, shares.get(name)!) })
     fitted.relayed = report.relayed && fitRelayed(report.relayed, shares.get('relayed')!)
     return fitted
--- a/packages/serving/src/peers/reportSender.ts
+++ b/packages/serving/src/peers/reportSender.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { PeriodicWarning, getLogger } from '@plumstage/common'
+import { PeriodicLog, getLogger } from '@plumstage/common'
 import type { Clock } from '@plumstage/common'
 import type { GatewayReport } from './gatewayReport.js'
 import type { PeerSocket } from './peerSocket.js'
@@ -13,12 +13,12 @@
 export class ReportSender {
   private readonly _socket: PeerSocket
   private readonly _fitter = ReportFitter.create()
-  private readonly _warning: PeriodicWarning
+  private readonly _warning: PeriodicLog
   private _leftOutItems = 0
 
   private constructor (socket: PeerSocket, clock: Clock) {
     this._socket = socket
-    this._warning = PeriodicWarning.create(getLogger('peers'), clock)
+    this._warning = PeriodicLog.create(getLogger('peers'), clock)
   }
 
   static create (socket: PeerSocket, clock: Clock): ReportSender {
--- a/packages/serving/src/peers/rotatingSelection.ts
+++ b/packages/serving/src/peers/rotatingSelection.ts
@@ -11,8 +11,10 @@
 /** Selects from one list, message after message. */
 export class RotatingSelection<Item> {
   private readonly _bytesOf: (item: Item) => number
-  /** Number of items behind the first ones that had their turn. */
+  /** Number of items behind the first ones that had their turn before this one, and after it. */
   private _offset = 0
+  private _nextOffset = 0
+  private _turn: number | undefined
 
   private constructor (bytesOf: (item: Item) => number) {
     this._bytesOf = bytesOf
@@ -23,30 +25,38 @@
     return new RotatingSelection(bytesOf)
   }
 
-  /** Returns items for one message, in the order of the list: all of them if they fit. */
-  select (items: readonly Item[], maximumBytes: number): Item[] {
-    const sizes = items.map(item => this._bytesOf(item))
-    if (sizes.reduce((sum, size) => sum + size, 0) <= maximumBytes) return [...items]
-    const selected = new Set<Item>()
-    const firstBytes = fill(items, sizes, 0, maximumBytes * FIRST_SHARE, selected)
-    const rest = items.map((_item, index) => index).filter(index => !selected.has(items[index]))
-    if (rest.length === 0) return [...selected]
-    const turns = rest.map((_index, place) => rest[(this._offset + place) % rest.length])
-    const before = selected.size
-    fill(turns.map(index => items[index]), turns.map(index => sizes[index]), 0, maximumBytes - firstBytes, selected)
-    this._offset = (this._offset + Math.max(1, selected.size - before)) % rest.length
+  /**
+   * Returns items for one message, in the order of the list: all of them if they fit. Messages with the same number of the turn,
+   * which go to several recipients, hold the same items.
+   */
+  select (items: readonly Item[], maximumBytes: number, turn: number): Item[] {
+    if (turn !== this._turn) this._offset = this._nextOffset
+    this._turn = turn
+    if (this._sumBytes(items) <= maximumBytes) return [...items]
+    const first = this._take(items, maximumBytes * FIRST_SHARE)
+    const others = items.filter(item => !first.includes(item))
+    const begin = this._offset % Math.max(1, others.length)
+    const inTurn = this._take([...others.slice(begin), ...others.slice(0, begin)], maximumBytes - this._sumBytes(first))
+    this._nextOffset = begin + Math.max(1, inTurn.length)
+    const selected = new Set([...first, ...inTurn])
     return items.filter(item => selected.has(item))
   }
-}
 
-/** Adds items from `begin` on for as long as they fit; one that can never fit is passed over. Returns the bytes of those added. */
-function fill<Item> (items: readonly Item[], sizes: readonly number[], begin: number, maximumBytes: number, selected: Set<Item>): number {
-  let bytes = 0
-  for (let index = begin; index < items.length; index++) {
-    if (sizes[index] > maximumBytes) continue
-    if (bytes + sizes[index] > maximumBytes) break
-    bytes += sizes[index]
-    selected.add(items[index])
+  private _sumBytes (items: readonly Item[]): number {
+    return items.reduce((sum, item) => sum + this._bytesOf(item), 0)
+  }
+
+  /** Returns the items from the first one on for as long as they fit; one that can never fit is passed over. */
+  private _take (items: readonly Item[], maximumBytes: number): Item[] {
+    const taken: Item[] = []
+    let bytes = 0
+    for (const item of items) {
+      const size = this._bytesOf(item)
+      if (size > maximumBytes) continue
+      if (bytes + size > maximumBytes) break
+      bytes += size
+      taken.push(item)
+    }
+    return taken
   }
-  return bytes
 }
--- a/tests/serving/crashTracking.spec.ts
+++ b/tests/serving/crashTracking.spec.ts
@@ -96,7 +96,7 @@
       const upstream = state.upstreams.get(id)!
       const tracking = track([])
       tracking.beginAttempt(upstream, 0)
-      tracking.request.recordCrash(upstream.listed, { lastEventId, hasBegun: lastEventId > 0 })
+      tracking.request.recordCrash(upstream.listed, { lastEventId, hasBegun: lastEventId > 0 }, false)
       return Promise.resolve()
     }
 
@@ -115,6 +115,21 @@
       assert.equal(track([]).request.checkStart(), undefined)
     })
 
+    // Guards against: a trial whose caller leaves as its upstream crashes doesn't count, and is followed by another one at once.
+    it('counts a trial as one although its caller has left when the crash is known', async () => {
+      for (const id of ['a', 'b', 'c']) await crashWith(id)
+      clock.advanceTo(clock.now() + 10_000)
+      const trial = track([])
+      assert.equal(trial.request.checkStart(), undefined)
+      const upstream = state.upstreams.get('d')!
+      trial.beginAttempt(upstream, clock.now())
+      const checked = trial.checkForCrash(LOST, upstream, NOT_BEGUN)
+      trial.request.end()
+      await checked
+      clock.advanceTo(clock.now() + 10_000)
+      assert.equal(track([]).request.checkStart()?.kind, 'quarantined')
+    })
+
     // Guards against: a request that crashes upstreams is sent to the next one before it is known that it has crashed another.
     it('waits for the probe where the request is suspected, and does not repeat it once it is quarantined', async () => {
       await crashWith('a')
--- a/tests/serving/reportFitter.spec.ts
+++ b/tests/serving/reportFitter.spec.ts
@@ -104,8 +104,17 @@
   it('selects the first items each time and the others in turn', () => {
     const selection = RotatingSelection.create<number>(() => 10)
     const items = rows(10, index => index)
-    const selected = rows(4, () => selection.select(items, 40))
+    const selected = rows(4, turn => selection.select(items, 40, turn))
     for (const numbers of selected) assert.deepEqual(numbers.slice(0, 2), [0, 1])
     assert.deepEqual(new Set(selected.flat()), new Set(items))
   })
+
+  // Guards against: a peer always gets the same part of a list, because the other peers get the next parts of it.
+  it('selects the same items for all recipients of one message', () => {
+    const selection = RotatingSelection.create<number>(() => 10)
+    const items = rows(10, index => index)
+    const told = rows(4, () => new Set<number>())
+    for (let turn = 0; turn < 4; turn++) for (const recipient of told) for (const item of selection.select(items, 40, turn)) recipient.add(item)
+    for (const recipient of told) assert.equal(recipient.size, items.length)
+  })
 })
