A crash that is still known stays cleared

Cause: found by reading. What a request, or a part of a prompt, was cleared of has a bound of its own. Beyond it the oldest was dropped, or in the product's own gateway the last by name, also when the crash itself was still known. That crash then counted again, so a sound request that had finished after each of many crashes was suspected and refused. Change: only what is not among the known crashes is dropped. Measured: one test of requestQuarantine and one of quarantineTable fail before, pass after; tests of recovery, crashTracking and boundedTables: 51 of 51.

--- a/packages/serving/src/recovery/crashSet.ts
+++ b/packages/serving/src/recovery/crashSet.ts
@@ -61,10 +61,15 @@
   clear (crashes: readonly Id[]): boolean {
     const added = crashes.filter(crash => !this._cleared.has(crash))
     for (const crash of added) this._cleared.add(crash)
+    this._trimCleared()
+    return added.length > 0
+  }
+
+  /** A crash that is still known stays cleared, however many others were cleared since. */
+  private _trimCleared (): void {
     for (const oldest of this._cleared) {
-      if (this._cleared.size <= MAXIMUM_CLEARED) break
-      this._cleared.delete(oldest)
+      if (this._cleared.size <= MAXIMUM_CLEARED) return
+      if (!this._crashes.has(oldest)) this._cleared.delete(oldest)
     }
-    return added.length > 0
   }
 }
--- a/packages/serving/src/recovery/quarantineTable.ts
+++ b/packages/serving/src/recovery/quarantineTable.ts
@@ -118,7 +118,9 @@
   const cleared = sortedUnion(left.cleared, right.cleared)
   const uncleared = crashes.filter(crash => !cleared.includes(crash))
   const kept = [...uncleared, ...crashes.filter(crash => cleared.includes(crash))].slice(0, MAXIMUM_CRASHES)
-  return { digest: left.digest, crashes: kept.sort(), cleared: cleared.slice(0, MAXIMUM_CRASHES), deadline: Math.max(left.deadline, right.deadline) }
+  // A crash that is kept stays cleared.
+  const keptCleared = [...cleared.filter(crash => kept.includes(crash)), ...cleared.filter(crash => !kept.includes(crash))].slice(0, MAXIMUM_CRASHES)
+  return { digest: left.digest, crashes: kept.sort(), cleared: keptCleared.sort(), deadline: Math.max(left.deadline, right.deadline) }
 }
 
 /** The result is sorted, so that equal suspicions are represented in the same way on every gateway. */
--- a/tests/recovery/quarantineTable.spec.ts
+++ b/tests/recovery/quarantineTable.spec.ts
@@ -35,6 +35,7 @@
       table.recordCrash('d', `a-${String(crash).padStart(3, '0')}`, 0)
       table.recordFinished('d', 0)
     }
+    assert.equal(table.stateOf('d', 0), 'clear', 'it finished after each of them')
     table.recordCrash('d', 'z-1', 0)
     assert.equal(table.recordCrash('d', 'z-2', 0), 'quarantined')
   })
--- a/tests/recovery/requestQuarantine.spec.ts
+++ b/tests/recovery/requestQuarantine.spec.ts
@@ -208,4 +208,13 @@
     assert.deepEqual([first.digest, first.crashes[0]], ['a', 'i-30'])
     assert.ok(first.crashes.length >= 3 && first.crashes.length <= 10)
   })
+
+  // Guards against: a sound request counts as suspected of old crashes again, because it was cleared of many others since.
+  it('stay cleared of a crash, however many others they are cleared of', () => {
+    const table = RequestQuarantine.create(() => 0)
+    for (const name of ['a', 'b', 'c']) table.recordCrash('d', crash(name), 0)
+    table.recordFinished('d', 0)
+    for (let index = 0; index < 100; index++) table.applyReport([{ digest: 'd', crashes: [], cleared: [`i-${index}`] }], 1)
+    assert.deepEqual([table.decide('d', 1).kind, table.isSuspected('d')], ['accepted', false])
+  })
 })
