Events without ids count as the progress of a stream

Cause: found by reading. How far a request had got was told by the id of its last event only, so a sound stream whose events have none was never cleared of a crash but by its end, or by a trial. Change: without ids, the number of events counts. Measured: the new test of wholePath fails before (0 in place of 2) and passes; wholePath and crashTracking pass.

--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -161,7 +161,7 @@
     this._path?.recordBytes()
     const attempt = this._attempt
     const decision = this._relay.receiveBytes(chunk, () => attempt?.resume())
-    if (this._relay.attemptHasBegun) this._crashes.request.recordProgress(this._relay.lastEventId ?? 0)
+    if (this._relay.attemptHasBegun) this._crashes.request.recordProgress(this._lastEvent)
     return decision
   }
 
@@ -181,7 +181,7 @@
     if (outcome.kind === 'complete') return this._finish(upstream)
     if (outcome.failure === 'server-error' || (outcome.failure === 'broken' && !outcome.connectionLost)) this._recordAnswer(true)
     this._recordFailure(outcome.failure, upstream)
-    const checked = this._crashes.checkForCrash(outcome, upstream, { lastEventId: this._relay.lastEventId ?? 0, hasBegun: this._relay.attemptHasBegun })
+    const checked = this._crashes.checkForCrash(outcome, upstream, { lastEventId: this._lastEvent, hasBegun: this._relay.attemptHasBegun })
     if (checked) this._watch(checked.then(() => this._proceedAfterFailure(outcome.failure, path)))
     else this._proceedAfterFailure(outcome.failure, path)
   }
@@ -372,6 +372,11 @@
     this._log.recordEnded(this._request, { outcome, status, attempts, events, firstEventMilliseconds: this._firstEventMilliseconds, milliseconds: this._elapsedMilliseconds(), upstream: this._upstream, configurationRevision })
   }
 
+  /** Id of the last event that the caller has, or the number of events where they have no ids. */
+  private get _lastEvent (): number {
+    return this._relay.lastEventId ?? this._relay.eventCount
+  }
+
   private get _attemptKind (): AttemptKind {
     if (this._relay.lastEventId !== undefined) return 'continuation'
     return this._choice.hasFailed ? 'retry' : 'first'
--- a/tests/platform/wholePath.spec.ts
+++ b/tests/platform/wholePath.spec.ts
@@ -313,4 +313,17 @@
     assert.ok(report!.fencingNumber > 0)
     assert.equal(new Set(reports.map(request => request.document.window_id)).size, reports.length)
   })
+
+  // Guards against: a sound stream whose events have no ids gets nowhere by its ids, so that it is never cleared of a crash.
+  it('counts the events of a stream without ids as its progress', async () => {
+    const { requestQuarantine } = deployment.gateways[0].state
+    const progress: number[] = []
+    requestQuarantine.recordCrash('other', { crash: 'i-1', progress: 0, hasBegun: false, isTrial: false }, deployment.clock.now())
+    requestQuarantine.recordProgress = (_digest, reached) => { progress.push(reached) }
+    const events = 'data: one\n\ndata: two\n\n'
+    const answer: ResponseScript = (request, upstream) => request.socket.write(`${formatResponseHead(request, upstream)}Content-Type: text/event-stream\r\nContent-Length: ${events.length}\r\n\r\n${events}`)
+    setScript(answer)
+    assert.equal((await deployment.sendRequest('/summary/x', { method: 'POST' })).status, 200)
+    assert.equal(progress.at(-1), 2)
+  })
 })
