The lease of a lost acquisition is revoked by a call of its own

Cause: found by reading. When the write that acquires a duty is not answered, its lease is revoked, but with the time limit of the acquisition, which was over: the duty stayed blocked until the lease ran out. Change: the revocation has a time limit of its own.

--- a/packages/coordination/src/duties/dutyTask.ts
+++ b/packages/coordination/src/duties/dutyTask.ts
@@ -91,14 +91,15 @@
       if (action) {
         const call = context.createChild(this._clock.now() + CALL_TIMEOUT_MILLISECONDS, this._clock)
         if (action.kind === 'renew') await this._renew(call, action.lease)
-        else if (this._isCandidate()) await this._acquire(call)
+        else if (this._isCandidate()) await this._acquire(call, context)
         call.finish()
       }
       await context.sleepUntil(this._lease.nextTickAt, this._clock)
     }
   }
 
-  private async _acquire (context: CallContext): Promise<void> {
+  /** `context` has the time limit of the acquisition, `task` lasts as long as the task. */
+  private async _acquire (context: CallContext, task: CallContext): Promise<void> {
     const calledAt = this._clock.now()
     const current = await this._service.get(context, this._key)
     if (current.isErr() || current.value !== undefined) return
@@ -110,11 +111,18 @@
       onFailure: []
     })
     // A write without a response counts as failed. If it did take effect, the key is deleted together with its lease.
-    if (written.isErr() || !written.value.succeeded) return void await this._service.revokeLease(context, lease.value.id)
+    if (written.isErr() || !written.value.succeeded) return await this._revoke(task, lease.value.id)
     this._lease.recordAcquired(lease.value.id, written.value, calledAt)
     this._instrumentation.emit('duty-acquired', { duty: this._key, fencingNumber: toNumber(written.value), era: written.value.era })
   }
 
+  /** The time of the acquisition may be over: without a time of its own, the lease would keep the duty from all others. */
+  private async _revoke (task: CallContext, lease: bigint): Promise<void> {
+    const call = task.createChild(this._clock.now() + CALL_TIMEOUT_MILLISECONDS, this._clock)
+    await this._service.revokeLease(call, lease)
+    call.finish()
+  }
+
   private async _renew (context: CallContext, lease: bigint): Promise<void> {
     const calledAt = this._clock.now()
     const renewed = await this._service.keepLeaseAlive(context, lease)
--- a/tests/coordination/dutyCalls.spec.ts
+++ b/tests/coordination/dutyCalls.spec.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { err, ok } from 'neverthrow'
 import { CallContext, Instrumentation, LeaseClock, VirtualClock } from '@plumstage/common'
-import { DutyTask } from '@plumstage/coordination'
+import { DutyTask, KeyValueError } from '@plumstage/coordination'
 import type { KeyValueService } from '@plumstage/coordination'
 import { LeaseStore } from '../support/leaseStore.js'
 
@@ -89,3 +90,27 @@
     assert.deepEqual([call.mayAct(), holder.mayBegin], [false, false])
   })
 })
+
+describe('the acquisition of a duty whose write is not answered', () => {
+  // Guards against: the lease of a write without a response is revoked by a call that is over already, and blocks the duty.
+  it('revokes the lease with a time limit of its own', async () => {
+    const clock = VirtualClock.create(1000)
+    const store = LeaseStore.create(clock)
+    const context = CallContext.create(clock)
+    const revoked: unknown[] = []
+    store.transact = async call => await new Promise(resolve => { call.onCancel(() => resolve(err(KeyValueError.create('ambiguous', 'no response')))) })
+    store.revokeLease = async call => {
+      revoked.push(call.cancelled)
+      return ok(undefined)
+    }
+    const duty = DutyTask.create(store as unknown as KeyValueService, 'duty', 'edge-1', () => true, clock, Instrumentation.create('edge-1', 'run-1', clock), TIMING)
+    void duty.run(context)
+    for (let step = 0; step < 30; step++) {
+      for (let turn = 0; turn < 5; turn++) await new Promise(resolve => setImmediate(resolve))
+      clock.advanceTo(clock.now() + 100)
+    }
+    context.cancel('shutdown')
+    assert.equal(revoked[0], undefined)
+    assert.ok(revoked.length > 0)
+  })
+})
