--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -5,7 +5,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 interface Item {
   key: string
@@ -54,6 +54,8 @@
   /** Further addresses, each of which can be cut off. */
   private readonly _secondServers: Server[] = []
   private readonly _cutServers = new Set<Server>()
+  private readonly _connections = new Set<Socket>()
+  private readonly _silentConnections = new WeakSet<Socket>()
   /** Whether second addresses accept calls and never answer them, also not those that wait already. */
   areSecondAddressesSilent = false
   private _items = new Map<string, Item>()
@@ -161,6 +163,17 @@
     this._closeAllConnections()
   }
 
+  /**
+   * Makes all open connections silent for good, without an end or a reset: what arrives on them is neither carried out nor
+   * answered, also not what waits already. New connections work.
+   */
+  silenceConnections (): void {
+    for (const connection of this._connections) {
+      this._silentConnections.add(connection)
+      connection.setTimeout(0)
+    }
+  }
+
   /** Opens another address of the same store, for one gateway. */
   async openSecondAddress (): Promise<string> {
     const server = this._createServer()
@@ -185,11 +198,19 @@
   private _createServer (): Server {
     const server = createServer((request, response) => {
       if (this._cutServers.has(server)) return void request.socket.destroy()
-      void this._serve(request, response, () => this.areSecondAddressesSilent && server !== this._server)
+      void this._serve(request, response, () => this._isSilent(server, request.socket))
+    })
+    server.on('connection', connection => {
+      this._connections.add(connection)
+      connection.once('close', () => this._connections.delete(connection))
     })
     return server
   }
 
+  private _isSilent (server: Server, connection: Socket): boolean {
+    return this._silentConnections.has(connection) || (this.areSecondAddressesSilent && server !== this._server)
+  }
+
   private _cut (server: Server, isCut: boolean): void {
     if (!isCut) return void this._cutServers.delete(server)
     this._cutServers.add(server)
