Log lines of requests tell what the gateway knew when it decided them

Change: request-ended and request-rejected name version and revision that decided, the last answer of the store and the peers' newest version; store-lost and store-regained name the silence; deployment-pull-failed with a bounded warning; metrics for all of these. No decision changes.

--- a/packages/serving/src/attempts/acceptedRequest.ts
+++ b/packages/serving/src/attempts/acceptedRequest.ts
@@ -6,6 +6,7 @@
 import type { Timestamp } from '@plumstage/common'
 import type { RouteRecord, ServiceRecord } from '@plumstage/records'
 import type { CallerHead, GenerationDemand } from '../callers/callerProtocol.js'
+import type { DecisionBasis } from '../deployment/decisionBasis.js'
 
 /** A request that the gateway has accepted. */
 export interface AcceptedRequest {
@@ -24,8 +25,8 @@
   digest: string
   acceptedAt: Timestamp
   deadline: Timestamp
-  /** Revision of the configuration by which the request was decided. */
-  configurationRevision: number
+  /** What was known when the request was decided. */
+  basis: DecisionBasis
 }
 
 /** Whether the caller has received a part of the response before, from an earlier request. */
--- a/packages/serving/src/attempts/attemptLog.ts
+++ b/packages/serving/src/attempts/attemptLog.ts
@@ -5,6 +5,7 @@
  */
 import type { Instrumentation, Timestamp } from '@plumstage/common'
 import type { CallerHead } from '../callers/callerProtocol.js'
+import { describeBasis } from '../deployment/decisionBasis.js'
 import type { LimitStatement } from '../limits/statedLimit.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
@@ -108,9 +109,9 @@
     this._instrumentation.emit('first-event', { upstream: listed.id, softwareVersion: listed.softwareVersion, resumedRequest, resumeAfter, ...event, requests }, requestId)
   }
 
-  recordEnded ({ route, service, workspace, quotaUnits, acceptedAt, deadline, configurationRevision: decidedByRevision }: AcceptedRequest, { upstream, ...ended }: EndedRequest): void {
+  recordEnded ({ route, service, workspace, quotaUnits, acceptedAt, deadline, basis }: AcceptedRequest, { upstream, ...ended }: EndedRequest): void {
     const allowedMilliseconds = Math.round(deadline - acceptedAt)
-    this._instrumentation.emit('request-ended', { ...ended, route: route.name, service: service.name, workspace, quotaUnits, allowedMilliseconds, decidedByRevision, upstream: upstream?.listed.id }, this._head.requestId)
+    this._instrumentation.emit('request-ended', { ...ended, route: route.name, service: service.name, workspace, quotaUnits, allowedMilliseconds, ...describeBasis(basis), upstream: upstream?.listed.id }, this._head.requestId)
   }
 
   /** The upstream has stated for the first time that it is leaving. */
--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -10,6 +10,7 @@
 import { isResumed } from '../attempts/acceptedRequest.js'
 import { RequestTask } from '../attempts/requestTask.js'
 import type { RequestServices } from '../attempts/requestTask.js'
+import { describeBasis } from '../deployment/decisionBasis.js'
 import type { RequestKind } from '../stopping/requestDurations.js'
 import { afterNextPoll } from './afterNextPoll.js'
 import { ArrivalClock } from './arrivalClock.js'
@@ -124,7 +125,7 @@
     const { protocol, services, admission, pauses } = this._options
     const head = protocol.readHead(incoming)
     if (head.isErr()) return this._reject(exchange, head.error, incoming)
-    const admitted = admission.admit(head.value, acceptedAt)
+    const admitted = admission.admit(head.value, acceptedAt, services.clock.now())
     if (admitted.isErr()) return this._reject(exchange, admitted.error, incoming, head.value)
     const reject = (rejection: Rejection): void => this._reject(exchange, rejection, incoming, head.value)
     const request = IncompleteRequest.create({ head: head.value, acceptedAt, admitted: admitted.value, admission, clock: services.clock, reject })
@@ -163,11 +164,11 @@
   private _reject (exchange: CallerExchange, rejection: Rejection, incoming: IncomingMessage, head?: CallerHead, admission?: Admission): void {
     const { services } = this._options
     if (exchange.started) return
-    const { configurationRevision } = services.state.view
+    const basis = admission?.basis ?? services.state.decisionBasis(services.clock.now())
     const { kind: reason, status, message, retryAfterMilliseconds, quota } = rejection
     const origin = { target: head?.target ?? incoming.url, route: admission?.route.name, workspace: admission?.workspace }
     const usage = { quotaUnits: quota?.units, quotaUnitsPerSecond: quota?.unitsPerSecond, quotaBurstUnits: quota?.burstUnits }
-    services.instrumentation.emit('request-rejected', { reason, status, message, retryAfterMilliseconds, ...origin, ...usage, configurationRevision }, head?.requestId)
+    services.instrumentation.emit('request-rejected', { reason, status, message, retryAfterMilliseconds, ...origin, ...usage, ...describeBasis(basis) }, head?.requestId)
     exchange.reject(rejection)
   }
 }
--- a/packages/serving/src/callers/incompleteRequest.ts
+++ b/packages/serving/src/callers/incompleteRequest.ts
@@ -47,8 +47,8 @@
 
   /** Decides again by the configuration that has come into force. */
   reconsider (): void {
-    const { admission, head, acceptedAt } = this._options
-    const admitted = admission.admit(head, acceptedAt)
+    const { admission, head, acceptedAt, clock } = this._options
+    const admitted = admission.admit(head, acceptedAt, clock.now())
     if (admitted.isErr()) return this.reject(admitted.error)
     this._admitted = admitted.value
     this._timer.cancel()
--- a/packages/serving/src/callers/requestAdmission.ts
+++ b/packages/serving/src/callers/requestAdmission.ts
@@ -7,6 +7,7 @@
 import type { Result } from 'neverthrow'
 import type { Timestamp } from '@plumstage/common'
 import type { Configuration, RouteRecord, ServiceRecord, WorkspaceRecord } from '@plumstage/records'
+import type { DecisionBasis } from '../deployment/decisionBasis.js'
 import { rendezvousWeight } from '../routing/rendezvousHash.js'
 import type { ServingState } from '../servingState.js'
 import type { CallerHead, GenerationDemand } from './callerProtocol.js'
@@ -27,8 +28,8 @@
   workspace?: string
   rank: number
   deadline: Timestamp
-  /** Revision of the configuration by which the request was decided. */
-  configurationRevision: number
+  /** What was known when the request was decided. */
+  basis: DecisionBasis
   /** The work that it requires of a model engine, at most as much as fits into one. */
   generation?: GenerationDemand
 }
@@ -45,8 +46,8 @@
     return new RequestAdmission(state)
   }
 
-  /** Decides by the head alone, before the body is read. */
-  admit (head: CallerHead, now: Timestamp): Result<Admission, Rejection> {
+  /** Decides by the head alone, before the body is read; deadlines count from `acceptedAt`. */
+  admit (head: CallerHead, acceptedAt: Timestamp, now: Timestamp): Result<Admission, Rejection> {
     const { configuration } = this._state.view
     if (!configuration) return err(createRejection('no-configuration', 'The gateway has no configuration yet. Send the request again after the indicated delay.', RETRY_AFTER_NO_CONFIGURATION_MILLISECONDS))
     const limit = configuration.callerLimits?.maximumHeaderBytes
@@ -63,8 +64,8 @@
       service,
       workspace: workspace.value?.name,
       rank: workspace.value?.rank ?? configuration.priorities.get(route.priority)?.rank ?? DEFAULT_RANK,
-      deadline: now + timeoutMilliseconds,
-      configurationRevision: configuration.revision,
+      deadline: acceptedAt + timeoutMilliseconds,
+      basis: this._state.decisionBasis(now),
       generation: head.generation && boundByMemory(head.generation, service)
     })
   }
--- a/packages/serving/src/deployment/deploymentTask.ts
+++ b/packages/serving/src/deployment/deploymentTask.ts
@@ -8,6 +8,7 @@
 import type { EntrySelection, KeyValueChange, KeyValueEntry, KeyValueError, KeyValueService, KeyValueWatchBatch, StorePosition } from '@plumstage/coordination'
 import type { AppliedPosition } from './appliedPosition.js'
 import type { DeploymentView, ViewChange } from './deploymentView.js'
+import type { StoreContact } from './storeContact.js'
 import { FollowedHistory } from './followedHistory.js'
 import type { InferredReturn } from './followedHistory.js'
 
@@ -58,6 +59,8 @@
   tasks: BackgroundTasks
   /** Is told how far the changes of the store were applied, by the view and by all observers. */
   applied: AppliedPosition
+  /** Is told of each answer of the store. */
+  contact: StoreContact
   observers: readonly StoreObserver[]
   /** Creates the selection of what is kept of one snapshot, or of one batch of changes. */
   createSelection: () => EntrySelection
@@ -128,7 +131,7 @@
     const { era, revision, entries } = snapshot.value
     const inferred = this._history.recordSnapshot(snapshot.value)
     this._position = { era, revision }
-    this._recordSuccess(era)
+    this._recordSuccess({ era, revision })
     instrumentation.emit('store-snapshot-read', { reason: inferred ? 'restored' : this._snapshotReason, era, revision, entries: entries.length })
     if (inferred) this._reportReturn(inferred)
     this._options.onChange(view.applyStoreSnapshot(snapshot.value, clock.now(), inferred !== undefined))
@@ -144,7 +147,7 @@
       if (batch.isErr()) return this._handleWatchError(batch.error)
       const { era, revision } = batch.value
       if (era !== position.era) return this._requireSnapshot('restored')
-      this._recordSuccess(era)
+      this._recordSuccess({ era, revision })
       const news = this._history.recordBatch(batch.value)
       if (!news) return this._requireSnapshot('restored')
       const isIdle = news.changes.length === 0 && revision === this._position?.revision
@@ -222,16 +225,24 @@
   private _recordFailure (error: KeyValueError): void {
     if (this._failingSince !== undefined) return
     this._failingSince = this._options.clock.now()
-    this._options.instrumentation.emit('store-lost', { error: error.message, era: this._position?.era, lastRevision: this._position?.revision })
+    this._options.instrumentation.emit('store-lost', { error: error.message, era: this._position?.era, lastRevision: this._position?.revision, silentMilliseconds: this._silentMilliseconds })
     this._log.warn(`The store can't be read: ${error.message}`)
   }
 
-  private _recordSuccess (era: number): void {
+  /** Time since the last answer of the store; undefined before the first. */
+  private get _silentMilliseconds (): number | undefined {
+    const { clock, contact: { heardAt } } = this._options
+    return heardAt === undefined ? undefined : Math.round(clock.now() - heardAt)
+  }
+
+  private _recordSuccess (position: StorePosition): void {
+    const { clock, view, instrumentation, contact } = this._options
+    const silentMilliseconds = this._silentMilliseconds
+    contact.recordHeard(position, clock.now())
     if (this._failingSince === undefined) return
-    const { clock, view, instrumentation } = this._options
     const outageMilliseconds = clock.now() - this._failingSince
     this._failingSince = undefined
     if (outageMilliseconds >= OUTAGE_THRESHOLD_MILLISECONDS) view.recordStoreRecovery(clock.now())
-    instrumentation.emit('store-regained', { era, awayMilliseconds: Math.round(outageMilliseconds) })
+    instrumentation.emit('store-regained', { ...position, awayMilliseconds: Math.round(outageMilliseconds), silentMilliseconds })
   }
 }
--- a/packages/serving/src/observability/servingMetricSources.ts
+++ b/packages/serving/src/observability/servingMetricSources.ts
@@ -33,6 +33,9 @@
   return {
     running: () => running.count,
     configurationRevision: () => view.configurationRevision,
+    configurationVersion: () => view.configurationPosition?.version ?? Number.NaN,
+    peersConfigurationVersion: () => peers.newestConfiguration?.version ?? Number.NaN,
+    storeSilentMilliseconds: () => state.decisionBasis(clock.now()).storeSilentMilliseconds ?? Number.NaN,
     upstreamsRevision: () => view.upstreamsRevision,
     storeEra: () => view.upstreamsPosition.era,
     presentGateways: () => peers.countPresent(clock.now()),
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -14,6 +14,12 @@
 export interface ServingMetricSources {
   running: () => number
   configurationRevision: () => number
+  /** NaN while there is none, or it states no version. */
+  configurationVersion: () => number
+  /** NaN while peers have reported none. */
+  peersConfigurationVersion: () => number
+  /** Time since the last answer of the store in milliseconds; NaN before the first. */
+  storeSilentMilliseconds: () => number
   upstreamsRevision: () => number
   storeEra: () => number
   presentGateways: () => number
@@ -50,6 +56,8 @@
   { kind: 'attempt-failed', name: 'plumstage_failed_attempts_total', help: 'Attempts that failed, by failure.', label: { attribute: 'failure', name: 'failure' } },
   { kind: 'limited-attempt-started', name: 'plumstage_limited_attempts_total', help: 'Attempts sent to upstreams that state a request limit, by kind.', label: { attribute: 'attemptKind', name: 'kind' } },
   { kind: 'configuration-ignored', name: 'plumstage_ignored_configurations_total', help: 'Configurations that were received and did not come into force, by reason.', label: { attribute: 'reason', name: 'reason' } },
+  { kind: 'store-lost', name: 'plumstage_store_losses_total', help: 'How often the store stopped answering the watch of this gateway.' },
+  { kind: 'deployment-pull-failed', name: 'plumstage_failed_pulls_total', help: 'Snapshots of the deployment that could not be read from peers.' },
   { kind: 'store-snapshot-read', name: 'plumstage_store_snapshots_total', help: 'Snapshots of all entries that were read from the store, by reason.', label: { attribute: 'reason', name: 'reason' } },
   { kind: 'upstream-links-probed', name: 'plumstage_link_probes_total', help: 'Probes of upstreams that show whether the links of this gateway work.', amount: 'probes' },
   { kind: 'rollout-decided', name: 'plumstage_rollout_decisions_total', help: 'Changes of the stage of roll-outs that this gateway decided, by stage.', label: { attribute: 'stage', name: 'stage' } },
@@ -79,6 +87,9 @@
     this._duration = new Histogram({ name: 'plumstage_request_seconds', help: 'Time from acceptance to the end of a request.', labelNames: ['route'], buckets: LATENCY_BUCKETS_SECONDS, registers })
     this._registry.addGauge('plumstage_running_requests', 'Requests that run at an upstream.', sources.running)
     this._registry.addGauge('plumstage_configuration_revision', 'Store revision of the configuration in force.', sources.configurationRevision)
+    this._registry.addGauge('plumstage_configuration_version', 'Version of the configuration in force; NaN without one.', sources.configurationVersion)
+    this._registry.addGauge('plumstage_peers_configuration_version', 'Newest version that peers have reported; NaN without one.', sources.peersConfigurationVersion)
+    this._registry.addGauge('plumstage_store_silent_seconds', 'Time since the last answer of the store to a watch or a snapshot; NaN before the first.', () => sources.storeSilentMilliseconds() / MILLISECONDS_PER_SECOND)
     this._registry.addGauge('plumstage_upstreams_revision', 'Store revision of the last known change to the list of upstreams.', sources.upstreamsRevision)
     this._registry.addGauge('plumstage_store_era', 'Era of the store that this gateway knows: how often the store has come back from a copy; 0 when it does not state that.', sources.storeEra)
     this._registry.addGauge('plumstage_present_gateways', 'Gateways that are heard, this one included.', sources.presentGateways)
--- a/packages/serving/src/peers/gossipTask.ts
+++ b/packages/serving/src/peers/gossipTask.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { request } from 'undici'
-import { describeError, getLogger, parseJson, readBoundedText } from '@plumstage/common'
+import { PeriodicLog, describeError, getLogger, parseJson, readBoundedText } from '@plumstage/common'
 import type { CallContext, Clock, Instrumentation, Timestamp } from '@plumstage/common'
 import { START_POSITION } from '@plumstage/coordination'
 import type { StorePosition } from '@plumstage/coordination'
@@ -69,6 +69,7 @@
 export class GossipTask {
   private readonly _options: GossipTaskOptions
   private readonly _log = getLogger('peers')
+  private readonly _failedPulls: PeriodicLog
   private readonly _snapshotPull = SnapshotPull.create()
   private _pulling = false
   private readonly _topology: ReportTopology
@@ -77,6 +78,7 @@
 
   private constructor (options: GossipTaskOptions) {
     this._options = options
+    this._failedPulls = PeriodicLog.create(this._log, options.clock)
     this._topology = ReportTopology.create(options.peers)
     options.socket.onReport((bytes, sender) => this._receive(bytes, sender))
   }
@@ -139,7 +141,8 @@
       this._options.onChange(change)
       return true
     } catch (error) {
-      this._log.debug(`The deployment snapshot of ${address} could not be read: ${describeError(error)}. A later pull may use another gateway.`)
+      instrumentation.emit('deployment-pull-failed', { from: address, error: describeError(error) })
+      this._failedPulls.warn(`The deployment snapshot of ${address} could not be read: ${describeError(error)}. A later pull may use another gateway.`)
       return false
     } finally {
       pullContext.finish()
--- a/packages/serving/src/peers/peerTable.ts
+++ b/packages/serving/src/peers/peerTable.ts
@@ -7,6 +7,8 @@
 import type { Timestamp } from '@plumstage/common'
 import type { Aggregate } from '../aggregation/aggregate.js'
 import { ROUND_MILLISECONDS } from '../aggregation/aggregationNode.js'
+import { supersedes } from '../deployment/configurationPosition.js'
+import type { ConfigurationPosition } from '../deployment/configurationPosition.js'
 import type { GatewayRegistration } from './gatewayRegistration.js'
 import type { GatewayReport, RelayedReports } from './gatewayReport.js'
 import { MAXIMUM_MESH_GATEWAYS, unresponsiveAfterMilliseconds } from './reportInterval.js'
@@ -69,6 +71,7 @@
   private readonly _knownAddresses = new Map<string, Timestamp>()
   private _addressesVersion = 0
   private _totals: PeerTotals | undefined
+  private _newestConfiguration: ConfigurationPosition | undefined
   private _gateways: readonly GatewayRegistration[] = []
   /** Version of the addresses for which `_gateways` was collected. */
   private _gatewaysVersion = -1
@@ -118,9 +121,15 @@
     const peer = { address, report, lastReportAt: now, isContinuous, isUnresponsive: false }
     if (known?.address !== address) this._addressesVersion++
     this._peers.set(report.name, peer)
+    if (report.configuration && supersedes(report.configuration, this._newestConfiguration)) this._newestConfiguration = report.configuration
     return peer
   }
 
+  /** The newest configuration that any peer has reported; undefined when none has. */
+  get newestConfiguration (): ConfigurationPosition | undefined {
+    return this._newestConfiguration
+  }
+
   /** Returns the address of a gateway by its name. */
   addressOf (name: string): string | undefined {
     return this._registrations.get(name)?.address ?? this._peers.get(name)?.address
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -224,6 +224,7 @@
       instrumentation,
       tasks: this.tasks,
       applied: this._applied,
+      contact: this.state.storeContact,
       createSelection: () => DeploymentSelection.create(decoder, this._keys),
       countGateways: () => this.state.peers.listRegistrations().length,
       observers: [this._registry, this._streams.observer, this.state.rollouts, ...this._duties?.observers ?? []],
--- a/packages/serving/src/servingState.ts
+++ b/packages/serving/src/servingState.ts
@@ -11,8 +11,10 @@
 import { hashName } from './aggregation/aggregate.js'
 import { ResponseMemory } from './attempts/responseMemory.js'
 import { ServiceCapacities } from './capacity/serviceCapacities.js'
+import type { DecisionBasis } from './deployment/decisionBasis.js'
 import type { DeploymentDecoder } from './deployment/deploymentDecoder.js'
 import { DeploymentView } from './deployment/deploymentView.js'
+import { StoreContact } from './deployment/storeContact.js'
 import { DemandMeter } from './fleet/demandMeter.js'
 import type { Demand } from './fleet/demandMeter.js'
 import { ReturnSchedule } from './limits/returnSchedule.js'
@@ -42,6 +44,7 @@
 /** Owns the state and the policies that all requests of one gateway share. */
 export class ServingState {
   readonly view: DeploymentView
+  readonly storeContact = StoreContact.create()
   readonly upstreams = UpstreamTable.create()
   readonly peers: PeerTable
   readonly limits: UpstreamLimits
@@ -95,6 +98,13 @@
     this.prefixCache.retentionMilliseconds = settings.prefixReuseMilliseconds
   }
 
+  /** What this gateway knows by which it decides requests now. */
+  decisionBasis (now: Timestamp): DecisionBasis {
+    const { heardAt, position } = this.storeContact
+    const storeSilentMilliseconds = heardAt === undefined ? undefined : Math.round(now - heardAt)
+    return { configuration: this.view.configurationPosition, store: position, storeSilentMilliseconds, peers: this.peers.newestConfiguration }
+  }
+
   /** Returns the router for generations if the service runs model engines, otherwise the one for plain services. */
   routerOf (service: ServiceRecord | undefined): Router {
     return service?.type === 'model-engine' ? this._generationRouter : this._plainRouter
--- a/tests/serving/deploymentTask.spec.ts
+++ b/tests/serving/deploymentTask.spec.ts
@@ -6,7 +6,7 @@
 import { KeyValueError, WholeEntries } from '@plumstage/coordination'
 import type { KeyValueService, KeyValueWatchBatch } from '@plumstage/coordination'
 import { DeploymentAdapter } from '@plumstage/platform'
-import { AppliedPosition, DeploymentTask, DeploymentView } from '@plumstage/serving'
+import { AppliedPosition, DeploymentTask, DeploymentView, StoreContact } from '@plumstage/serving'
 
 const CHANGES = 200
 const CHANGE_INTERVAL_MILLISECONDS = 10
@@ -39,6 +39,7 @@
     instrumentation,
     tasks: BackgroundTasks.create(clock, instrumentation),
     applied: AppliedPosition.create(),
+    contact: StoreContact.create(),
     createSelection: () => WholeEntries.create(),
     observers: [],
     countGateways: () => gateways,
@@ -71,6 +72,7 @@
       instrumentation,
       tasks: BackgroundTasks.create(clock, instrumentation),
       applied: AppliedPosition.create(),
+      contact: StoreContact.create(),
       createSelection: () => WholeEntries.create(),
       observers: [{ onSnapshot: fail, onChanges: fail }, { onSnapshot: count, onChanges: count }],
       countGateways: () => 1,
@@ -108,6 +110,7 @@
       instrumentation,
       tasks: BackgroundTasks.create(clock, instrumentation),
       applied: AppliedPosition.create(),
+      contact: StoreContact.create(),
       createSelection: () => WholeEntries.create(),
       observers: [],
       countGateways: () => 1,
--- a/tests/serving/requestAdmission.spec.ts
+++ b/tests/serving/requestAdmission.spec.ts
@@ -14,7 +14,7 @@
   const value = JSON.stringify({ version: 1, routes: [{ name: 'r', host: 'wiki.example', prefix: '/a/', route_type: 'streaming', service: 'model' }], services: [{ name: 'model', engine }] })
   state.view.applyStoreSnapshot({ era: 1, revision: 1, entries: [{ key: 'op/config', value, createRevision: 1, modRevision: 1 }] }, 0)
   const head = { host: 'wiki.example', path: '/a/b', requestId: 'r-1', headBytes: 10, generation: FAR_OFF } as unknown as CallerHead
-  return RequestAdmission.create(state).admit(head, 0)._unsafeUnwrap().generation
+  return RequestAdmission.create(state).admit(head, 0, 0)._unsafeUnwrap().generation
 }
 
 describe('request admission', () => {
--- a/tests/serving/unstatedReturns.spec.ts
+++ b/tests/serving/unstatedReturns.spec.ts
@@ -6,7 +6,7 @@
 import { KeyValueError, WholeEntries } from '@plumstage/coordination'
 import type { KeyValueChange, KeyValueEntry, KeyValueService, KeyValueWatchBatch, StorePosition } from '@plumstage/coordination'
 import { Configuration } from '@plumstage/records'
-import { AppliedPosition, DeploymentTask, DeploymentView } from '@plumstage/serving'
+import { AppliedPosition, DeploymentTask, DeploymentView, StoreContact } from '@plumstage/serving'
 import type { DeploymentDecoder } from '@plumstage/serving'
 
 setLogLevel('silent')
@@ -116,6 +116,7 @@
     instrumentation,
     tasks: BackgroundTasks.create(clock, instrumentation),
     applied: AppliedPosition.create(),
+    contact: StoreContact.create(),
     createSelection: () => WholeEntries.create(),
     observers: [],
     countGateways: () => 4,
