The operator of tests asks each gateway for all of the newest versions in turn

Cause: which version a gateway was asked for went by a count that two places increased, so that some gateways were never asked for the newest one. Change: by round and gateway. The check is stricter.

--- a/tests/platform/silentStore.spec.ts
+++ b/tests/platform/silentStore.spec.ts
@@ -48,7 +48,17 @@
     await run
     const { probes, late, reverted, details } = operator.report
     assert.ok(probes > 300, `only ${probes} requests`)
-    assert.deepEqual({ late, reverted }, { late: 0, reverted: 0 }, `of ${probes} requests:\n${details.slice(0, 10).join('\n')}`)
+    assert.deepEqual({ late, reverted }, { late: 0, reverted: 0 }, `of ${probes} requests:\n${details.slice(0, 10).join('\n')}\n${describeRejections()}`)
+  }
+
+  /** What the gateways knew when they rejected requests for routes that they did not have, and how long they had not heard the store. */
+  function describeRejections (): string {
+    return deployment.gateways.numbers.map(number => {
+      const rejections = deployment.gateways.listEvents(number, 'request-rejected').map(({ attributes }) => attributes ?? {})
+      const silences = rejections.map(({ storeSilentMilliseconds }) => Number(storeSilentMilliseconds))
+      const known = new Set(rejections.map(({ decidedByVersion, peersVersion }) => `${decidedByVersion} while peers had ${peersVersion}`))
+      return `gateway ${number} rejected ${rejections.length}, store silent for ${Math.min(...silences)} to ${Math.max(...silences)} ms, decided by ${[...known].join(', ')}`
+    }).join('\n')
   }
 
   const begun = 'CONFIG: a version is in force in time although all connections to the store have gone silent just after the watches began'
--- a/tests/platform/support/routeOperator.ts
+++ b/tests/platform/support/routeOperator.ts
@@ -11,6 +11,8 @@
 const FIRST_VERSION = 10
 const VERSION_INTERVAL_MILLISECONDS = 1500
 const PROBE_INTERVAL_MILLISECONDS = 40
+/** Each gateway is asked for so many of the newest versions in turn. */
+const PROBED_VERSIONS = 3
 /** A confirmed version has to be in force everywhere after this time. */
 const APPLY_MILLISECONDS = 2000
 /** A request that is sent this long after an effect of a version was seen may not be handled by an older one. */
@@ -54,6 +56,7 @@
   private readonly _down = new Set<number>()
   private _version = FIRST_VERSION
   private _probe = 0
+  private _round = 0
   private _writesUntil = 0
 
   private constructor (deployment: ProcessDeployment) {
@@ -125,6 +128,7 @@
     while (Date.now() < endsAt) {
       if (Date.now() > lastRoundAt + STANDSTILL_MILLISECONDS) this.recordFault()
       lastRoundAt = Date.now()
+      this._round++
       for (const gateway of this._deployment.gateways.numbers) if (!this._down.has(gateway)) pending.push(this._probeOne(gateway))
       await new Promise(resolve => setTimeout(resolve, PROBE_INTERVAL_MILLISECONDS))
     }
@@ -134,7 +138,7 @@
   private async _probeOne (gateway: number): Promise<void> {
     const sentAt = Date.now()
     const due = [...this._confirmedAt].filter(([, confirmedAt]) => confirmedAt + APPLY_MILLISECONDS < sentAt).map(([version]) => version)
-    const version = due.at(-1 - this._probe++ % 3)
+    const version = due.at(-1 - (this._round + gateway) % PROBED_VERSIONS)
     if (version === undefined) return
     const status = await this._ask(gateway, version)
     if (Date.now() > sentAt + STANDSTILL_MILLISECONDS) this.recordFault([gateway])
