Connections to upstreams that have gone silent are replaced

Callers saw: after a pause, requests at all gateways waited for their whole time-out and got 504, although new connections worked. Cause: a kept connection was used for 4 s after it was last heard, longer than gateways have to be in touch again; and probes that were answered while nothing else was heard led to nothing. Change: a pool that was not heard for 0.8 of that time (0.5 for requests that may not be repeated) opens new connections. When probes are answered and nothing else is heard, all open connections are replaced, and attempts that wait on them are made again, within the retry budget and the route's attempts. Why this works: what was heard after a silence began is not silent.

--- a/packages/serving/src/attempts/attemptEffects.ts
+++ b/packages/serving/src/attempts/attemptEffects.ts
@@ -11,7 +11,7 @@
 import type { AttemptFailure } from './attemptPolicy.js'
 
 /** Failures that say nothing about the upstream. */
-const BLAMELESS_FAILURES: ReadonlySet<AttemptFailure> = new Set(['unsendable', 'peer-unavailable', 'links-lost'])
+const BLAMELESS_FAILURES: ReadonlySet<AttemptFailure> = new Set(['unsendable', 'peer-unavailable', 'links-lost', 'silent'])
 
 /** Dependencies of the effects. */
 export interface AttemptEffectsServices {
--- a/packages/serving/src/attempts/attemptPolicy.ts
+++ b/packages/serving/src/attempts/attemptPolicy.ts
@@ -17,6 +17,8 @@
   | 'peer-unavailable'
   /** This gateway's links to the upstreams were lost. The request may have executed if it was sent. */
   | 'links-lost'
+  /** The connection went silent while new ones to upstreams work. The request may have executed. */
+  | 'silent'
   /** The upstream stated that it did not execute the request. */
   | 'not-run'
   /** The address now belongs to another instance, which did not execute the request. */
@@ -80,6 +82,7 @@
   return hasAttemptsLeft(progress)
 }
 
-function hasAttemptsLeft (progress: RequestProgress): boolean {
+/** Whether the route allows another attempt after those that are counted. */
+export function hasAttemptsLeft (progress: Pick<RequestProgress, 'route' | 'attempts'>): boolean {
   return progress.attempts < (progress.route.maximumAttempts ?? 1)
 }
--- a/packages/serving/src/attempts/requestTask.ts
+++ b/packages/serving/src/attempts/requestTask.ts
@@ -24,10 +24,11 @@
 import { RequestLoad } from './requestLoad.js'
 import { ResponseRelay } from './responseRelay.js'
 import { StreamContinuity } from './streamContinuity.js'
-import { decideAfterFailure, isUncounted } from './attemptPolicy.js'
+import { decideAfterFailure, isUncounted, mayRepeat } from './attemptPolicy.js'
 import type { AttemptFailure, RequestProgress } from './attemptPolicy.js'
 import { RetryAllowance } from './retryAllowance.js'
 import type { RunningRequests } from './runningRequests.js'
+import { SilentAttemptCheck } from './silentAttemptCheck.js'
 import { UpstreamAttempt } from './upstreamAttempt.js'
 import { UpstreamChoice } from './upstreamChoice.js'
 import { createUpstreamRequest } from './upstreamRequest.js'
@@ -36,8 +37,8 @@
 import { UpstreamStatements } from './upstreamStatements.js'
 
 const FIRST_SERVER_ERROR_STATUS = 500
-/** An attempt on a lost path is given up when it has been silent for this long. */
-const SILENT_ATTEMPT_MILLISECONDS = 400
+/** What failed so may have been executed. */
+const MAY_HAVE_RUN: ReadonlySet<AttemptFailure> = new Set(['broken', 'server-error', 'silent'])
 /** Pause before the next attempt when every upstream could not be reached. */
 const UNREACHABLE_PAUSE_MILLISECONDS = 100
 
@@ -69,6 +70,7 @@
   private readonly _statements: UpstreamStatements
   private readonly _choice: UpstreamChoice
   private readonly _retries: RetryAllowance
+  private readonly _silence: SilentAttemptCheck
   private _attempt: UpstreamAttempt | undefined
   private _upstream: Upstream | undefined
   /** Path of the running attempt. */
@@ -89,6 +91,7 @@
     this._crashes = CrashTracking.create(services, request)
     this._choice = UpstreamChoice.create(services, request, this._crashes)
     this._retries = RetryAllowance.create(services, request)
+    this._silence = SilentAttemptCheck.create(services.access, this._retries, request)
     this._refusal = DispatchRefusal.create(services, request, this._continuity, this._crashes)
     this._effects = AttemptEffects.create(services, request)
     this._log = AttemptLog.create(services.instrumentation, request.head)
@@ -122,13 +125,14 @@
     this.onEnded({ kind: 'failed', failure: 'broken', detail: 'the upstream is about to be removed', connectionLost: false })
   }
 
-  /** Continues on another path if the one of the running attempt is lost and the request may be sent again. */
+  /** Makes another attempt if the running one hears nothing, its path or connection is found to be the cause, and the request may be sent again. */
   reconsiderPath (): void {
-    const { access, clock } = this._services
-    if (this._done || !this._attempt || !this._path || clock.now() < this._path.silentSince + SILENT_ATTEMPT_MILLISECONDS) return
-    if (!access.isPathLost(this._path, this._upstream!) || !this._retries.takeAfterLostPath(this._attempt.dispatched, this._relay.started)) return
+    if (this._done || !this._attempt || !this._path) return
+    const running = { path: this._path, upstream: this._upstream!, isDispatched: this._attempt.dispatched, isStarted: this._relay.started, progress: this._progress }
+    const verdict = this._silence.check(running, this._services.clock.now())
+    if (!verdict) return
     this._attempt.abandon()
-    this.onEnded({ kind: 'failed', failure: 'links-lost', detail: 'the path to the upstream is lost', connectionLost: false })
+    this.onEnded({ kind: 'failed', ...verdict, connectionLost: false })
   }
 
   /** Ends the request because the process ends: with what is true of it, unless its response has begun. Returns whether it was cut. */
@@ -244,7 +248,7 @@
     this._crashes.beginAttempt(upstream, this._attemptStartedAt)
     this._log.recordStarted({ upstream, kind: this._attemptKind, startedAt: this._attemptStartedAt, lastEventId: this._relay.lastEventId, withinResponse: this._relay.started })
     this._attempt = UpstreamAttempt.create(this)
-    this._path = this._services.access.choosePath(upstream, this._choice.hasFailedAt(upstream) ? 'separate' : 'shared')
+    this._path = this._services.access.choosePath(upstream, this._choice.hasFailedAt(upstream) ? 'separate' : mayRepeat(this._request.route) ? 'shared' : 'heard-lately')
     this._path.begin()
     const target = { upstreamId: upstream.listed.id, resumeAfter: this._relay.lastEventId }
     this._attempt.start(this._path.client, createUpstreamRequest(this._request, target, this._services.protocol, this._services.clock.now()))
@@ -282,7 +286,7 @@
   private _recordFailure (failure: AttemptFailure, upstream: Upstream): void {
     this._choice.recordFailure(upstream)
     this._progress.started = this._relay.started
-    if (failure === 'broken' || failure === 'server-error') this._progress.mayHaveRun = true
+    if (MAY_HAVE_RUN.has(failure)) this._progress.mayHaveRun = true
     this._effects.recordFailure(upstream, failure)
   }
 
--- a/packages/serving/src/attempts/retryAllowance.ts
+++ b/packages/serving/src/attempts/retryAllowance.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '@plumstage/common'
 import type { ServingState } from '../servingState.js'
 import type { AcceptedRequest } from './acceptedRequest.js'
-import { mayRepeat, mayRetryServerError } from './attemptPolicy.js'
+import { hasAttemptsLeft, mayRepeat, mayRetryServerError } from './attemptPolicy.js'
 import type { AttemptFailure, RequestProgress } from './attemptPolicy.js'
 
 /** Nothing was sent in attempts that failed so. */
@@ -54,6 +54,11 @@
     return this._isCharged
   }
 
+  /** Returns whether to make another attempt instead of waiting for one whose connection has gone silent. */
+  takeAfterSilence ({ route, attempts }: RequestProgress, isDispatched: boolean, isStarted: boolean): boolean {
+    return hasAttemptsLeft({ route, attempts: attempts + 1 }) && this.takeAfterLostPath(isDispatched, isStarted)
+  }
+
   /** Returns whether the retry budget allows another attempt after a failure. */
   takeAfterFailure (failure: AttemptFailure): boolean {
     return this._isCharged || UNSENT_FAILURES.has(failure) || this._charge()
--- a/packages/serving/src/links/upstreamAccess.ts
+++ b/packages/serving/src/links/upstreamAccess.ts
@@ -23,7 +23,7 @@
 import { UpstreamLinkTask } from './upstreamLinkTask.js'
 import type { UpstreamLinkState } from './upstreamLinks.js'
 import { DirectPath, RelayedPath } from './upstreamPath.js'
-import type { ConnectionUse, UpstreamPath } from './upstreamPath.js'
+import type { ConnectionUse, DirectPathServices, UpstreamPath } from './upstreamPath.js'
 import { HttpUpstreamProbe } from './upstreamProbe.js'
 
 /** How often running requests are asked whether their path still works. */
@@ -38,6 +38,8 @@
   /** Address of this gateway for peers. */
   peerAddress: string
   failureDomain: string
+  /** Time after which a gateway has to be in touch again with whatever it had lost. */
+  contactMilliseconds: number
   isStopping: () => boolean
   clock: Clock
   instrumentation: Instrumentation
@@ -61,11 +63,13 @@
   private readonly _relayedCrashProbe: RelayedCrashProbe
   private _candidates: readonly RelayCandidate[] = []
   private _candidatesExpireAt: Timestamp = 0
+  /** Begin of the last silence for which connections were replaced. */
+  private _replacedSince: Timestamp | undefined
 
   private constructor (options: UpstreamAccessOptions) {
-    const { clock, instrumentation, peerAddress, state, connectionResets } = options
+    const { clock, instrumentation, peerAddress, state, connectionResets, contactMilliseconds } = options
     this._options = options
-    this._direct = PooledUpstreamConnections.create(this._resetObserver, connectionResets)
+    this._direct = PooledUpstreamConnections.create({ observer: this._resetObserver, resets: connectionResets, contactMilliseconds, clock })
     const dialer = RelayDialer.create({ localHost: splitAddress(peerAddress).host, clock, connectionResets })
     this._relayed = RelayConnections.create({ dialer, resets: this._resetObserver })
     this._links = UpstreamLinkTask.create({
@@ -75,6 +79,7 @@
       clock,
       instrumentation,
       onLost: () => this._recordLinksLost(),
+      onConnectionsSilent: since => this._replaceSilentConnections(since),
       onRegained: () => this._relayed.retireAll()
     })
     this._directCrashProbe = ConnectionCrashProbe.create(upstream => state.listConfiguredUpstreams().filter(other => other !== upstream))
@@ -106,7 +111,7 @@
     const { clock } = this._options
     const peer = this.linkState === 'lost' ? this._choosePeer(upstream) : undefined
     if (use === 'separate') return this._createSeparatePath(upstream, peer)
-    if (peer === undefined) return DirectPath.create(this._direct.clientOf(upstream), upstream, this._links, clock)
+    if (peer === undefined) return DirectPath.create(this._direct.clientOf(upstream, use), upstream, this._directServices)
     return RelayedPath.create(this._relayed.clientThrough(peer, upstream), peer, this._relayPeers, clock)
   }
 
@@ -116,6 +121,11 @@
     return this.linkState === 'lost' && this._choosePeer(upstream) !== undefined
   }
 
+  /** Whether the connection of a running attempt has gone silent while new ones work. */
+  isConnectionSilent ({ peer, client, silentSince }: UpstreamPath): boolean {
+    return peer === undefined && this._direct.isSilent(client, silentSince)
+  }
+
   /** Resolves when it is known whether the links are lost; at once unless there is a doubt, and in any case after a short time. */
   async settled (): Promise<void> {
     await this._links.settled()
@@ -154,7 +164,7 @@
     const { clock } = this._options
     if (peer === undefined) {
       const { client, release } = this._direct.createSeparateClient(upstream)
-      return DirectPath.create(client, upstream, this._links, clock, release)
+      return DirectPath.create(client, upstream, this._directServices, release)
     }
     const { client, release } = this._relayed.createSeparateClient(peer, upstream)
     return RelayedPath.create(client, peer, this._relayPeers, clock, release)
@@ -168,6 +178,21 @@
     }
   }
 
+  private get _directServices (): DirectPathServices {
+    return { links: this._links, connections: this._direct, clock: this._options.clock }
+  }
+
+  /** Opens new connections once for each silence, and gives up attempts on the old ones that may be repeated. */
+  private _replaceSilentConnections (since: Timestamp): void {
+    const { clock, instrumentation, reconsiderPaths } = this._options
+    if (since !== this._replacedSince) {
+      this._replacedSince = since
+      this._direct.replaceSilent()
+      instrumentation.emit('upstream-connections-replaced', { silentMilliseconds: Math.round(clock.now() - since) })
+    }
+    reconsiderPaths()
+  }
+
   /** What failed over lost links says nothing about the upstreams. */
   private _recordLinksLost (): void {
     for (const upstream of this._options.state.upstreams.list()) upstream.health.reset()
--- a/packages/serving/src/links/upstreamLinkTask.ts
+++ b/packages/serving/src/links/upstreamLinkTask.ts
@@ -24,6 +24,8 @@
   clock: Clock
   instrumentation: Instrumentation
   onLost: () => void
+  /** Called when open connections have been silent since a time although new ones are answered; again while that lasts. */
+  onConnectionsSilent: (since: Timestamp) => void
   onRegained: () => void
 }
 
@@ -128,6 +130,8 @@
     const failures = this._links.pendingFailures
     const change = this._links.recordRound(results, this._options.clock.now())
     if (change) this._announce(change, results, failures)
+    const { connectionsSilentSince } = this._links
+    if (connectionsSilentSince !== undefined) this._options.onConnectionsSilent(connectionsSilentSince)
     if (!this._links.isDoubtful) this._settle()
   }
 
--- a/packages/serving/src/links/upstreamLinks.ts
+++ b/packages/serving/src/links/upstreamLinks.ts
@@ -1,6 +1,6 @@
 /**
- * Decides whether this gateway has lost its links to all upstreams. Requests only raise the doubt, because a failed or silent
- * one may also be the fault of its upstream; probes of several upstreams settle it.
+ * Decides whether this gateway has lost its links to all upstreams, or only the connections that are open. Requests only raise the
+ * doubt, because a failed or silent one may also be the fault of its upstream; probes of several upstreams settle it.
  *
  * @module
  */
@@ -14,6 +14,8 @@
 const PROBE_INTERVAL_MILLISECONDS = 250
 /** Silence of all direct exchanges after which upstreams are probed. */
 const SILENCE_MILLISECONDS = 400
+/** A single silent request may wait for its upstream, so that its silence says less. */
+const LONE_SILENCE_MILLISECONDS = 1000
 /** A round that was caused by silence begins at the earliest this long after the previous round. */
 const SILENCE_PROBE_INTERVAL_MILLISECONDS = 1000
 const PROBES_PER_ROUND = 3
@@ -54,6 +56,7 @@
   private _roundBeganAt: Timestamp = Number.NEGATIVE_INFINITY
   private _lastCheckAt: Timestamp | undefined
   private _lastPauseAt: Timestamp = Number.NEGATIVE_INFINITY
+  private _connectionsSilentSince: Timestamp | undefined
 
   static create (): UpstreamLinks {
     return new UpstreamLinks()
@@ -72,6 +75,14 @@
     return this._isRoundRunning
   }
 
+  /**
+   * Time since which no open connection has brought a byte, although new ones are answered; undefined when that is not so, as far as
+   * the last round of probes has shown.
+   */
+  get connectionsSilentSince (): Timestamp | undefined {
+    return this._connectionsSilentSince
+  }
+
   /** Failures since the last round that had a result. */
   get pendingFailures (): number {
     return this._pendingFailures
@@ -129,11 +140,19 @@
     this._check(now)
     this._isRoundRunning = false
     for (const { upstream, outcome } of results) this._recordResult(upstream.listed.id, outcome, now)
+    this._connectionsSilentSince = this._areConnectionsSilent(results, now) ? this._silentSince : undefined
     if (results.length === 0 || results.some(result => result.outcome === 'responded')) return this._enter('working')
     if (this._wasRoundInterrupted) return undefined
     return this._enter(this._isExplainedByUpstreams(results) ? 'working' : 'lost')
   }
 
+  /** Where nothing at all is heard but the probes, the open connections are silent. */
+  private _areConnectionsSilent (results: readonly ProbeResult[], now: Timestamp): boolean {
+    if (this._wasRoundInterrupted || this._silentSince === undefined) return false
+    const needed = this._runningExchanges > 1 ? SILENCE_MILLISECONDS : LONE_SILENCE_MILLISECONDS
+    return now - this._silentSince >= needed && results.some(({ outcome }) => outcome === 'responded')
+  }
+
   private get _wasRoundInterrupted (): boolean {
     return this._lastPauseAt >= this._roundBeganAt
   }
--- a/packages/serving/src/links/upstreamPath.ts
+++ b/packages/serving/src/links/upstreamPath.ts
@@ -11,6 +11,7 @@
 import { RelayError } from '../relay/relayError.js'
 import type { RelayErrorKind } from '../relay/relayError.js'
 import type { RelayPeers } from '../relay/relayPeers.js'
+import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { UpstreamLinkTask } from './upstreamLinkTask.js'
 
@@ -18,10 +19,10 @@
 const UPSTREAM_ERRORS: ReadonlySet<RelayErrorKind> = new Set(['upstream-refused', 'upstream-unreachable', 'upstream-unlisted'])
 
 /**
- * Whether an attempt shares the connections of all requests or gets one of its own. A response of an earlier attempt of the same
- * request bears the same id, so it must not arrive on the connection of a later one.
+ * Whether an attempt shares the connections of all requests, only while one of them was heard a moment ago, or gets one of its own. A
+ * response of an earlier attempt of the same request bears the same id, so it must not arrive on the connection of a later one.
  */
-export type ConnectionUse = 'shared' | 'separate'
+export type ConnectionUse = 'shared' | 'heard-lately' | 'separate'
 
 /** Closes the client of a path that has it for itself. */
 export type ClientRelease = () => void
@@ -46,18 +47,27 @@
   end (): void
 }
 
+/** What a path over a connection of this gateway reports to. */
+export interface DirectPathServices {
+  links: UpstreamLinkTask
+  connections: Pick<UpstreamConnections, 'recordBytes'>
+  clock: Clock
+}
+
 /** Over a connection of this gateway. */
 export class DirectPath implements UpstreamPath {
   readonly client: HttpClient
   readonly peer = undefined
   private readonly _upstream: Upstream
   private readonly _links: UpstreamLinkTask
+  private readonly _connections: DirectPathServices['connections']
   private readonly _clock: Clock
   private readonly _release: ClientRelease
   private _silentSince: Timestamp
 
-  private constructor (client: HttpClient, upstream: Upstream, links: UpstreamLinkTask, clock: Clock, release: ClientRelease) {
+  private constructor (client: HttpClient, upstream: Upstream, { links, connections, clock }: DirectPathServices, release: ClientRelease) {
     this.client = client
+    this._connections = connections
     this._release = release
     this._upstream = upstream
     this._links = links
@@ -65,8 +75,8 @@
     this._silentSince = clock.now()
   }
 
-  static create (client: HttpClient, upstream: Upstream, links: UpstreamLinkTask, clock: Clock, release: ClientRelease = KEEP_CLIENT): DirectPath {
-    return new DirectPath(client, upstream, links, clock, release)
+  static create (client: HttpClient, upstream: Upstream, services: DirectPathServices, release: ClientRelease = KEEP_CLIENT): DirectPath {
+    return new DirectPath(client, upstream, services, release)
   }
 
   get silentSince (): Timestamp {
@@ -79,6 +89,7 @@
 
   recordBytes (): void {
     this._silentSince = this._clock.now()
+    this._connections.recordBytes(this.client, this._silentSince)
     this._links.recordContact()
   }
 
--- a/packages/serving/src/observability/servingMetrics.ts
+++ b/packages/serving/src/observability/servingMetrics.ts
@@ -60,6 +60,7 @@
   { kind: 'store-lost', name: 'plumstage_store_losses_total', help: 'How often the store stopped answering the watch of this gateway.' },
   { kind: 'deployment-pull-failed', name: 'plumstage_failed_pulls_total', help: 'Snapshots of the deployment that could not be read from peers.' },
   { kind: 'store-snapshot-read', name: 'plumstage_store_snapshots_total', help: 'Snapshots of all entries that were read from the store, by reason.', label: { attribute: 'reason', name: 'reason' } },
+  { kind: 'upstream-connections-replaced', name: 'plumstage_upstream_silences_total', help: 'How often the connections to all upstreams were replaced because they were silent while new ones were answered.' },
   { kind: 'upstream-links-probed', name: 'plumstage_link_probes_total', help: 'Probes of upstreams that show whether the links of this gateway work.', amount: 'probes' },
   { kind: 'rollout-decided', name: 'plumstage_rollout_decisions_total', help: 'Changes of the stage of roll-outs that this gateway decided, by stage.', label: { attribute: 'stage', name: 'stage' } },
   { kind: 'task-failed', name: 'plumstage_task_failures_total', help: 'Errors that a background task did not handle, by task.', label: { attribute: 'task', name: 'task' } },
--- a/packages/serving/src/servingGateway.ts
+++ b/packages/serving/src/servingGateway.ts
@@ -108,7 +108,7 @@
     this._keys = StoreKeys.create()
     this._registry = GatewayRegistry.create(this._keys, this.state.peers, clock)
     this._pauses = PauseMonitor.create(leaseClock)
-    this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, isStopping: () => this._stop.isStopping, clock, instrumentation, tasks, connectionResets, reconsiderPaths: () => this._reconsiderPaths() })
+    this._access = UpstreamAccess.create({ state: this.state, peerAddress: settings.peerAddress, failureDomain: settings.failureDomain, contactMilliseconds: settings.contactMilliseconds, isStopping: () => this._stop.isStopping, clock, instrumentation, tasks, connectionResets, reconsiderPaths: () => this._reconsiderPaths() })
     this._duty = DutyTask.create(store, this._keys.dutyKey, settings.name, () => this._seeksDuty(), leaseClock, instrumentation, dutyLeaseTimingOf(settings.dutyLeaseMilliseconds))
     this._streams = this._createStreams()
     this._duties = this._createDuties()
--- a/packages/serving/src/upstreams/upstreamConnections.ts
+++ b/packages/serving/src/upstreams/upstreamConnections.ts
@@ -5,7 +5,7 @@
  */
 import type { Socket } from 'node:net'
 import type { Dispatcher as HttpClient, Pool, buildConnector } from 'undici'
-import type { ConnectionResets } from '@plumstage/common'
+import type { Clock, ConnectionResets, Timestamp } from '@plumstage/common'
 import { createResettingConnector } from '@plumstage/common/resettingConnector'
 import { DelayedEnd } from './delayedEnd.js'
 import { ResetObserver } from './resetObserver.js'
@@ -17,9 +17,24 @@
 /** Time limit for establishing a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 700
 
+/**
+ * How much is known of the open connections that a request may use: one that can be repeated takes the risk that they have gone
+ * silent, as long as a gateway need not be in touch with everything yet; for others, one of them was heard a moment ago.
+ */
+export type ConnectionNeed = 'shared' | 'heard-lately'
+
+/** Bytes have arrived on a connection of an upstream within this share of the time after which a gateway has to be in touch again. */
+const HEARD_SHARES: Readonly<Record<ConnectionNeed, number>> = { shared: 0.8, 'heard-lately': 0.5 }
+
 /** Provides the connections to upstreams. */
 export interface UpstreamConnections {
-  clientOf (upstream: Upstream): HttpClient
+  clientOf (upstream: Upstream, need: ConnectionNeed): HttpClient
+  /** Records that bytes have arrived on a connection of a client. */
+  recordBytes (client: HttpClient, now: Timestamp): void
+  /** Opens new connections from now on, because the open ones are silent; those close after their requests. */
+  replaceSilent (): void
+  /** Whether the connections of a client were replaced because they were silent, after a time since which one of them is. */
+  isSilent (client: HttpClient, since: Timestamp): boolean
   /** Creates a client with a new connection, for one request. */
   createSeparateClient (upstream: Upstream): SeparateClient
   /** Whether a connection is being broken off at this moment: a response that ends with its connection is then incomplete. */
@@ -29,37 +44,67 @@
   close (): Promise<void>
 }
 
+/** Dependencies of the connections. */
+export interface PooledUpstreamConnectionsOptions {
+  /** Notices the resets of upstreams. */
+  observer: ResetObserver
+  /** Counts the resets of this gateway. */
+  resets: ConnectionResets
+  /** Time after which a gateway has to be in touch again with whatever it had lost. */
+  contactMilliseconds: number
+  clock: Clock
+}
+
 /** Keeps a pool of connections for each incarnation of an upstream. */
 export class PooledUpstreamConnections implements UpstreamConnections {
   private readonly _pools = new Map<Upstream, Pool>()
   /** Pools that are closed once the requests on them have ended. */
   private readonly _closing = ClosingPools.create()
   private readonly _connect: buildConnector.connector
-  private readonly _observer: ResetObserver
+  private readonly _options: PooledUpstreamConnectionsOptions
+  /** When bytes last arrived on a connection of a pool. */
+  private readonly _heardAt = new WeakMap<HttpClient, Timestamp>()
+  private readonly _createdAt = new WeakMap<HttpClient, Timestamp>()
+  /** When all pools were last replaced because their connections were silent. */
+  private _replacedAt: Timestamp = Number.NEGATIVE_INFINITY
 
-  private constructor (observer: ResetObserver, resets: ConnectionResets) {
-    this._observer = observer
+  private constructor (options: PooledUpstreamConnectionsOptions) {
+    const { resets } = options
+    this._options = options
     this._connect = createResettingConnector({ target: 'upstream', resets, timeout: CONNECT_TIMEOUT_MILLISECONDS, onConnection: socket => this._prepare(socket) })
   }
 
-  /** `observer` notices the resets of upstreams, `resets` counts those of this gateway. */
-  static create (observer: ResetObserver, resets: ConnectionResets): PooledUpstreamConnections {
-    return new PooledUpstreamConnections(observer, resets)
+  static create (options: PooledUpstreamConnectionsOptions): PooledUpstreamConnections {
+    return new PooledUpstreamConnections(options)
   }
 
   get resetting (): boolean {
-    return this._observer.resetting
+    return this._options.observer.resetting
   }
 
-  clientOf (upstream: Upstream): HttpClient {
-    let pool = this._pools.get(upstream)
-    if (!pool) {
-      pool = this._createPool(upstream.listed.address)
-      this._pools.set(upstream, pool)
-    }
+  clientOf (upstream: Upstream, need: ConnectionNeed): HttpClient {
+    const known = this._pools.get(upstream)
+    if (known && this._wasHeard(known, need)) return known
+    this.forget(upstream)
+    const pool = this._createPool(upstream.listed.address)
+    this._pools.set(upstream, pool)
     return pool
   }
 
+  recordBytes (client: HttpClient, now: Timestamp): void {
+    this._heardAt.set(client, now)
+  }
+
+  replaceSilent (): void {
+    this._replacedAt = this._options.clock.now()
+    for (const upstream of [...this._pools.keys()]) this.forget(upstream)
+  }
+
+  isSilent (client: HttpClient, since: Timestamp): boolean {
+    const createdAt = this._createdAt.get(client)
+    return createdAt !== undefined && createdAt <= this._replacedAt && since <= this._replacedAt
+  }
+
   createSeparateClient (upstream: Upstream): SeparateClient {
     return this._closing.createSeparate(this._createPool(upstream.listed.address))
   }
@@ -77,11 +122,21 @@
   }
 
   private _createPool (address: string): Pool {
-    return createUpstreamPool(address, this._connect)
+    const pool = createUpstreamPool(address, this._connect)
+    const now = this._options.clock.now()
+    this._createdAt.set(pool, now)
+    // Its connections are opened when they are needed, so it counts as heard.
+    this._heardAt.set(pool, now)
+    return pool
   }
 
   private _prepare (socket: Socket): void {
     DelayedEnd.attach(socket)
-    this._observer.observe(socket)
+    this._options.observer.observe(socket)
+  }
+
+  private _wasHeard (pool: Pool, need: ConnectionNeed): boolean {
+    const { clock, contactMilliseconds } = this._options
+    return clock.now() < this._heardAt.get(pool)! + contactMilliseconds * HEARD_SHARES[need]
   }
 }
--- a/tests/platform/givenUpCalls.spec.ts
+++ b/tests/platform/givenUpCalls.spec.ts
@@ -136,10 +136,10 @@
   // Guards against: a request whose caller has left, or that goes on elsewhere, reaches its upstream seconds later.
   for (const body of [undefined, BODY]) {
     it(`does not reach an upstream ${body ? 'with' : 'without'} a body`, async () => {
-      const connections = PooledUpstreamConnections.create(ResetObserver.create(), resets)
+      const connections = PooledUpstreamConnections.create({ observer: ResetObserver.create(), resets, contactMilliseconds: 3000, clock })
       const attempt = UpstreamAttempt.create(RECEIVER)
       assert.deepEqual(await listLate(async () => {
-        attempt.start(connections.clientOf(createUpstream()), { ...REQUEST, body })
+        attempt.start(connections.clientOf(createUpstream(), 'shared'), { ...REQUEST, body })
         await wait(CALL_TIMEOUT_MILLISECONDS)
         attempt.abandon()
       }), [])
@@ -149,9 +149,9 @@
 
   // Guards against: what a process had sent when it was stopped still reaches an upstream after its end.
   it('does not reach an upstream when all connections are closed', async () => {
-    const connections = PooledUpstreamConnections.create(ResetObserver.create(), resets)
+    const connections = PooledUpstreamConnections.create({ observer: ResetObserver.create(), resets, contactMilliseconds: 3000, clock })
     assert.deepEqual(await listLate(async () => {
-      UpstreamAttempt.create(RECEIVER).start(connections.clientOf(createUpstream()), REQUEST)
+      UpstreamAttempt.create(RECEIVER).start(connections.clientOf(createUpstream(), 'shared'), REQUEST)
       await wait(CALL_TIMEOUT_MILLISECONDS)
       await connections.close()
     }), [])
--- a/tests/platform/support/upstreamStandin.ts
+++ b/tests/platform/support/upstreamStandin.ts
@@ -33,6 +33,7 @@
   hasCrashed = false
   private readonly _server: Server
   private readonly _sockets = new Set<Socket>()
+  private readonly _silentSockets = new WeakSet<Socket>()
   private readonly _waiters = new Set<() => void>()
 
   private constructor (id: string, script: ResponseScript) {
@@ -56,6 +57,22 @@
     while (this.requests.length < count) await new Promise<void>(resolve => this._waiters.add(resolve))
   }
 
+  /**
+   * Makes all open connections silent for good, without an end or a reset: nothing that arrives on them is received, and
+   * nothing that is written to them leaves. New connections work.
+   */
+  silenceConnections (): void {
+    for (const socket of this._sockets) {
+      this._silentSockets.add(socket)
+      socket.write = () => true
+    }
+  }
+
+  /** Number of open connections that are not silent. */
+  get liveConnections (): number {
+    return [...this._sockets].filter(socket => !this._silentSockets.has(socket)).length
+  }
+
   /** Closes the port and all connections, as when the process ends. */
   async crash (): Promise<void> {
     this.hasCrashed = true
@@ -74,6 +91,7 @@
     socket.on('error', () => socket.destroy())
     let received = ''
     socket.on('data', chunk => {
+      if (this._silentSockets.has(socket)) return
       received += chunk.toString('latin1')
       for (let request = parseRequest(received, socket); request; request = parseRequest(received, socket)) {
         received = received.slice(request.length)
--- a/tests/serving/upstreamLinkTask.spec.ts
+++ b/tests/serving/upstreamLinkTask.spec.ts
@@ -85,7 +85,8 @@
       clock: this.clock,
       instrumentation,
       onLost: () => this.changes.push('lost'),
-      onRegained: () => this.changes.push('regained')
+      onRegained: () => this.changes.push('regained'),
+      onConnectionsSilent: () => {}
     })
     void this.task.run(this.context)
   }
--- a/tests/serving/upstreamLinks.spec.ts
+++ b/tests/serving/upstreamLinks.spec.ts
@@ -118,6 +118,31 @@
     assert.ok(regained > 9000 && regained <= 10_000, `regained at ${regained}`)
   })
 
+  // Guards against: requests wait for their deadlines on open connections that are silent, because new ones are answered.
+  it('work, but their open connections are silent, when nothing is heard except probes', () => {
+    const gateway = SimulatedGateway.create(createUpstreams(6))
+    sendTraffic(gateway, now => now < 3000 || now >= 6000)
+    gateway.links.beginExchange(0)
+    gateway.runUntil(3350)
+    assert.equal(gateway.links.connectionsSilentSince, undefined)
+    gateway.runUntil(3600)
+    assert.equal(gateway.links.connectionsSilentSince, 2990)
+    gateway.runUntil(9000)
+    assert.equal(gateway.links.state, 'working')
+    assert.deepEqual(gateway.changes, [])
+  })
+
+  // Guards against: one request that its upstream works on for long has all connections replaced.
+  it('need a longer silence of a single request to count their open connections as silent', () => {
+    const gateway = SimulatedGateway.create(createUpstreams(6))
+    gateway.links.beginExchange(0)
+    gateway.runUntil(900)
+    assert.ok(gateway.rounds.length > 0)
+    assert.equal(gateway.links.connectionsSilentSince, undefined)
+    gateway.runUntil(2500)
+    assert.equal(gateway.links.connectionsSilentSince, 0)
+  })
+
   // Guards against: every request at a gateway that is refused by all upstreams uses up its attempts there.
   it('are lost right after a failure when all upstreams refuse connections', () => {
     const gateway = SimulatedGateway.create(createUpstreams(6))
