--- a/tests/platform/support/changeTroubles.ts
+++ b/tests/platform/support/changeTroubles.ts
@@ -24,7 +24,7 @@
 const HERD_SHARE = 0.55
 
 /** Kinds of trouble. */
-export const TROUBLES = ['step-back', 'step-ahead', 'turned-away', 'gateways-cut', 'long-cut', 'freeze', 'kill', 'herd-kill', 'planned-stop', 'store-down', 'store-losing', 'store-slow', 'compact', 'connections-cut', 'sighup'] as const
+export const TROUBLES = ['step-back', 'step-ahead', 'turned-away', 'gateways-cut', 'long-cut', 'freeze', 'kill', 'herd-kill', 'planned-stop', 'store-down', 'store-losing', 'store-slow', 'compact', 'connections-cut', 'sighup', 'store-connections-silent', 'upstream-connections-silent'] as const
 export type Trouble = typeof TROUBLES[number]
 
 const REFUSALS: readonly StoreTrouble[] = ['busy', 'limited', 'reset', 'silent']
@@ -81,11 +81,19 @@
     if (kind === 'store-losing') return await this._cutFromStore(this._deployment.gateways.numbers, 'losing', STORE_DOWN_MILLISECONDS)
     if (kind === 'store-slow') return await this._cutFromStore(this._deployment.gateways.numbers, 'slow', STORE_DOWN_MILLISECONDS)
     if (kind === 'sighup') return this._signal(gateways, 'SIGHUP')
+    if (kind === 'store-connections-silent' || kind === 'upstream-connections-silent') return this._silence(kind)
     if (kind === 'compact') this._deployment.store.compact()
     if (kind === 'connections-cut') this._deployment.store.cutConnections()
     this._deployment.judge.recordStoreTrouble()
   }
 
+  /** The open connections of all gateways go silent for good; new ones work. */
+  private _silence (kind: 'store-connections-silent' | 'upstream-connections-silent'): void {
+    const { fronts, upstreams, gateways, judge } = this._deployment
+    for (const standin of kind === 'store-connections-silent' ? fronts : upstreams) standin.silenceConnections()
+    judge.recordDisturbance(gateways.numbers)
+  }
+
   private async _step (gateways: readonly number[], milliseconds: number): Promise<void> {
     for (const offset of [milliseconds, 0]) {
       for (const gateway of gateways) this._deployment.stepTimeOfDay(gateway, offset)
--- a/tests/platform/support/storeFront.ts
+++ b/tests/platform/support/storeFront.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 /** How calls are treated. */
 export type StoreTrouble =
@@ -33,12 +33,18 @@
   /** Those that act now; the last one counts. */
   private readonly _troubles: StoreTrouble[] = []
   private _answers = 0
+  private readonly _connections = new Set<Socket>()
+  private readonly _silentConnections = new WeakSet<Socket>()
 
   private constructor (storeAddress: string) {
     const [host, port] = storeAddress.split(':')
     this._host = host
     this._port = Number(port)
     this._server = createServer((incoming, response) => this._serve(incoming, response))
+    this._server.on('connection', connection => {
+      this._connections.add(connection)
+      connection.once('close', () => this._connections.delete(connection))
+    })
   }
 
   static async create (storeAddress: string): Promise<StoreFront> {
@@ -60,6 +66,14 @@
     this._troubles.splice(this._troubles.indexOf(trouble), 1)
   }
 
+  /** Makes all open connections silent for good, also for calls that wait; new ones work. */
+  silenceConnections (): void {
+    for (const connection of this._connections) {
+      this._silentConnections.add(connection)
+      connection.setTimeout(0)
+    }
+  }
+
   private get _trouble (): StoreTrouble | undefined {
     return this._troubles.at(-1)
   }
@@ -71,10 +85,11 @@
 
   private _serve (incoming: IncomingMessage, response: ServerResponse): void {
     if (this._trouble === 'reset') return void incoming.socket.resetAndDestroy()
-    if (this._trouble === 'silent') return void incoming.resume()
+    if (this._trouble === 'silent' || this._silentConnections.has(incoming.socket)) return void incoming.resume()
     const refusal = this._trouble && REFUSALS[this._trouble]
     if (refusal !== undefined) return refuse(incoming, response, refusal)
-    const call = request({ host: this._host, port: this._port, method: incoming.method, path: incoming.url, headers: incoming.headers }, answer => this._pass(answer, response))
+    const { socket } = incoming
+    const call = request({ host: this._host, port: this._port, method: incoming.method, path: incoming.url, headers: incoming.headers }, answer => { if (!this._silentConnections.has(socket)) this._pass(answer, response) })
     call.on('error', () => response.destroy())
     response.once('close', () => call.destroy())
     incoming.pipe(call)
