--- a/packages/serving/src/links/upstreamAccess.ts
+++ b/packages/serving/src/links/upstreamAccess.ts
@@ -16,6 +16,7 @@
 import type { ServingState } from '../servingState.js'
 import { ConnectionCrashProbe } from '../upstreams/crashProbe.js'
 import type { CrashProbe } from '../upstreams/crashProbe.js'
+import { HeardPools } from '../upstreams/heardPools.js'
 import { ResetObserver } from '../upstreams/resetObserver.js'
 import { PooledUpstreamConnections } from '../upstreams/upstreamConnections.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
@@ -23,7 +24,7 @@
 import { UpstreamLinkTask } from './upstreamLinkTask.js'
 import type { UpstreamLinkState } from './upstreamLinks.js'
 import { DirectPath, RelayedPath } from './upstreamPath.js'
-import type { ConnectionUse, DirectPathServices, UpstreamPath } from './upstreamPath.js'
+import type { ConnectionUse, DirectPathServices, RelayedPathServices, UpstreamPath } from './upstreamPath.js'
 import { HttpUpstreamProbe } from './upstreamProbe.js'
 
 /** How often running requests are asked whether their path still works. */
@@ -55,6 +56,7 @@
   readonly tunnels: RelayServer
   private readonly _options: UpstreamAccessOptions
   private readonly _resetObserver = ResetObserver.create()
+  private readonly _heard: HeardPools
   private readonly _direct: PooledUpstreamConnections
   private readonly _relayPeers = RelayPeers.create()
   private readonly _relayed: RelayConnections
@@ -69,9 +71,10 @@
   private constructor (options: UpstreamAccessOptions) {
     const { clock, instrumentation, peerAddress, state, connectionResets, contactMilliseconds } = options
     this._options = options
-    this._direct = PooledUpstreamConnections.create({ observer: this._resetObserver, resets: connectionResets, contactMilliseconds, clock })
+    this._heard = HeardPools.create(clock, contactMilliseconds)
+    this._direct = PooledUpstreamConnections.create({ observer: this._resetObserver, resets: connectionResets, heard: this._heard, clock })
     const dialer = RelayDialer.create({ localHost: splitAddress(peerAddress).host, clock, connectionResets })
-    this._relayed = RelayConnections.create({ dialer, resets: this._resetObserver })
+    this._relayed = RelayConnections.create({ dialer, heard: this._heard, resets: this._resetObserver })
     this._links = UpstreamLinkTask.create({
       listUpstreams: () => state.listConfiguredUpstreams(),
       healthPathOf: service => state.view.configuration?.services.get(service)?.healthPath,
@@ -108,11 +111,10 @@
 
   /** Returns the path of a new attempt: through a peer only while the links are lost and a peer is usable. */
   choosePath (upstream: Upstream, use: ConnectionUse): UpstreamPath {
-    const { clock } = this._options
     const peer = this.linkState === 'lost' ? this._choosePeer(upstream) : undefined
     if (use === 'separate') return this._createSeparatePath(upstream, peer)
     if (peer === undefined) return DirectPath.create(this._direct.clientOf(upstream, use), upstream, this._directServices)
-    return RelayedPath.create(this._relayed.clientThrough(peer, upstream), peer, this._relayPeers, clock)
+    return RelayedPath.create(this._relayed.clientThrough(peer, upstream, use), peer, this._relayedServices)
   }
 
   /** Whether the path of a running attempt does not work any more, while another one may. */
@@ -161,13 +163,12 @@
 
   /** Returns a path whose connection carries one attempt only. */
   private _createSeparatePath (upstream: Upstream, peer: string | undefined): UpstreamPath {
-    const { clock } = this._options
     if (peer === undefined) {
       const { client, release } = this._direct.createSeparateClient(upstream)
       return DirectPath.create(client, upstream, this._directServices, release)
     }
     const { client, release } = this._relayed.createSeparateClient(peer, upstream)
-    return RelayedPath.create(client, peer, this._relayPeers, clock, release)
+    return RelayedPath.create(client, peer, this._relayedServices, release)
   }
 
   private async _reconsiderPaths (context: CallContext): Promise<void> {
@@ -179,7 +180,11 @@
   }
 
   private get _directServices (): DirectPathServices {
-    return { links: this._links, connections: this._direct, clock: this._options.clock }
+    return { links: this._links, heard: this._heard, clock: this._options.clock }
+  }
+
+  private get _relayedServices (): RelayedPathServices {
+    return { peers: this._relayPeers, heard: this._heard, clock: this._options.clock }
   }
 
   /** Opens new connections once for each silence, and gives up attempts on the old ones that may be repeated. */
--- a/packages/serving/src/links/upstreamPath.ts
+++ b/packages/serving/src/links/upstreamPath.ts
@@ -11,7 +11,7 @@
 import { RelayError } from '../relay/relayError.js'
 import type { RelayErrorKind } from '../relay/relayError.js'
 import type { RelayPeers } from '../relay/relayPeers.js'
-import type { UpstreamConnections } from '../upstreams/upstreamConnections.js'
+import type { HeardPools } from '../upstreams/heardPools.js'
 import type { Upstream } from '../upstreams/upstreamTable.js'
 import type { UpstreamLinkTask } from './upstreamLinkTask.js'
 
@@ -50,7 +50,14 @@
 /** What a path over a connection of this gateway reports to. */
 export interface DirectPathServices {
   links: UpstreamLinkTask
-  connections: Pick<UpstreamConnections, 'recordBytes'>
+  heard: HeardPools
+  clock: Clock
+}
+
+/** What a path through a peer reports to. */
+export interface RelayedPathServices {
+  peers: RelayPeers
+  heard: HeardPools
   clock: Clock
 }
 
@@ -60,14 +67,14 @@
   readonly peer = undefined
   private readonly _upstream: Upstream
   private readonly _links: UpstreamLinkTask
-  private readonly _connections: DirectPathServices['connections']
+  private readonly _heard: HeardPools
   private readonly _clock: Clock
   private readonly _release: ClientRelease
   private _silentSince: Timestamp
 
-  private constructor (client: HttpClient, upstream: Upstream, { links, connections, clock }: DirectPathServices, release: ClientRelease) {
+  private constructor (client: HttpClient, upstream: Upstream, { links, heard, clock }: DirectPathServices, release: ClientRelease) {
     this.client = client
-    this._connections = connections
+    this._heard = heard
     this._release = release
     this._upstream = upstream
     this._links = links
@@ -89,7 +96,7 @@
 
   recordBytes (): void {
     this._silentSince = this._clock.now()
-    this._connections.recordBytes(this.client, this._silentSince)
+    this._heard.recordBytes(this.client, this._silentSince)
     this._links.recordContact()
   }
 
@@ -109,12 +116,14 @@
   readonly client: HttpClient
   readonly peer: string
   private readonly _peers: RelayPeers
+  private readonly _heard: HeardPools
   private readonly _clock: Clock
   private readonly _release: ClientRelease
   private _silentSince: Timestamp
 
-  private constructor (client: HttpClient, peer: string, peers: RelayPeers, clock: Clock, release: ClientRelease) {
+  private constructor (client: HttpClient, peer: string, { peers, heard, clock }: RelayedPathServices, release: ClientRelease) {
     this.client = client
+    this._heard = heard
     this._release = release
     this.peer = peer
     this._peers = peers
@@ -122,8 +131,8 @@
     this._silentSince = clock.now()
   }
 
-  static create (client: HttpClient, peer: string, peers: RelayPeers, clock: Clock, release: ClientRelease = KEEP_CLIENT): RelayedPath {
-    return new RelayedPath(client, peer, peers, clock, release)
+  static create (client: HttpClient, peer: string, services: RelayedPathServices, release: ClientRelease = KEEP_CLIENT): RelayedPath {
+    return new RelayedPath(client, peer, services, release)
   }
 
   get silentSince (): Timestamp {
@@ -134,6 +143,7 @@
 
   recordBytes (): void {
     this._silentSince = this._clock.now()
+    this._heard.recordBytes(this.client, this._silentSince)
     this._peers.recordSuccess(this.peer)
   }
 
--- a/packages/serving/src/relay/relayConnections.ts
+++ b/packages/serving/src/relay/relayConnections.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from 'node:stream'
 import type { Dispatcher as HttpClient, Pool, buildConnector } from 'undici'
 import { DelayedEnd } from '../upstreams/delayedEnd.js'
+import type { ConnectionNeed, HeardPools } from '../upstreams/heardPools.js'
 import type { ResetObserver } from '../upstreams/resetObserver.js'
 import { ClosingPools } from '../upstreams/closingPools.js'
 import { createUpstreamPool } from '../upstreams/upstreamPool.js'
@@ -18,6 +19,8 @@
 /** Dependencies of the connections. */
 export interface RelayConnectionsOptions {
   dialer: RelayDialer
+  /** Tells which tunnels were heard lately. */
+  heard: HeardPools
   /** Observes the tunnels for resets. */
   resets: ResetObserver
 }
@@ -42,11 +45,15 @@
     return this._options.resets.resetting
   }
 
-  /** Returns the client whose requests reach an upstream through a peer. It fails with a `RelayError` when no tunnel can be opened. */
-  clientThrough (peerAddress: string, upstream: Upstream): HttpClient {
+  /** Returns the client whose requests reach an upstream through a peer, with new tunnels if the open ones were not heard lately. It fails with a `RelayError` when no tunnel can be opened. */
+  clientThrough (peerAddress: string, upstream: Upstream, need: ConnectionNeed): HttpClient {
     const pools = this._poolsByPeer.get(peerAddress) ?? new Map<Upstream, Pool>()
     this._poolsByPeer.set(peerAddress, pools)
-    const pool = pools.get(upstream) ?? this._createPool(peerAddress, upstream)
+    const known = pools.get(upstream)
+    if (known && this._options.heard.isUsable(known, need)) return known
+    if (known) this._retired.add(known)
+    const pool = this._createPool(peerAddress, upstream)
+    this._options.heard.add(pool)
     pools.set(upstream, pool)
     return pool
   }
--- a/packages/serving/src/upstreams/upstreamConnections.ts
+++ b/packages/serving/src/upstreams/upstreamConnections.ts
@@ -8,6 +8,7 @@
 import type { Clock, ConnectionResets, Timestamp } from '@plumstage/common'
 import { createResettingConnector } from '@plumstage/common/resettingConnector'
 import { DelayedEnd } from './delayedEnd.js'
+import type { ConnectionNeed, HeardPools } from './heardPools.js'
 import { ResetObserver } from './resetObserver.js'
 import { ClosingPools } from './closingPools.js'
 import { createUpstreamPool } from './upstreamPool.js'
@@ -17,20 +18,9 @@
 /** Time limit for establishing a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 700
 
-/**
- * How much is known of the open connections that a request may use: one that can be repeated takes the risk that they have gone
- * silent, as long as a gateway need not be in touch with everything yet; for others, one of them was heard a moment ago.
- */
-export type ConnectionNeed = 'shared' | 'heard-lately'
-
-/** Bytes have arrived on a connection of an upstream within this share of the time after which a gateway has to be in touch again. */
-const HEARD_SHARES: Readonly<Record<ConnectionNeed, number>> = { shared: 0.8, 'heard-lately': 0.5 }
-
 /** Provides the connections to upstreams. */
 export interface UpstreamConnections {
   clientOf (upstream: Upstream, need: ConnectionNeed): HttpClient
-  /** Records that bytes have arrived on a connection of a client. */
-  recordBytes (client: HttpClient, now: Timestamp): void
   /** Opens new connections from now on, because the open ones are silent; those close after their requests. */
   replaceSilent (): void
   /** Whether the connections of a client were replaced because they were silent, after a time since which one of them is. */
@@ -50,8 +40,8 @@
   observer: ResetObserver
   /** Counts the resets of this gateway. */
   resets: ConnectionResets
-  /** Time after which a gateway has to be in touch again with whatever it had lost. */
-  contactMilliseconds: number
+  /** Tells which pools were heard lately. */
+  heard: HeardPools
   clock: Clock
 }
 
@@ -62,8 +52,6 @@
   private readonly _closing = ClosingPools.create()
   private readonly _connect: buildConnector.connector
   private readonly _options: PooledUpstreamConnectionsOptions
-  /** When bytes last arrived on a connection of a pool. */
-  private readonly _heardAt = new WeakMap<HttpClient, Timestamp>()
   private readonly _createdAt = new WeakMap<HttpClient, Timestamp>()
   /** When all pools were last replaced because their connections were silent. */
   private _replacedAt: Timestamp = Number.NEGATIVE_INFINITY
@@ -84,17 +72,13 @@
 
   clientOf (upstream: Upstream, need: ConnectionNeed): HttpClient {
     const known = this._pools.get(upstream)
-    if (known && this._wasHeard(known, need)) return known
+    if (known && this._options.heard.isUsable(known, need)) return known
     this.forget(upstream)
     const pool = this._createPool(upstream.listed.address)
     this._pools.set(upstream, pool)
     return pool
   }
 
-  recordBytes (client: HttpClient, now: Timestamp): void {
-    this._heardAt.set(client, now)
-  }
-
   replaceSilent (): void {
     this._replacedAt = this._options.clock.now()
     for (const upstream of [...this._pools.keys()]) this.forget(upstream)
@@ -123,10 +107,8 @@
 
   private _createPool (address: string): Pool {
     const pool = createUpstreamPool(address, this._connect)
-    const now = this._options.clock.now()
-    this._createdAt.set(pool, now)
-    // Its connections are opened when they are needed, so it counts as heard.
-    this._heardAt.set(pool, now)
+    this._createdAt.set(pool, this._options.clock.now())
+    this._options.heard.add(pool)
     return pool
   }
 
@@ -134,9 +116,4 @@
     DelayedEnd.attach(socket)
     this._options.observer.observe(socket)
   }
-
-  private _wasHeard (pool: Pool, need: ConnectionNeed): boolean {
-    const { clock, contactMilliseconds } = this._options
-    return clock.now() < this._heardAt.get(pool)! + contactMilliseconds * HEARD_SHARES[need]
-  }
 }
