--- a/packages/serving/src/callers/callerServer.ts
+++ b/packages/serving/src/callers/callerServer.ts
@@ -164,11 +164,12 @@
   private _reject (exchange: CallerExchange, rejection: Rejection, incoming: IncomingMessage, head?: CallerHead, admission?: Admission): void {
     const { services } = this._options
     if (exchange.started) return
+    const { configurationRevision } = services.state.view
     const basis = admission?.basis ?? services.state.decisionBasis(services.clock.now())
     const { kind: reason, status, message, retryAfterMilliseconds, quota } = rejection
     const origin = { target: head?.target ?? incoming.url, route: admission?.route.name, workspace: admission?.workspace }
     const usage = { quotaUnits: quota?.units, quotaUnitsPerSecond: quota?.unitsPerSecond, quotaBurstUnits: quota?.burstUnits }
-    services.instrumentation.emit('request-rejected', { reason, status, message, retryAfterMilliseconds, ...origin, ...usage, ...describeBasis(basis) }, head?.requestId)
+    services.instrumentation.emit('request-rejected', { reason, status, message, retryAfterMilliseconds, ...origin, ...usage, configurationRevision, ...describeBasis(basis) }, head?.requestId)
     exchange.reject(rejection)
   }
 }
--- a/packages/serving/src/deployment/decisionBasis.ts
+++ b/packages/serving/src/deployment/decisionBasis.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { EventAttributes, Timestamp } from '@plumstage/common'
+import type { EventAttributes } from '@plumstage/common'
 import type { StorePosition } from '@plumstage/coordination'
 import type { ConfigurationPosition } from './configurationPosition.js'
 
@@ -15,7 +15,7 @@
   /** Position of the last answer of the store; undefined before the first. */
   store: StorePosition | undefined
   /** Time from that answer to the decision in milliseconds; undefined before the first. */
-  storeSilentMilliseconds: Timestamp | undefined
+  storeSilentMilliseconds: number | undefined
   /** The newest configuration that peers had reported; undefined when none had. */
   peers: ConfigurationPosition | undefined
 }
