Stand-ins share the connections that go silent

Cause: four stand-ins of tests kept their open and silent connections each in its own way. Change: SilentConnections.

--- a/tests/platform/support/silencingServer.ts
+++ b/tests/platform/support/silencingServer.ts
@@ -5,20 +5,20 @@
  */
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { SilentConnections } from './silentConnections.js'
 
 /** A running server, which answers every request with 200 and a document. */
 export class SilencingServer {
   private readonly _server: Server
-  private readonly _open = new Set<Socket>()
-  private readonly _silent = new WeakSet<Socket>()
+  private readonly _connections = SilentConnections.create()
 
   private constructor (document: unknown, answerMilliseconds: number) {
     this._server = createServer(({ socket }, response) => {
-      if (this._silent.has(socket)) return
-      setTimeout(() => { if (!this._silent.has(socket)) response.end(JSON.stringify(document)) }, answerMilliseconds)
+      if (this._connections.isSilent(socket)) return
+      setTimeout(() => { if (!this._connections.isSilent(socket)) response.end(JSON.stringify(document)) }, answerMilliseconds)
     })
-    this._server.on('connection', socket => this._accept(socket))
+    this._connections.observe(this._server)
   }
 
   static async create (document: unknown, answerMilliseconds = 0): Promise<SilencingServer> {
@@ -32,19 +32,11 @@
   }
 
   silenceConnections (): void {
-    for (const socket of this._open) {
-      this._silent.add(socket)
-      socket.setTimeout(0)
-    }
+    this._connections.silence()
   }
 
   async stop (): Promise<void> {
     this._server.closeAllConnections()
     await new Promise<void>(resolve => this._server.close(() => resolve()))
   }
-
-  private _accept (socket: Socket): void {
-    this._open.add(socket)
-    socket.once('close', () => this._open.delete(socket))
-  }
 }
--- a/tests/platform/support/storeFront.ts
+++ b/tests/platform/support/storeFront.ts
@@ -5,7 +5,8 @@
  */
 import { createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { SilentConnections } from './silentConnections.js'
 
 /** How calls are treated. */
 export type StoreTrouble =
@@ -33,18 +34,14 @@
   /** Those that act now; the last one counts. */
   private readonly _troubles: StoreTrouble[] = []
   private _answers = 0
-  private readonly _connections = new Set<Socket>()
-  private readonly _silentConnections = new WeakSet<Socket>()
+  private readonly _connections = SilentConnections.create()
 
   private constructor (storeAddress: string) {
     const [host, port] = storeAddress.split(':')
     this._host = host
     this._port = Number(port)
     this._server = createServer((incoming, response) => this._serve(incoming, response))
-    this._server.on('connection', connection => {
-      this._connections.add(connection)
-      connection.once('close', () => this._connections.delete(connection))
-    })
+    this._connections.observe(this._server)
   }
 
   static async create (storeAddress: string): Promise<StoreFront> {
@@ -68,10 +65,7 @@
 
   /** Makes all open connections silent for good, also for calls that wait; new ones work. */
   silenceConnections (): void {
-    for (const connection of this._connections) {
-      this._silentConnections.add(connection)
-      connection.setTimeout(0)
-    }
+    this._connections.silence()
   }
 
   private get _trouble (): StoreTrouble | undefined {
@@ -85,11 +79,11 @@
 
   private _serve (incoming: IncomingMessage, response: ServerResponse): void {
     if (this._trouble === 'reset') return void incoming.socket.resetAndDestroy()
-    if (this._trouble === 'silent' || this._silentConnections.has(incoming.socket)) return void incoming.resume()
+    if (this._trouble === 'silent' || this._connections.isSilent(incoming.socket)) return void incoming.resume()
     const refusal = this._trouble && REFUSALS[this._trouble]
     if (refusal !== undefined) return refuse(incoming, response, refusal)
     const { socket } = incoming
-    const call = request({ host: this._host, port: this._port, method: incoming.method, path: incoming.url, headers: incoming.headers }, answer => { if (!this._silentConnections.has(socket)) this._pass(answer, response) })
+    const call = request({ host: this._host, port: this._port, method: incoming.method, path: incoming.url, headers: incoming.headers }, answer => { if (!this._connections.isSilent(socket)) this._pass(answer, response) })
     call.on('error', () => response.destroy())
     response.once('close', () => call.destroy())
     incoming.pipe(call)
--- a/tests/platform/support/storeStandin.ts
+++ b/tests/platform/support/storeStandin.ts
@@ -6,6 +6,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { SilentConnections } from './silentConnections.js'
 
 interface Item {
   key: string
@@ -56,8 +57,7 @@
   /** Further addresses, each of which can be cut off. */
   private readonly _secondServers: Server[] = []
   private readonly _cutServers = new Set<Server>()
-  private readonly _connections = new Set<Socket>()
-  private readonly _silentConnections = new WeakSet<Socket>()
+  private readonly _connections = SilentConnections.create()
   /** Whether second addresses accept calls and never answer them, also not those that wait already. */
   areSecondAddressesSilent = false
   private _items = new Map<string, Item>()
@@ -170,10 +170,7 @@
    * answered, also not what waits already. New connections work.
    */
   silenceConnections (): void {
-    for (const connection of this._connections) {
-      this._silentConnections.add(connection)
-      connection.setTimeout(0)
-    }
+    this._connections.silence()
   }
 
   /** Opens another address of the same store, for one gateway. */
@@ -202,15 +199,12 @@
       if (this._cutServers.has(server)) return void request.socket.destroy()
       void this._serve(request, response, () => this._isSilent(server, request.socket))
     })
-    server.on('connection', connection => {
-      this._connections.add(connection)
-      connection.once('close', () => this._connections.delete(connection))
-    })
+    this._connections.observe(server)
     return server
   }
 
   private _isSilent (server: Server, connection: Socket): boolean {
-    return this._silentConnections.has(connection) || (this.areSecondAddressesSilent && server !== this._server)
+    return this._connections.isSilent(connection) || (this.areSecondAddressesSilent && server !== this._server)
   }
 
   private _cut (server: Server, isCut: boolean): void {
--- a/tests/platform/support/upstreamStandin.ts
+++ b/tests/platform/support/upstreamStandin.ts
@@ -6,6 +6,7 @@
  */
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { SilentConnections } from './silentConnections.js'
 
 /** A request as the upstream received it. */
 export interface ReceivedRequest {
@@ -33,13 +34,14 @@
   hasCrashed = false
   private readonly _server: Server
   private readonly _sockets = new Set<Socket>()
-  private readonly _silentSockets = new WeakSet<Socket>()
+  private readonly _connections = SilentConnections.create()
   private readonly _waiters = new Set<() => void>()
 
   private constructor (id: string, script: ResponseScript) {
     this.id = id
     this.script = script
     this._server = createServer(socket => this._serve(socket))
+    this._connections.observe(this._server)
   }
 
   static async create (id: string, script: ResponseScript = respond('hello')): Promise<UpstreamStandin> {
@@ -62,15 +64,13 @@
    * nothing that is written to them leaves. New connections work.
    */
   silenceConnections (): void {
-    for (const socket of this._sockets) {
-      this._silentSockets.add(socket)
-      socket.write = () => true
-    }
+    this._connections.silence()
+    for (const socket of this._sockets) socket.write = () => true
   }
 
   /** Number of open connections that are not silent. */
   get liveConnections (): number {
-    return [...this._sockets].filter(socket => !this._silentSockets.has(socket)).length
+    return this._connections.liveCount
   }
 
   /** Closes the port and all connections, as when the process ends. */
@@ -91,7 +91,7 @@
     socket.on('error', () => socket.destroy())
     let received = ''
     socket.on('data', chunk => {
-      if (this._silentSockets.has(socket)) return
+      if (this._connections.isSilent(socket)) return
       received += chunk.toString('latin1')
       for (let request = parseRequest(received, socket); request; request = parseRequest(received, socket)) {
         received = received.slice(request.length)
