--- a/packages/serving/src/links/upstreamLinks.ts
+++ b/packages/serving/src/links/upstreamLinks.ts
@@ -14,8 +14,8 @@
 const PROBE_INTERVAL_MILLISECONDS = 250
 /** Silence of all direct exchanges after which upstreams are probed. */
 const SILENCE_MILLISECONDS = 400
-/** A single silent request may wait for its upstream, so that its silence says less. */
-const LONE_SILENCE_MILLISECONDS = 1000
+/** Silence of all direct exchanges after which open connections count as silent while probes are answered; busy upstreams let requests wait, too. */
+const SILENT_CONNECTIONS_MILLISECONDS = 1000
 /** A round that was caused by silence begins at the earliest this long after the previous round. */
 const SILENCE_PROBE_INTERVAL_MILLISECONDS = 1000
 const PROBES_PER_ROUND = 3
@@ -149,8 +149,7 @@
   /** Where nothing at all is heard but the probes, the open connections are silent. */
   private _areConnectionsSilent (results: readonly ProbeResult[], now: Timestamp): boolean {
     if (this._wasRoundInterrupted || this._silentSince === undefined) return false
-    const needed = this._runningExchanges > 1 ? SILENCE_MILLISECONDS : LONE_SILENCE_MILLISECONDS
-    return now - this._silentSince >= needed && results.some(({ outcome }) => outcome === 'responded')
+    return now - this._silentSince >= SILENT_CONNECTIONS_MILLISECONDS && results.some(({ outcome }) => outcome === 'responded')
   }
 
   private get _wasRoundInterrupted (): boolean {
