A pool on which requests run is kept, however long nothing was heard

Change: only pools without running requests are replaced for that. Those with silent ones are replaced when the probes show it, as before.

--- a/packages/serving/src/links/upstreamPath.ts
+++ b/packages/serving/src/links/upstreamPath.ts
@@ -91,6 +91,7 @@
   }
 
   begin (): void {
+    this._heard.beginRequest(this.client)
     this._links.beginExchange()
   }
 
@@ -106,6 +107,7 @@
   }
 
   end (): void {
+    this._heard.endRequest(this.client)
     this._links.endExchange()
     this._release()
   }
@@ -139,7 +141,9 @@
     return this._silentSince
   }
 
-  begin (): void {}
+  begin (): void {
+    this._heard.beginRequest(this.client)
+  }
 
   recordBytes (): void {
     this._silentSince = this._clock.now()
@@ -156,6 +160,7 @@
   }
 
   end (): void {
+    this._heard.endRequest(this.client)
     this._release()
   }
 }
--- a/packages/serving/src/upstreams/heardPools.ts
+++ b/packages/serving/src/upstreams/heardPools.ts
@@ -21,6 +21,8 @@
   private readonly _clock: Clock
   private readonly _contactMilliseconds: number
   private readonly _heardAt = new WeakMap<HttpClient, Timestamp>()
+  /** Number of requests that run on a pool. */
+  private readonly _running = new WeakMap<HttpClient, number>()
 
   private constructor (clock: Clock, contactMilliseconds: number) {
     this._clock = clock
@@ -37,13 +39,23 @@
     this.recordBytes(pool, this._clock.now())
   }
 
+  /** Records that a request begins on a pool; it ends with `endRequest`. */
+  beginRequest (pool: HttpClient): void {
+    this._running.set(pool, (this._running.get(pool) ?? 0) + 1)
+  }
+
+  endRequest (pool: HttpClient): void {
+    this._running.set(pool, (this._running.get(pool) ?? 0) - 1)
+  }
+
   /** Records that bytes have arrived on a connection of a pool. */
   recordBytes (pool: HttpClient, now: Timestamp): void {
     this._heardAt.set(pool, now)
   }
 
-  /** Whether a request with this need may use the open connections of a pool. */
+  /** Whether a request with this need may use the open connections of a pool. Where requests run, a busy upstream may let them wait. */
   isUsable (pool: HttpClient, need: ConnectionNeed): boolean {
+    if ((this._running.get(pool) ?? 0) > 0) return true
     const heardAt = this._heardAt.get(pool) ?? Number.NEGATIVE_INFINITY
     return this._clock.now() < heardAt + this._contactMilliseconds * HEARD_SHARES[need]
   }
